Lay the workspace: errors, clocks, objects, replica, peers, membership, runners, queue and claims

The packages that the request path is built from, with strict types and a clean linter. Nothing runs as a whole yet; tests follow with the path itself.

--- /dev/null
+++ b/config/merge/src/index.ts
@@ -0,0 +1,2 @@
+export { mergeThreeWay, listDifferences } from './mergeThreeWay.js'
+export type { Difference } from './mergeThreeWay.js'
--- /dev/null
+++ b/config/objects/src/index.ts
@@ -0,0 +1,16 @@
+export { Kinds, PLATFORM_PARTNER, buildObjectKey, parseObjectKey, getWorkClass, ServiceClasses } from './kinds.js'
+export type { Kind, ServiceClass } from './kinds.js'
+export { objectSchema, specSchemas, createObjectJsonSchema } from './schemas.js'
+export type {
+  AdapterSpec,
+  BackendServerLabelsSpec,
+  CallerSpec,
+  ConfigObject,
+  ModelSpec,
+  ModelVersionSpec,
+  QuotaSpec,
+  ServiceSpec,
+  SpecOf,
+  RepeatRule,
+} from './schemas.js'
+export { parseConfigObject } from './parseConfigObject.js'
--- /dev/null
+++ b/config/objects/src/parseConfigObject.ts
@@ -0,0 +1,23 @@
+import { PulleystackError } from '@pulleystack/core.errors'
+import { err, ok, type Result } from 'neverthrow'
+import type { z } from 'zod'
+import { objectSchema, specSchemas, type ConfigObject } from './schemas.js'
+
+/** Checks a value against its kind's schema; the error names the field. */
+export function parseConfigObject (value: unknown): Result<ConfigObject, PulleystackError> {
+  const outer = objectSchema.safeParse(value)
+  if (!outer.success) return err(createSchemaError(outer.error, ''))
+  const spec = specSchemas[outer.data.kind].safeParse(outer.data.spec)
+  if (!spec.success) return err(createSchemaError(spec.error, 'spec.'))
+  return ok({ ...outer.data, spec: spec.data } as ConfigObject)
+}
+
+function createSchemaError (error: z.ZodError, prefix: string): PulleystackError {
+  const issue = error.issues[0]
+  const inside = issue?.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0]] : issue?.path ?? []
+  const field = `${prefix}${inside.join('.')}`.replace(/\.$/, '')
+  return new PulleystackError('OBJECT_INVALID', `Field "${field}" of the object is wrong: ${issue?.message ?? 'unknown'}`, {
+    field,
+    hint: 'docs/objects.md lists the fields of each kind.',
+  })
+}
--- /dev/null
+++ b/config/replica/src/index.ts
@@ -0,0 +1,5 @@
+export { ConfigReplica } from './ConfigReplica.js'
+export type { ReplicaChange, ReplicaEntry, Rejection } from './ConfigReplica.js'
+export { BUCKET_COUNT, listDifferentBuckets } from './digest.js'
+export type { ReplicaDigest, BucketSummary } from './digest.js'
+export { ConfigIndex } from './ConfigIndex.js'
--- /dev/null
+++ b/config/selectors/src/index.ts
@@ -0,0 +1,2 @@
+export { matchLabels } from './matchLabels.js'
+export type { Labels, Selector } from './matchLabels.js'
--- /dev/null
+++ b/config/settings/src/index.ts
@@ -0,0 +1,3 @@
+export { parseSettings, readSettingsFile } from './parseSettings.js'
+export { settingsSchema } from './settingsSchema.js'
+export type { Settings, OperatorSetting } from './settingsSchema.js'
--- /dev/null
+++ b/config/settings/src/parseSettings.ts
@@ -0,0 +1,80 @@
+import { readFile } from 'node:fs/promises'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
+import { err, ok, type Result } from 'neverthrow'
+import { settingsSchema, type Settings } from './settingsSchema.js'
+
+type Environment = Readonly<Record<string, string | undefined>>
+type JsonMap = Record<string, unknown>
+
+/** Environment variables that go before the file, and the field each sets. */
+const OVERRIDES: Readonly<Record<string, readonly string[]>> = {
+  PULLEYSTACK_INSTANCE: ['instance'],
+  PULLEYSTACK_REGION: ['region'],
+  PULLEYSTACK_DATA_HALL: ['dataHall'],
+  PULLEYSTACK_LISTEN_CALLERS: ['listen', 'callers'],
+  PULLEYSTACK_LISTEN_PEERS: ['listen', 'peers'],
+  PULLEYSTACK_OBJECT_API: ['platform', 'objectApi'],
+  PULLEYSTACK_INSTANCE_LIST: ['platform', 'instanceList'],
+  PULLEYSTACK_WEIGHT_STORE: ['platform', 'weightStore'],
+  PULLEYSTACK_LOG: ['log'],
+}
+
+/** Reads and checks a settings file. */
+export async function readSettingsFile (file: string, environment: Environment): Promise<Result<Settings, PulleystackError>> {
+  try {
+    return parseSettings(await readFile(file, 'utf8'), environment)
+  } catch (cause) {
+    return err(new PulleystackError('SETTINGS_UNREADABLE', `Settings file ${file} cannot be read`, { cause, hint: 'Give an existing file with --settings.' }))
+  }
+}
+
+/** Checks the text of a settings file; the error names the field, its value and what is allowed. */
+export function parseSettings (text: string, environment: Environment = {}): Result<Settings, PulleystackError> {
+  const problems: ParseError[] = []
+  const value: unknown = parse(text, problems, { allowTrailingComma: true })
+  const problem = problems[0]
+  if (problem) {
+    const line = text.slice(0, problem.offset).split('\n').length
+    return err(new PulleystackError('SETTINGS_UNREADABLE', `Settings are not JSON with comments: ${printParseErrorCode(problem.error)} in line ${line}`))
+  }
+  if (typeof value !== 'object' || value === null) return err(new PulleystackError('SETTINGS_UNREADABLE', 'Settings must be one JSON object'))
+  return checkSettings(applyOverrides(value as JsonMap, environment))
+}
+
+function checkSettings (value: JsonMap): Result<Settings, PulleystackError> {
+  const checked = settingsSchema.safeParse(value)
+  if (checked.success) return ok(checked.data)
+  const issue = checked.error.issues[0]
+  const path = issue?.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0] as string] : issue?.path ?? []
+  const field = path.join('.')
+  const shown = JSON.stringify(readPath(value, path)) ?? 'absent'
+  return err(new PulleystackError('SETTING_INVALID', `Setting "${field}" has the value ${shown}: ${issue?.message ?? 'not allowed'}`, {
+    field,
+    hint: 'examples/settings.jsonc shows every setting with what it takes.',
+  }))
+}
+
+function applyOverrides (value: JsonMap, environment: Environment): JsonMap {
+  const changed = structuredClone(value)
+  for (const [name, path] of Object.entries(OVERRIDES)) {
+    const text = environment[name]
+    if (text !== undefined && text !== '') setPath(changed, path, text)
+  }
+  return changed
+}
+
+function setPath (value: JsonMap, path: readonly string[], text: string): void {
+  const [first, ...rest] = path as [string, ...string[]]
+  if (rest.length === 0) {
+    value[first] = text
+    return
+  }
+  const inner = (typeof value[first] === 'object' && value[first] !== null ? value[first] : {}) as JsonMap
+  value[first] = inner
+  setPath(inner, rest, text)
+}
+
+function readPath (value: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>((inner, name) => (inner as Record<PropertyKey, unknown> | undefined)?.[name], value)
+}
--- /dev/null
+++ b/config/sync/src/index.ts
@@ -0,0 +1,2 @@
+export { startConfigSync } from './startConfigSync.js'
+export type { ConfigSyncOptions } from './startConfigSync.js'
--- /dev/null
+++ b/core/hashing/src/index.ts
@@ -0,0 +1,1 @@
+export { hashText, listRanked, computeRank, findOwner } from './rendezvous.js'
--- /dev/null
+++ b/core/logging/src/index.ts
@@ -0,0 +1,2 @@
+export { createLogger } from './createLogger.js'
+export type { Logger, LogLevel } from './createLogger.js'
--- /dev/null
+++ b/membership/fake-network/src/FakeNetwork.ts
@@ -0,0 +1,133 @@
+import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import { PeerNetwork, type CallHandler, type Channel, type PeerEvent, type PeerIdentity, type Received } from '@pulleystack/membership.peers'
+import { err, ok, type Result } from 'neverthrow'
+import { filter, map, Subject, type Observable } from 'rxjs'
+
+/** What carries the messages of all fake networks of one test. */
+export class FakeHub {
+  /** Share of messages lost, and repeated. */
+  lossShare = 0
+  repeatShare = 0
+  /** Messages take up to this long, each its own time, so that they overtake each other. */
+  maxDelayMs = 0
+  messages = 0
+  private readonly nodes = new Map<string, FakeNetwork>()
+  private readonly cuts = new Set<string>()
+
+  constructor (readonly opts: { clock: Clock, random: RandomSource }) {}
+
+  createNode (identity: PeerIdentity): FakeNetwork {
+    const node = new FakeNetwork(this, identity)
+    this.nodes.set(identity.instance, node)
+    return node
+  }
+
+  removeNode (instance: string): void {
+    this.nodes.delete(instance)
+  }
+
+  findNode (instance: string): FakeNetwork | undefined {
+    return this.nodes.get(instance)
+  }
+
+  cut (a: string, b: string): void {
+    this.cuts.add(`${a}|${b}`).add(`${b}|${a}`)
+  }
+
+  healAll (): void {
+    this.cuts.clear()
+  }
+
+  isCut (a: string, b: string): boolean {
+    return this.cuts.has(`${a}|${b}`)
+  }
+
+  listOthers (instance: string): string[] {
+    return [...this.nodes.keys()].filter((other) => other !== instance && !this.isCut(instance, other))
+  }
+
+  /** Carries one message, or loses it. */
+  carry (from: string, to: string, deliver: (node: FakeNetwork) => void): void {
+    this.messages++
+    const { random, clock } = this.opts
+    if (random.readFraction() < this.lossShare) return
+    const times = random.readFraction() < this.repeatShare ? 2 : 1
+    for (let i = 0; i < times; i++) {
+      clock.setTimer(random.readFraction() * this.maxDelayMs, () => {
+        const node = this.nodes.get(to)
+        if (node && !this.isCut(from, to)) deliver(node)
+      })
+    }
+  }
+}
+
+/** One instance's side of the hub. */
+export class FakeNetwork extends PeerNetwork {
+  readonly handlers = new Map<string, CallHandler<unknown, unknown>>()
+  readonly received = new Subject<{ from: string, channel: string, body: unknown }>()
+  readonly events = new Subject<PeerEvent>()
+
+  constructor (private readonly hub: FakeHub, readonly identity: PeerIdentity) {
+    super()
+  }
+
+  get peerEvents (): Observable<PeerEvent> {
+    return this.events
+  }
+
+  getClockOffset (): number {
+    return 0
+  }
+
+  listLinked (): string[] {
+    return this.hub.listOthers(this.identity.instance)
+  }
+
+  setNeighbours (): void {}
+
+  send<Body> (to: string, channel: Channel<Body>, body: Body): boolean {
+    const from = this.identity.instance
+    if (!this.hub.findNode(to) || this.hub.isCut(from, to)) return false
+    const copy = structuredClone(body)
+    this.hub.carry(from, to, (node) => node.received.next({ from, channel: channel.name, body: copy }))
+    return true
+  }
+
+  receive<Body> (channel: Channel<Body>): Observable<Received<Body>> {
+    return this.received.pipe(
+      filter((it) => it.channel === channel.name),
+      map((it) => ({ from: it.from, body: it.body as Body })),
+    )
+  }
+
+  call<Body, Answer> (to: string, channel: Channel<Body, Answer>, body: Body, timeoutMs: number): Promise<Result<Answer, PulleystackError>> {
+    const from = this.identity.instance
+    if (!this.hub.findNode(to) || this.hub.isCut(from, to)) {
+      return Promise.resolve(err(new PulleystackError('INSTANCE_UNREACHABLE', `${to} cannot be reached`, { ran: Ran.NO })))
+    }
+    return new Promise((resolve) => {
+      const failed = new PulleystackError('INSTANCE_UNREACHABLE', `${to} did not answer`, { ran: Ran.UNKNOWN })
+      const cancel = this.hub.opts.clock.setTimer(timeoutMs, () => resolve(err(failed)))
+      this.hub.carry(from, to, (node) => void node.answer(from, channel.name, structuredClone(body)).then((answer) => {
+        this.hub.carry(to, from, () => {
+          cancel()
+          resolve(answer as Result<Answer, PulleystackError>)
+        })
+      }))
+    })
+  }
+
+  handleCalls<Body, Answer> (channel: Channel<Body, Answer>, handler: CallHandler<Body, Answer>): void {
+    this.handlers.set(channel.name, handler as CallHandler<unknown, unknown>)
+  }
+
+  private async answer (from: string, channel: string, body: unknown): Promise<Result<unknown, PulleystackError>> {
+    try {
+      const answer = await this.handlers.get(channel)?.(from, body)
+      return ok(structuredClone(answer))
+    } catch (thrown) {
+      return err(thrown as PulleystackError)
+    }
+  }
+}
--- /dev/null
+++ b/membership/fake-network/src/index.ts
@@ -0,0 +1,1 @@
+export { FakeHub, FakeNetwork } from './FakeNetwork.js'
--- /dev/null
+++ b/membership/peers/src/PeerLink.ts
@@ -0,0 +1,181 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { PulleystackError, Ran, ResultCodes, type ResultCodeName } from '@pulleystack/core.errors'
+import { err, ok, type Result } from 'neverthrow'
+import type { RawData, WebSocket } from 'ws'
+import { decodeFrame, encodeFrame, type Frame } from './frames.js'
+import { checkProof, createNonce, createProof } from './handshake.js'
+import type { PeerIdentity } from './PeerNetwork.js'
+
+const MAX_BUFFERED_BYTES = 16 << 20
+const HANDSHAKE_MS = 5_000
+
+export interface PeerLinkOptions {
+  socket: WebSocket
+  clock: Clock
+  secret: string | undefined
+  readIdentity: () => PeerIdentity
+  onOpen: (link: PeerLink) => void
+  onIdentity: (link: PeerLink) => void
+  onClose: (link: PeerLink) => void
+  onSend: (from: string, channel: string, body: unknown) => void
+  onCall: (from: string, channel: string, body: unknown) => Promise<unknown>
+}
+
+interface PendingCall {
+  resolve: (result: Result<unknown, PulleystackError>) => void
+  cancelTimer: () => void
+}
+
+/** One connection to one peer, from handshake to close. */
+export class PeerLink {
+  identity: PeerIdentity | undefined
+  /** Monotone time of the last frame. */
+  lastHeard: number
+  clockOffsetMs = 0
+  sentBytes = 0
+  private readonly nonce = createNonce()
+  private theirNonce = ''
+  private proven = false
+  private nextCall = 1
+  private lastBeat: { at: number, heardAt: number } | undefined
+  private readonly pending = new Map<number, PendingCall>()
+
+  constructor (private readonly opts: PeerLinkOptions) {
+    this.lastHeard = opts.clock.readTime()
+    opts.socket.on('message', (data) => this.receive(data))
+    opts.socket.on('close', () => this.finish())
+    opts.socket.on('error', () => opts.socket.terminate())
+    const cancel = opts.clock.setTimer(HANDSHAKE_MS, () => {
+      if (!this.proven) opts.socket.terminate()
+    })
+    opts.socket.on('close', cancel)
+    this.write({ t: 'hello', identity: opts.readIdentity(), nonce: this.nonce })
+  }
+
+  get isOpen (): boolean {
+    return this.proven && this.opts.socket.readyState === this.opts.socket.OPEN
+  }
+
+  send (channel: string, body: unknown): boolean {
+    // A peer that does not read gets less, not more; digests mend what it missed.
+    if (!this.isOpen || this.opts.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
+    this.write({ t: 'send', channel, body })
+    return true
+  }
+
+  call (channel: string, body: unknown, timeoutMs: number): Promise<Result<unknown, PulleystackError>> {
+    const id = this.nextCall++
+    return new Promise((resolve) => {
+      const cancelTimer = this.opts.clock.setTimer(timeoutMs, () => this.settle(id, err(createCallError('did not answer in time'))))
+      this.pending.set(id, { resolve, cancelTimer })
+      this.write({ t: 'call', id, channel, body })
+    })
+  }
+
+  sendBeat (): void {
+    const now = this.opts.clock.readTime()
+    const echo = this.lastBeat && { echo: this.lastBeat.at, heldMs: now - this.lastBeat.heardAt }
+    this.write({ t: 'beat', at: this.opts.clock.readWallTime(), ...echo })
+  }
+
+  sendIdentity (): void {
+    this.write({ t: 'identity', identity: this.opts.readIdentity() })
+  }
+
+  close (): void {
+    this.opts.socket.terminate()
+  }
+
+  private write (frame: Frame): void {
+    if (this.opts.socket.readyState !== this.opts.socket.OPEN) return
+    const bytes = encodeFrame(frame)
+    this.sentBytes += bytes.length
+    this.opts.socket.send(bytes)
+  }
+
+  private receive (data: RawData): void {
+    const frame = decodeFrame(data as Buffer)
+    if (!frame || !this.take(frame)) this.opts.socket.terminate()
+    else this.lastHeard = this.opts.clock.readTime()
+  }
+
+  private take (frame: Frame): boolean {
+    if (frame.t === 'hello') return this.takeHello(frame.identity, frame.nonce)
+    if (frame.t === 'proof') return this.takeProof(frame.proof)
+    if (!this.proven || !this.identity) return false
+    if (frame.t === 'beat') this.takeBeat(frame)
+    else if (frame.t === 'identity') this.takeIdentity(frame.identity)
+    else if (frame.t === 'send') this.opts.onSend(this.identity.instance, frame.channel, frame.body)
+    else if (frame.t === 'call') void this.answerCall(frame.id, frame.channel, frame.body)
+    else if (frame.t === 'answer') this.takeAnswer(frame)
+    return true
+  }
+
+  private takeHello (identity: PeerIdentity, nonce: string): boolean {
+    if (this.identity || typeof identity?.instance !== 'string' || typeof nonce !== 'string') return false
+    this.identity = identity
+    this.theirNonce = nonce
+    const { secret } = this.opts
+    this.write({ t: 'proof', proof: secret === undefined ? '' : createProof(secret, nonce, this.nonce, this.opts.readIdentity().instance) })
+    return true
+  }
+
+  private takeProof (proof: string): boolean {
+    const { secret } = this.opts
+    if (!this.identity || this.proven) return false
+    if (secret !== undefined && !checkProof(secret, proof, this.theirNonce, this.nonce, this.identity.instance)) return false
+    this.proven = true
+    this.opts.onOpen(this)
+    return true
+  }
+
+  private takeIdentity (identity: PeerIdentity): void {
+    if (identity?.instance !== this.identity?.instance) return
+    this.identity = identity
+    this.opts.onIdentity(this)
+  }
+
+  private takeBeat (frame: { at: number, echo?: number, heldMs?: number }): void {
+    this.lastBeat = { at: frame.at, heardAt: this.opts.clock.readTime() }
+    if (frame.echo === undefined) return
+    const now = this.opts.clock.readWallTime()
+    const roundTrip = now - frame.echo - (frame.heldMs ?? 0)
+    this.clockOffsetMs = frame.at + roundTrip / 2 - now
+  }
+
+  private async answerCall (id: number, channel: string, body: unknown): Promise<void> {
+    try {
+      const answer = await this.opts.onCall(this.identity?.instance ?? '', channel, body)
+      this.write({ t: 'answer', id, body: answer })
+    } catch (thrown) {
+      const known = thrown instanceof PulleystackError ? thrown : undefined
+      this.write({ t: 'answer', id, error: { code: known?.code ?? 'INTERNAL', message: String((thrown as Error)?.message), ran: known?.ran ?? Ran.UNKNOWN } })
+    }
+  }
+
+  private takeAnswer (frame: Extract<Frame, { t: 'answer' }>): void {
+    if (!frame.error) {
+      this.settle(frame.id, ok(frame.body))
+      return
+    }
+    const code = (frame.error.code in ResultCodes ? frame.error.code : 'INTERNAL') as ResultCodeName
+    this.settle(frame.id, err(new PulleystackError(code, frame.error.message, { ran: frame.error.ran as Ran })))
+  }
+
+  private settle (id: number, result: Result<unknown, PulleystackError>): void {
+    const pending = this.pending.get(id)
+    if (!pending) return
+    this.pending.delete(id)
+    pending.cancelTimer()
+    pending.resolve(result)
+  }
+
+  private finish (): void {
+    for (const id of [...this.pending.keys()]) this.settle(id, err(createCallError('closed the link')))
+    this.opts.onClose(this)
+  }
+}
+
+function createCallError (reason: string): PulleystackError {
+  return new PulleystackError('INSTANCE_UNREACHABLE', `A peer ${reason}`, { ran: Ran.UNKNOWN })
+}
--- /dev/null
+++ b/membership/peers/src/PeerNetwork.ts
@@ -0,0 +1,53 @@
+import type { PulleystackError } from '@pulleystack/core.errors'
+import type { Result } from 'neverthrow'
+import type { Observable } from 'rxjs'
+import type { Channel } from './Channel.js'
+
+/** How an instance introduces itself to a peer. */
+export interface PeerIdentity {
+  instance: string
+  /** Grows when the instance contradicts a suspicion. */
+  incarnation: number
+  /** Address for callers. */
+  address: string
+  peerAddress: string
+  region: string
+  dataHall: string
+  leaving: boolean
+}
+
+export interface Received<Body> {
+  from: string
+  body: Body
+}
+
+/** What the links tell about peers. */
+export type PeerEvent =
+  | { kind: 'heard', identity: PeerIdentity }
+  | { kind: 'silent', instance: string }
+
+export type CallHandler<Body, Answer> = (from: string, body: Body) => Promise<Answer> | Answer
+
+/** Messages between entry instances. Sends may be lost without a word; calls answer or fail in time. */
+export abstract class PeerNetwork {
+  /** Peers with an open link. */
+  abstract listLinked (): string[]
+  /** Sends when a link is open; false when it is not. */
+  abstract send<Body> (to: string, channel: Channel<Body>, body: Body): boolean
+  abstract receive<Body> (channel: Channel<Body>): Observable<Received<Body>>
+  /** Asks one peer, opening a link where needed. The error's `ran` tells whether the peer may have acted. */
+  abstract call<Body, Answer> (to: string, channel: Channel<Body, Answer>, body: Body, timeoutMs: number): Promise<Result<Answer, PulleystackError>>
+  abstract handleCalls<Body, Answer> (channel: Channel<Body, Answer>, handler: CallHandler<Body, Answer>): void
+  /** Links that should stay open. */
+  abstract setNeighbours (peers: readonly { instance: string, peerAddress: string }[]): void
+  abstract get peerEvents (): Observable<PeerEvent>
+  /** Milliseconds by which a peer's wall clock is ahead of ours; 0 when not known. */
+  abstract getClockOffset (instance: string): number
+
+  /** Sends to every linked peer but one. */
+  broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): void {
+    for (const peer of this.listLinked()) {
+      if (peer !== except) this.send(peer, channel, body)
+    }
+  }
+}
--- /dev/null
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -0,0 +1,262 @@
+import http from 'node:http'
+import https from 'node:https'
+import type { AddressInfo } from 'node:net'
+import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import type { Logger } from '@pulleystack/core.logging'
+import { err, type Result } from 'neverthrow'
+import { filter, map, Subject, type Observable } from 'rxjs'
+import { WebSocket, WebSocketServer } from 'ws'
+import type { Channel } from './Channel.js'
+import { MAX_FRAME_BYTES } from './frames.js'
+import { PeerLink } from './PeerLink.js'
+import { PeerNetwork, type CallHandler, type PeerEvent, type PeerIdentity, type Received } from './PeerNetwork.js'
+
+const MAX_DIAL_WAIT_MS = 4_000
+const DIAL_TIMEOUT_MS = 2_000
+const LOOPBACK = /^(::1|(::ffff:)?127\.)/
+
+// Peers connect by IP number, so the name in a certificate says nothing; the authority's signature is what counts.
+const acceptAnyName = (): boolean => undefined as unknown as boolean
+
+export interface WebSocketNetworkOptions {
+  clock: Clock
+  random: RandomSource
+  logger: Logger
+  /** Read anew for every hello. */
+  readIdentity: () => PeerIdentity
+  /** Where a peer that is no neighbour can be reached. */
+  findAddress: (instance: string) => string | undefined
+  host: string
+  port: number
+  heartbeatMs: number
+  suspectAfterMs: number
+  /** Secret that all peers share; without it only loopback is served. */
+  secret?: string
+  tls?: { ca: string, cert: string, key: string }
+}
+
+/** The peer network over WebSockets: one task for each peer keeps its link open, one timer sends heartbeats. */
+export class WebSocketNetwork extends PeerNetwork {
+  private readonly links = new Map<string, PeerLink>()
+  private readonly unproven = new Set<PeerLink>()
+  private readonly dialling = new Map<string, AbortController>()
+  private readonly opening = new Map<string, Promise<PeerLink | undefined>>()
+  private readonly handlers = new Map<string, CallHandler<unknown, unknown>>()
+  private readonly received = new Subject<{ from: string, channel: string, body: unknown }>()
+  private readonly events = new Subject<PeerEvent>()
+  private readonly stopped = new AbortController()
+  private server: http.Server | undefined
+  private sentByClosed = 0
+
+  constructor (private readonly opts: WebSocketNetworkOptions) {
+    super()
+  }
+
+  /** Listens; gives the port taken. */
+  async start (): Promise<number> {
+    const { tls } = this.opts
+    this.server = tls ? https.createServer({ ...tls, requestCert: true, rejectUnauthorized: true, minVersion: 'TLSv1.3' }) : http.createServer()
+    const server = this.server
+    const sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
+    sockets.on('connection', (socket, request) => this.accept(socket, request))
+    sockets.on('error', (cause) => this.opts.logger.warn({ err: cause }, 'peer listener failed'))
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(this.opts.port, this.opts.host, resolve)
+    })
+    void this.keepBeating()
+    return (server.address() as AddressInfo).port
+  }
+
+  async stop (): Promise<void> {
+    this.stopped.abort()
+    for (const abort of this.dialling.values()) abort.abort()
+    for (const link of [...this.links.values(), ...this.unproven]) link.close()
+    this.server?.closeAllConnections()
+    await new Promise<void>((resolve) => {
+      if (this.server) this.server.close(() => resolve())
+      else resolve()
+    })
+  }
+
+  /** Bytes sent to peers since the start. */
+  get sentBytes (): number {
+    let sum = this.sentByClosed
+    for (const link of this.links.values()) sum += link.sentBytes
+    return sum
+  }
+
+  get peerEvents (): Observable<PeerEvent> {
+    return this.events
+  }
+
+  getClockOffset (instance: string): number {
+    return this.links.get(instance)?.clockOffsetMs ?? 0
+  }
+
+  listLinked (): string[] {
+    return [...this.links].filter(([, link]) => link.isOpen).map(([instance]) => instance)
+  }
+
+  send<Body> (to: string, channel: Channel<Body>, body: Body): boolean {
+    return this.links.get(to)?.send(channel.name, body) ?? false
+  }
+
+  receive<Body> (channel: Channel<Body>): Observable<Received<Body>> {
+    return this.received.pipe(
+      filter((it) => it.channel === channel.name),
+      map((it) => ({ from: it.from, body: it.body as Body })),
+    )
+  }
+
+  async call<Body, Answer> (to: string, channel: Channel<Body, Answer>, body: Body, timeoutMs: number): Promise<Result<Answer, PulleystackError>> {
+    const link = this.findOpen(to) ?? await this.openOnce(to)
+    if (!link) return err(new PulleystackError('INSTANCE_UNREACHABLE', `Peer ${to} cannot be reached`, { ran: Ran.NO }))
+    return link.call(channel.name, body, timeoutMs) as Promise<Result<Answer, PulleystackError>>
+  }
+
+  handleCalls<Body, Answer> (channel: Channel<Body, Answer>, handler: CallHandler<Body, Answer>): void {
+    this.handlers.set(channel.name, handler as CallHandler<unknown, unknown>)
+  }
+
+  setNeighbours (peers: readonly { instance: string, peerAddress: string }[]): void {
+    const wanted = new Set(peers.map((peer) => peer.instance))
+    for (const [instance, abort] of this.dialling) {
+      if (wanted.has(instance)) continue
+      abort.abort()
+      this.dialling.delete(instance)
+    }
+    for (const instance of wanted) {
+      if (!this.dialling.has(instance)) this.startDialling(instance)
+    }
+  }
+
+  /** Tells every peer that the own identity changed, as when leaving. */
+  announceIdentity (): void {
+    for (const link of this.links.values()) link.sendIdentity()
+  }
+
+  private startDialling (instance: string): void {
+    const abort = new AbortController()
+    this.dialling.set(instance, abort)
+    void this.keepLinked(instance, abort.signal)
+  }
+
+  /** The task of one neighbour: dial, wait for the end of the link, dial again. */
+  private async keepLinked (instance: string, signal: AbortSignal): Promise<void> {
+    let wait = this.opts.heartbeatMs / 2
+    while (!signal.aborted) {
+      const link = this.findOpen(instance) ?? await this.openOnce(instance)
+      wait = link ? this.opts.heartbeatMs / 2 : Math.min(MAX_DIAL_WAIT_MS, wait * 2)
+      if (!link && !signal.aborted) this.events.next({ kind: 'silent', instance })
+      await this.opts.clock.wait(wait * (0.75 + this.opts.random.readFraction() / 2), signal)
+    }
+  }
+
+  private findOpen (instance: string): PeerLink | undefined {
+    const link = this.links.get(instance)
+    return link?.isOpen ? link : undefined
+  }
+
+  private openOnce (instance: string): Promise<PeerLink | undefined> {
+    const present = this.opening.get(instance)
+    if (present) return present
+    const opening = this.open(instance).finally(() => this.opening.delete(instance))
+    this.opening.set(instance, opening)
+    return opening
+  }
+
+  private open (instance: string): Promise<PeerLink | undefined> {
+    const address = this.opts.findAddress(instance)
+    if (!address || this.stopped.signal.aborted) return Promise.resolve(undefined)
+    return new Promise((resolve) => {
+      const { tls } = this.opts
+      const socket = new WebSocket(`${tls ? 'wss' : 'ws'}://${address}`, {
+        maxPayload: MAX_FRAME_BYTES,
+        perMessageDeflate: false,
+        handshakeTimeout: DIAL_TIMEOUT_MS,
+        ...tls,
+        checkServerIdentity: acceptAnyName,
+      })
+      const cancel = this.opts.clock.setTimer(DIAL_TIMEOUT_MS, () => socket.terminate())
+      const finish = (link: PeerLink | undefined): void => {
+        cancel()
+        resolve(link)
+      }
+      socket.on('error', () => finish(undefined))
+      socket.on('close', () => finish(undefined))
+      socket.on('open', () => this.createLink(socket, finish))
+    })
+  }
+
+  private accept (socket: WebSocket, request: http.IncomingMessage): void {
+    const remote = request.socket.remoteAddress ?? ''
+    if (this.opts.secret === undefined && !this.opts.tls && !LOOPBACK.test(remote)) socket.terminate()
+    else this.createLink(socket)
+  }
+
+  private createLink (socket: WebSocket, onOpened?: (link: PeerLink) => void): void {
+    const link = new PeerLink({
+      socket,
+      clock: this.opts.clock,
+      secret: this.opts.secret,
+      readIdentity: this.opts.readIdentity,
+      onOpen: (opened) => {
+        this.takeLink(opened)
+        onOpened?.(opened)
+      },
+      onIdentity: (known) => this.reportHeard(known),
+      onClose: (closed) => this.dropLink(closed),
+      onSend: (from, channel, body) => this.received.next({ from, channel, body }),
+      onCall: (from, channel, body) => this.answerCall(from, channel, body),
+    })
+    this.unproven.add(link)
+  }
+
+  private async answerCall (from: string, channel: string, body: unknown): Promise<unknown> {
+    const handler = this.handlers.get(channel)
+    if (!handler) throw new PulleystackError('NOT_FOUND', `No handler for channel ${channel}`)
+    return handler(from, body)
+  }
+
+  private takeLink (link: PeerLink): void {
+    this.unproven.delete(link)
+    const instance = link.identity?.instance
+    if (!instance) return
+    // Of two links to one peer the newer stays: the older may be a dead connection that nobody closed.
+    const older = this.links.get(instance)
+    this.links.set(instance, link)
+    if (older && !older.isOpen) older.close()
+    this.reportHeard(link)
+  }
+
+  private dropLink (link: PeerLink): void {
+    this.unproven.delete(link)
+    this.sentByClosed += link.sentBytes
+    const instance = link.identity?.instance
+    if (instance && this.links.get(instance) === link) this.links.delete(instance)
+  }
+
+  private reportHeard (link: PeerLink): void {
+    if (link.identity) this.events.next({ kind: 'heard', identity: link.identity })
+  }
+
+  private async keepBeating (): Promise<void> {
+    const { clock, heartbeatMs, suspectAfterMs } = this.opts
+    while (!this.stopped.signal.aborted) {
+      await clock.wait(heartbeatMs, this.stopped.signal)
+      const now = clock.readTime()
+      for (const [instance, link] of this.links) {
+        link.sendBeat()
+        if (now - link.lastHeard > suspectAfterMs) this.cutSilent(instance, link)
+        else this.reportHeard(link)
+      }
+    }
+  }
+
+  private cutSilent (instance: string, link: PeerLink): void {
+    link.close()
+    this.events.next({ kind: 'silent', instance })
+  }
+}
--- /dev/null
+++ b/membership/peers/src/index.ts
@@ -0,0 +1,6 @@
+export { PeerNetwork } from './PeerNetwork.js'
+export type { CallHandler, PeerEvent, PeerIdentity, Received } from './PeerNetwork.js'
+export { defineChannel } from './Channel.js'
+export type { Channel } from './Channel.js'
+export { WebSocketNetwork } from './WebSocketNetwork.js'
+export type { WebSocketNetworkOptions } from './WebSocketNetwork.js'
--- /dev/null
+++ b/membership/view/src/index.ts
@@ -0,0 +1,5 @@
+export { MembershipView } from './MembershipView.js'
+export type { Member, MemberChange, MemberState } from './MembershipView.js'
+export { startMembership } from './startMembership.js'
+export type { MembershipOptions } from './startMembership.js'
+export { listNeighbours } from './listNeighbours.js'
--- /dev/null
+++ b/membership/view/src/listNeighbours.ts
@@ -0,0 +1,25 @@
+import { hashText } from '@pulleystack/core.hashing'
+
+/** Up to this many instances everybody is linked with everybody. */
+const FULL_MESH = 9
+const RINGS = 2
+const SUCCESSORS = 2
+
+/**
+ * The peers that an instance keeps links to: all in a small system, else its successors on rings that hash the
+ * names. Every instance is so watched by as many others, and what one tells reaches all in a few steps.
+ */
+export function listNeighbours (self: string, others: readonly string[]): string[] {
+  if (others.length < FULL_MESH) return [...others]
+  const chosen = new Set<string>()
+  for (let ring = 0; ring < RINGS; ring++) {
+    for (const name of listSuccessors(self, others, ring)) chosen.add(name)
+  }
+  return [...chosen]
+}
+
+function listSuccessors (self: string, others: readonly string[], ring: number): string[] {
+  const start = hashText(self, ring)
+  const distance = (name: string): number => (hashText(name, ring) - start + 0x100000000) % 0x100000000
+  return others.toSorted((a, b) => distance(a) - distance(b)).slice(0, SUCCESSORS)
+}
--- /dev/null
+++ b/routing/claims/src/index.ts
@@ -0,0 +1,7 @@
+export { ClaimLog } from './ClaimLog.js'
+export type { ClaimLogOptions } from './ClaimLog.js'
+export { ClaimShard } from './ClaimShard.js'
+export type { ClaimShardOptions } from './ClaimShard.js'
+export { ClaimClient } from './ClaimClient.js'
+export type { ClaimClientOptions } from './ClaimClient.js'
+export type { ClaimDecision, ClaimEntry, ClaimRequest, KeptOutcome } from './ClaimEntry.js'
--- /dev/null
+++ b/routing/limiter/src/index.ts
@@ -0,0 +1,5 @@
+export { ConcurrencyLimiter } from './ConcurrencyLimiter.js'
+export type { LimiterSample } from './ConcurrencyLimiter.js'
+export { AdaptiveLimiter } from './AdaptiveLimiter.js'
+export { FixedLimiter } from './FixedLimiter.js'
+export { RateLimiter } from './RateLimiter.js'
--- /dev/null
+++ b/routing/queue/src/index.ts
@@ -0,0 +1,2 @@
+export { WorkQueue } from './WorkQueue.js'
+export type { QueuedWork, WorkQueueOptions } from './WorkQueue.js'
--- /dev/null
+++ b/routing/retries/src/OutlierDetector.ts
@@ -0,0 +1,38 @@
+const CONSECUTIVE_FAILURES = 5
+const BASE_EJECTION_MS = 2_000
+const MAX_EJECTION_MS = 60_000
+const PANIC_SHARE = 0.5
+
+/** Watches one backend server for repeated failure and takes it out for a while, each time longer. */
+export class OutlierDetector {
+  private failures = 0
+  private ejections = 0
+  private ejectedUntil = 0
+
+  /** Counts a success; after a while of health earlier ejections are forgotten. */
+  noteSuccess (): void {
+    this.failures = 0
+    if (this.ejections > 0) this.ejections -= 0.1
+  }
+
+  /** Counts a failure; true when it caused an ejection. */
+  noteFailure (now: number, jitter: number): boolean {
+    this.failures++
+    if (this.failures < CONSECUTIVE_FAILURES || this.isEjected(now)) return false
+    this.failures = 0
+    this.ejections = Math.max(0, Math.ceil(this.ejections)) + 1
+    const ms = Math.min(MAX_EJECTION_MS, BASE_EJECTION_MS * 2 ** (this.ejections - 1))
+    this.ejectedUntil = now + ms * (0.75 + jitter / 2)
+    return true
+  }
+
+  isEjected (now: number): boolean {
+    return now < this.ejectedUntil
+  }
+}
+
+/** The candidates that are not ejected; all of them when more than half are, since then the fault is likely ours. */
+export function listUsable<T extends { outlier: OutlierDetector }> (candidates: readonly T[], now: number): T[] {
+  const usable = candidates.filter((candidate) => !candidate.outlier.isEjected(now))
+  return usable.length >= candidates.length * (1 - PANIC_SHARE) ? usable : [...candidates]
+}
--- /dev/null
+++ b/routing/retries/src/index.ts
@@ -0,0 +1,3 @@
+export { RetryBudget } from './RetryBudget.js'
+export { OutlierDetector, listUsable } from './OutlierDetector.js'
+export { computeBackoff } from './computeBackoff.js'
--- /dev/null
+++ b/routing/runners/src/Runner.ts
@@ -0,0 +1,151 @@
+import type { ListedInstance, ResidentItem } from '@pulleystack/platform.interfaces'
+import { AdaptiveLimiter, type ConcurrencyLimiter } from '@pulleystack/routing.limiter'
+import { OutlierDetector } from '@pulleystack/routing.retries'
+import { PrefixIndex } from './PrefixIndex.js'
+import type { RunnerUpdate } from './RunnerUpdate.js'
+
+const DEFAULT_SLOTS = 8
+const EWMA_SHARE = 0.1
+const INITIAL_SERVICE_MS = 200
+const INITIAL_PREFILL_MS = 4
+
+interface OwnSample {
+  at: number
+  inFlight: number
+}
+
+interface ReportState {
+  /** Monotone time of the figures. */
+  at: number
+  running: number
+  waiting: number
+  slots: number
+  freeBytes: number
+}
+
+/** One backend server as this instance sees it. */
+export class Runner {
+  readonly cache = new PrefixIndex()
+  readonly limiter: ConcurrencyLimiter
+  readonly outlier: OutlierDetector
+  /** Smoothed milliseconds that a request holds a place. */
+  serviceMs = INITIAL_SERVICE_MS
+  /** Smoothed milliseconds to prefill a block that was not cached. */
+  prefillMsPerBlock = INITIAL_PREFILL_MS
+  /** Monotone time until which the server asked for no work. */
+  refusedUntil = 0
+  private readonly items = new Map<string, ResidentItem>()
+  private readonly inFlightByPartner = new Map<string, number>()
+  private report: ReportState | undefined
+  private life = ''
+  private seq = 0
+  private samples: OwnSample[] = [{ at: -Infinity, inFlight: 0 }]
+  private inFlight = 0
+
+  constructor (public server: ListedInstance) {
+    this.limiter = new AdaptiveLimiter({ initialLimit: DEFAULT_SLOTS })
+    this.outlier = new OutlierDetector()
+  }
+
+  get id (): string {
+    return this.server.id
+  }
+
+  get ownInFlight (): number {
+    return this.inFlight
+  }
+
+  get slots (): number {
+    return this.report?.slots ?? DEFAULT_SLOTS
+  }
+
+  get freeBytes (): number {
+    return this.report?.freeBytes ?? 0
+  }
+
+  /** Monotone time of the newest figures, undefined before the first. */
+  get reportedAt (): number | undefined {
+    return this.report?.at
+  }
+
+  get waiting (): number {
+    return this.report?.waiting ?? 0
+  }
+
+  listItems (): ResidentItem[] {
+    return [...this.items.values()]
+  }
+
+  hasReady (item: string): boolean {
+    return this.items.get(item)?.state === 'ready'
+  }
+
+  /** Partners with something resident here. */
+  listPartners (): Set<string> {
+    return new Set([...this.items.keys()].map((item) => item.slice(0, item.indexOf('/'))))
+  }
+
+  countOf (partner: string): number {
+    return this.inFlightByPartner.get(partner) ?? 0
+  }
+
+  /** Takes a report; false when it is older than the one held. */
+  applyUpdate (update: RunnerUpdate, now: number): boolean {
+    if (update.life !== this.life) this.forgetLife(update.life)
+    else if (update.seq <= this.seq) return false
+    this.seq = update.seq
+    this.report = { at: now - update.ageMs, running: update.running, waiting: update.waiting, slots: update.slots, freeBytes: update.freeBytes }
+    if (update.items) this.replaceItems(update.items)
+    this.cache.applyEvents(update.cacheEvents, update.cacheSeq)
+    this.dropOldSamples()
+    return true
+  }
+
+  /** Work on the server as far as known: the lagging report, corrected by what this instance began and ended since. */
+  estimateLoad (): number {
+    if (!this.report) return this.inFlight
+    const at = this.report.at
+    const then = this.samples.findLast((sample) => sample.at <= at)?.inFlight ?? 0
+    return Math.max(this.inFlight, this.report.running + this.report.waiting + this.inFlight - then)
+  }
+
+  noteStart (partner: string, now: number): void {
+    this.inFlight++
+    this.inFlightByPartner.set(partner, this.countOf(partner) + 1)
+    this.samples.push({ at: now, inFlight: this.inFlight })
+    if (!this.report) this.dropOldSamples()
+  }
+
+  noteEnd (partner: string, now: number): void {
+    this.inFlight--
+    this.inFlightByPartner.set(partner, this.countOf(partner) - 1)
+    this.samples.push({ at: now, inFlight: this.inFlight })
+  }
+
+  noteServiceTime (ms: number): void {
+    this.serviceMs += (ms - this.serviceMs) * EWMA_SHARE
+  }
+
+  /** Learns the cost of prefill from a first token that did not wait behind others. */
+  notePrefill (missingBlocks: number, firstTokenMs: number): void {
+    if (missingBlocks < 1 || this.waiting > 0) return
+    this.prefillMsPerBlock += (firstTokenMs / missingBlocks - this.prefillMsPerBlock) * EWMA_SHARE
+  }
+
+  private forgetLife (life: string): void {
+    this.life = life
+    this.items.clear()
+    this.cache.clear()
+  }
+
+  private replaceItems (items: readonly ResidentItem[]): void {
+    this.items.clear()
+    for (const item of items) this.items.set(item.item, item)
+  }
+
+  private dropOldSamples (): void {
+    const at = this.report?.at ?? Infinity
+    const first = this.samples.findLastIndex((sample) => sample.at <= at)
+    if (first > 0) this.samples = this.samples.slice(first)
+  }
+}
--- /dev/null
+++ b/routing/runners/src/RunnerUpdate.ts
@@ -0,0 +1,17 @@
+import type { CacheEvent, ResidentItem } from '@pulleystack/platform.interfaces'
+
+/** A report as its collector passes it on; `items` is left out while nothing changed. */
+export interface RunnerUpdate {
+  server: string
+  life: string
+  seq: number
+  /** Age of the figures in milliseconds when this was sent. */
+  ageMs: number
+  running: number
+  waiting: number
+  slots: number
+  freeBytes: number
+  items?: ResidentItem[]
+  cacheEvents: CacheEvent[]
+  cacheSeq: number
+}
--- /dev/null
+++ b/routing/runners/src/index.ts
@@ -0,0 +1,6 @@
+export { Runner } from './Runner.js'
+export { RunnerTable } from './RunnerTable.js'
+export { PrefixIndex, hashPrefixBlocks, BLOCK_CHARACTERS } from './PrefixIndex.js'
+export { startCollector, RUNNER_UPDATES } from './startCollector.js'
+export type { CollectorOptions } from './startCollector.js'
+export type { RunnerUpdate } from './RunnerUpdate.js'
--- /dev/null
+++ b/timeline/events/src/EventRing.ts
@@ -0,0 +1,32 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { Subject, type Observable } from 'rxjs'
+import type { EventFields, EventKind, TimelineEvent } from './TimelineEvent.js'
+
+const DEFAULT_CAPACITY = 20_000
+
+/** Keeps the newest events of one instance; older ones are overwritten. */
+export class EventRing {
+  private readonly slots: TimelineEvent[] = []
+  private readonly added = new Subject<TimelineEvent>()
+  private nextSeq = 1
+
+  constructor (private readonly opts: { clock: Clock, instance: string, dataHall: string, capacity?: number }) {}
+
+  /** Every event from now on. */
+  get events (): Observable<TimelineEvent> {
+    return this.added
+  }
+
+  /** Records one event. */
+  record (kind: EventKind, fields: EventFields = {}): void {
+    const seq = this.nextSeq++
+    const event: TimelineEvent = { seq, at: this.opts.clock.readWallTime(), instance: this.opts.instance, dataHall: this.opts.dataHall, kind, ...fields }
+    this.slots[(seq - 1) % (this.opts.capacity ?? DEFAULT_CAPACITY)] = event
+    this.added.next(event)
+  }
+
+  /** The events kept, oldest first, that the filter lets through. */
+  list (accept: (event: TimelineEvent) => boolean = () => true): TimelineEvent[] {
+    return this.slots.filter(accept).sort((a, b) => a.seq - b.seq)
+  }
+}
