--- a/config/objects/src/index.ts
+++ b/config/objects/src/index.ts
@@ -14,3 +14,4 @@
   RepeatRule,
 } from './schemas.js'
 export { parseConfigObject } from './parseConfigObject.js'
+export { BASE_VERSION, buildAdapterItem, buildModelItem, parseItem } from './items.js'
--- /dev/null
+++ b/gateway/admin/src/explainRequest.ts
@@ -0,0 +1,105 @@
+import { Kinds, type ConfigObject } from '@pulleystack/config.objects'
+import type { ConfigIndex } from '@pulleystack/config.replica'
+import { matchLabels } from '@pulleystack/config.selectors'
+import type { Clock } from '@pulleystack/core.clock'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { findAllowedService, resolveModel } from '@pulleystack/gateway.callers'
+import type { EligibleRunners, Places } from '@pulleystack/routing.dispatch'
+import type { Runner, RunnerTable } from '@pulleystack/routing.runners'
+
+/** One backend server's part in an explanation. */
+export interface ExplainedServer {
+  server: string
+  dataHall: string
+  allowed: boolean
+  ready: boolean
+  hasRoom: boolean
+  load: number
+  limit: number
+  ownInFlight: number
+  why: string
+}
+
+export interface Explanation {
+  caller: string
+  service: string
+  items: string[]
+  servers: ExplainedServer[]
+  conclusion: string
+}
+
+export interface ExplainOptions {
+  clock: Clock
+  index: ConfigIndex
+  table: RunnerTable
+  eligible: EligibleRunners
+  places: Places
+}
+
+/** Says where a request of a caller to a model or service could run now, and why not elsewhere. */
+export function explainRequest (opts: ExplainOptions, partner: string, callerName: string, target: { model?: string, service?: string }): Explanation {
+  const caller = opts.index.findObject(Kinds.CALLER, partner, callerName)
+  if (!caller) throw new PulleystackError('OBJECT_UNKNOWN', `Caller "${callerName}" does not exist`, { field: 'caller' })
+  const { service, items, adapter } = resolve(opts, caller, target)
+  const wanted = { partner, service: service.name, items: items.length > 0 ? items : undefined, adapter }
+  const ready = new Set(opts.places.listReady(wanted).map((runner) => runner.id))
+  const allowed = new Set(opts.eligible.list(partner, service.name).map((runner) => runner.id))
+  const role = service.spec.type === 'model' ? 'engine' : 'plain'
+  const runners = [...opts.table.listRunners()].filter((runner) => runner.server.role === role)
+  const servers = runners.map((runner) => explainServer(opts, runner, service, { allowed, ready }))
+  return { caller: callerName, service: service.name, items, servers, conclusion: conclude(servers) }
+}
+
+function resolve (opts: ExplainOptions, caller: ConfigObject<'Caller'>, target: { model?: string, service?: string }) {
+  if (target.model !== undefined) return resolveModel(opts.index, caller, target.model)
+  return { service: findAllowedService(opts.index, caller, target.service ?? ''), items: [], adapter: undefined }
+}
+
+function explainServer (
+  opts: ExplainOptions,
+  runner: Runner,
+  service: ConfigObject<'Service'>,
+  sets: { allowed: Set<string>, ready: Set<string> },
+): ExplainedServer {
+  const allowed = sets.allowed.has(runner.id)
+  const ready = sets.ready.has(runner.id)
+  const hasRoom = opts.places.hasRoom(runner, { partner: service.partner, serviceClass: service.spec.class })
+  const why = describe(opts, runner, service, { allowed, ready, hasRoom })
+  return {
+    server: runner.id,
+    dataHall: runner.server.dataHall,
+    allowed,
+    ready,
+    hasRoom,
+    load: runner.estimateLoad(),
+    limit: runner.limiter.limit,
+    ownInFlight: runner.ownInFlight,
+    why,
+  }
+}
+
+function describe (
+  opts: ExplainOptions,
+  runner: Runner,
+  service: ConfigObject<'Service'>,
+  state: { allowed: boolean, ready: boolean, hasRoom: boolean },
+): string {
+  const { server } = runner
+  const { spec, partner } = service
+  if (server.leaving) return 'is leaving'
+  if (spec.dataHalls && !spec.dataHalls.includes(server.dataHall)) return `stands in ${server.dataHall}, which the service does not use`
+  if (!matchLabels(spec.backendServers, opts.index.readServerLabels(partner, server.id, server.labels))) return 'does not have the labels that the service selects'
+  if (!state.allowed) return 'does not offer this service'
+  if (!state.ready) return 'does not have the model ready'
+  if (runner.outlier.isEjected(opts.clock.readTime())) return 'failed too often and is left alone for a while'
+  return state.hasRoom ? 'can take it now' : 'has no room now; the request would wait'
+}
+
+function conclude (servers: readonly ExplainedServer[]): string {
+  const usable = servers.filter((server) => server.allowed && server.ready)
+  const free = usable.filter((server) => server.hasRoom)
+  if (free.length > 0) return `would run at once on ${free.map((server) => server.server).join(' or ')}`
+  if (usable.length > 0) return `would wait for ${usable.map((server) => server.server).join(' or ')}`
+  if (servers.some((server) => server.allowed)) return 'would wait until the model is loaded on an allowed server'
+  return 'would be refused: no server is allowed by the service\'s selectors'
+}
--- /dev/null
+++ b/gateway/admin/src/index.ts
@@ -0,0 +1,6 @@
+export { AdminGateway } from './AdminGateway.js'
+export type { AdminGatewayOptions } from './AdminGateway.js'
+export { ConfigWriter } from './ConfigWriter.js'
+export type { ApplyResult } from './ConfigWriter.js'
+export { explainRequest } from './explainRequest.js'
+export type { Explanation } from './explainRequest.js'
--- /dev/null
+++ b/gateway/callers/src/CallerGateway.ts
@@ -0,0 +1,167 @@
+import type http from 'node:http'
+import { Kinds, type ConfigObject } from '@pulleystack/config.objects'
+import type { ConfigIndex } from '@pulleystack/config.replica'
+import type { Clock } from '@pulleystack/core.clock'
+import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { buildDirectoryAnswer, chooseSubset, computeSubsetSize } from '@pulleystack/directory.subset'
+import { Headers, parseBearer, sendError, sendJson } from '@pulleystack/gateway.http'
+import { hashAccessKey, matchKeyHash } from '@pulleystack/membership.keys'
+import type { Member, MembershipView } from '@pulleystack/membership.view'
+import type { DemandMeter } from '@pulleystack/placement.demand'
+import type { ClaimClient } from '@pulleystack/routing.claims'
+import type { GenerationDispatcher, ServiceDispatcher } from '@pulleystack/routing.dispatch'
+import type { RateLimiter } from '@pulleystack/routing.limiter'
+import { EventKinds, type EventRing } from '@pulleystack/timeline.events'
+import { handleCompletion } from './handleCompletion.js'
+import { handleServiceCall } from './handleServiceCall.js'
+import { relayRequest } from './relayRequest.js'
+import { createCallerSignal, type RequestContext } from './RequestContext.js'
+import { findAllowedService, listAllowedModels } from './resolveTarget.js'
+
+export interface CallerGatewayOptions {
+  clock: Clock
+  index: ConfigIndex
+  view: MembershipView
+  ring: EventRing
+  claims: ClaimClient
+  meter: DemandMeter
+  rates: RateLimiter
+  generations: GenerationDispatcher
+  services: ServiceDispatcher
+  maxBodyBytes: number
+  lifetimeSeconds: number
+  leastInstances: number
+  createId: () => string
+  /** Counts a finished request for metrics. */
+  onFinished: (finished: FinishedRequest) => void
+}
+
+export interface FinishedRequest {
+  partner: string
+  route: string
+  status: number
+  code: string
+  ms: number
+}
+
+const COMPLETION_PATHS: Readonly<Record<string, 'chat' | 'text'>> = { '/v1/chat/completions': 'chat', '/v1/completions': 'text' }
+
+/** Handles the requests of callers. */
+export class CallerGateway {
+  /** Requests that have arrived and are not answered yet. */
+  inFlight = 0
+
+  constructor (private readonly opts: CallerGatewayOptions) {}
+
+  /** Instances that serve a service, best ranked first. */
+  listSubset (partner: string, service: string): Member[] {
+    const declared = this.opts.index.findObject(Kinds.SERVICE, partner, service)?.spec.requestsPerSecond
+    return chooseSubset(`${partner}/${service}`, this.opts.view.listEligible(), computeSubsetSize(declared, this.opts.leastInstances))
+  }
+
+  /** Answers one request; never throws. */
+  async handle (request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<void> {
+    const id = this.opts.createId()
+    const since = this.opts.clock.readTime()
+    let partner = ''
+    let code = 'OK'
+    this.inFlight++
+    try {
+      const caller = this.authenticate(request)
+      partner = caller.partner
+      this.opts.ring.record(EventKinds.REQUEST_ACCEPTED, { request: id, partner, note: `${request.method} ${url.pathname}` })
+      await this.route({ id, caller, request, response, url, since, signal: createCallerSignal(response) })
+    } catch (thrown) {
+      const error = convertToError(thrown)
+      code = error.code
+      if (!response.destroyed) sendError(response, error, id)
+    } finally {
+      this.inFlight--
+    }
+    const ms = this.opts.clock.readTime() - since
+    if (partner !== '') this.opts.ring.record(EventKinds.REQUEST_FINISHED, { request: id, partner, ms, note: code })
+    this.opts.onFinished({ partner, route: describeRoute(url.pathname), status: response.statusCode, code, ms })
+  }
+
+  private authenticate (request: http.IncomingMessage): ConfigObject<'Caller'> {
+    const key = parseBearer(request.headers)
+    const caller = key === undefined ? undefined : this.opts.index.findCaller(hashAccessKey(key))
+    if (key !== undefined && caller && matchKeyHash(key, caller.spec.keyHashes)) return caller
+    throw new PulleystackError('ACCESS_KEY_WRONG', 'The access key is missing or not known', { hint: 'Send it as "Authorization: Bearer KEY".' })
+  }
+
+  private async route (context: RequestContext): Promise<void> {
+    const { pathname } = context.url
+    const kind = COMPLETION_PATHS[pathname]
+    if (kind) {
+      checkMethod(context, 'POST')
+      await handleCompletion({ ...this.opts, admit: (it, service, body) => this.admit(it, service, body) }, context, kind)
+    } else if (pathname === '/v1/models') {
+      checkMethod(context, 'GET')
+      this.sendModels(context)
+    } else if (pathname === '/v1/addresses') {
+      checkMethod(context, 'GET')
+      this.sendAddresses(context)
+    } else if (pathname.startsWith('/services/')) {
+      await handleServiceCall({ ...this.opts, admit: (it, service, body) => this.admit(it, service, body) }, context)
+    } else throw new PulleystackError('NOT_FOUND', `Nothing is at ${pathname}`)
+  }
+
+  /** Checks rates, and relays what another instance serves; true when the request was answered there. */
+  private async admit (context: RequestContext, service: ConfigObject<'Service'>, body: Buffer | undefined): Promise<boolean> {
+    const subset = this.listSubset(service.partner, service.name)
+    const { self } = this.opts.view
+    const isOurs = subset.some((member) => member.instance === self.instance)
+    if (!isOurs && context.request.headers[Headers.RELAYED] === undefined) {
+      for (const member of subset) {
+        this.opts.ring.record(EventKinds.REQUEST_RELAYED, { request: context.id, server: member.instance })
+        if (await relayRequest(context, { instance: member.instance, address: member.address }, self.instance, body)) return true
+      }
+    }
+    this.checkRates(context, service, Math.max(1, subset.length))
+    return false
+  }
+
+  private checkRates (context: RequestContext, service: ConfigObject<'Service'>, instances: number): void {
+    const { caller } = context
+    const name = `${caller.partner}/${caller.name}`
+    this.takeRate(`caller ${name}`, caller.spec.requestsPerSecond, instances)
+    this.takeRate(`service ${service.partner}/${service.name}`, service.spec.requestsPerSecond, instances)
+  }
+
+  private takeRate (name: string, perSecond: number | undefined, instances: number): void {
+    if (perSecond === undefined) return
+    const seconds = this.opts.rates.take(name, perSecond, instances, this.opts.clock.readTime())
+    if (seconds > 0) throw new PulleystackError('RATE_EXCEEDED', `The rate of ${name} is exceeded`, { retryAfterSeconds: Math.max(1, seconds) })
+  }
+
+  private sendModels (context: RequestContext): void {
+    const data = listAllowedModels(this.opts.index, context.caller).map((id) => ({ id, object: 'model', owned_by: context.caller.partner }))
+    sendJson(context.response, 200, { object: 'list', data })
+  }
+
+  private sendAddresses (context: RequestContext): void {
+    const { searchParams } = context.url
+    const service = searchParams.get('service')
+    if (!service) throw new PulleystackError('BAD_BODY', 'Say which service: /v1/addresses?service=NAME', { field: 'service' })
+    findAllowedService(this.opts.index, context.caller, service)
+    const { self } = this.opts.view
+    sendJson(context.response, 200, buildDirectoryAnswer({
+      service,
+      members: this.listSubset(context.caller.partner, service),
+      region: searchParams.get('region') ?? self.region,
+      dataHall: searchParams.get('dataHall') ?? self.dataHall,
+      lifetimeSeconds: this.opts.lifetimeSeconds,
+    }))
+  }
+}
+
+function checkMethod (context: RequestContext, method: string): void {
+  if (context.request.method === method) return
+  throw new PulleystackError('METHOD_NOT_ALLOWED', `${context.url.pathname} takes ${method}`)
+}
+
+function describeRoute (path: string): string {
+  if (path.startsWith('/services/')) return '/services'
+  return path in COMPLETION_PATHS || path === '/v1/models' || path === '/v1/addresses' ? path : 'other'
+}
--- /dev/null
+++ b/gateway/http/src/index.ts
@@ -0,0 +1,3 @@
+export { readBody, parseJsonBody } from './readBody.js'
+export { sendError, sendJson, Headers } from './answers.js'
+export { parseBearer, parsePositiveHeader, parseRepeatable } from './headers.js'
--- /dev/null
+++ b/placement/demand/src/index.ts
@@ -0,0 +1,2 @@
+export { DemandEstimator } from './DemandEstimator.js'
+export { DemandMeter } from './DemandMeter.js'
--- /dev/null
+++ b/placement/ledger/src/ShardLease.ts
@@ -0,0 +1,145 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { PulleystackError } from '@pulleystack/core.errors'
+import type { ObjectStore } from '@pulleystack/platform.interfaces'
+import { err, ok, type Result } from 'neverthrow'
+import { createShardRecord, type ShardRecord } from './shardRecord.js'
+
+export interface ShardLeaseOptions {
+  clock: Clock
+  store: ObjectStore
+  shard: string
+  /** Name of the holder; contains what changes when the process restarts. */
+  holder: string
+  leaseMs: number
+  /** Longest time that an order may take to reach an engine. */
+  orderDelayMs: number
+  createOperation: () => string
+}
+
+// The lease counts from before the write that renewed it, and clocks of two machines run this much apart at most.
+const CLOCK_DRIFT = 0.05
+
+/**
+ * The lease of one placement shard together with its ledger. Every write of the ledger is a conditional update of the
+ * one object that also names the holder, so that a former holder can change nothing. A holder counts its lease from
+ * before the write was sent; a successor counts it from when it first saw the write, adds the longest delay of an
+ * order, and so never overlaps with orders of the former one.
+ */
+export class ShardLease {
+  private record: ShardRecord | undefined
+  private version = 0
+  private validUntil = -Infinity
+  private ordersFrom = Infinity
+  private seen: { version: number, since: number } | undefined
+
+  constructor (private readonly opts: ShardLeaseOptions) {}
+
+  /** True while the own lease runs by the own clock. */
+  get isHeld (): boolean {
+    return this.record !== undefined && this.opts.clock.readTime() < this.validUntil
+  }
+
+  /** True when an order sent now reaches its engine before the lease can go to another, and after any former holder's. */
+  get mayOrder (): boolean {
+    const now = this.opts.clock.readTime()
+    return this.isHeld && now >= this.ordersFrom && now + this.opts.orderDelayMs < this.validUntil
+  }
+
+  get fence (): number {
+    return this.record?.fence ?? 0
+  }
+
+  /** Monotone time after which no order of a former holder can arrive any more. */
+  get quietSince (): number {
+    return this.ordersFrom
+  }
+
+  /** The record as last written; undefined when the lease is not held. */
+  readRecord (): ShardRecord | undefined {
+    return this.isHeld ? this.record : undefined
+  }
+
+  /** Tries to become the holder; false while another's lease may run or the object API does not answer. */
+  async tryTake (): Promise<boolean> {
+    const read = await this.opts.store.readObject(this.key)
+    if (read.isErr()) return false
+    const standing = read.value?.value as ShardRecord | undefined
+    this.version = read.value?.version ?? 0
+    if (standing && !this.isFree(standing)) return false
+    const next: ShardRecord = { ...standing ?? createShardRecord(this.opts.shard), holder: this.opts.holder, leaseMs: this.opts.leaseMs, released: false }
+    next.fence++
+    this.record = undefined
+    const written = await this.write(next)
+    if (written.isErr()) return false
+    this.ordersFrom = this.opts.clock.readTime() + this.opts.orderDelayMs
+    return true
+  }
+
+  /** Renews the lease by writing the record as it stands. */
+  async renew (): Promise<Result<void, PulleystackError>> {
+    return this.update(() => undefined)
+  }
+
+  /** Changes the record; on failure nothing is changed here, and after a conflict the lease is gone. */
+  async update (change: (record: ShardRecord) => void): Promise<Result<void, PulleystackError>> {
+    if (!this.record || !this.isHeld) return err(createLost(this.opts.shard))
+    const next = structuredClone(this.record)
+    change(next)
+    return this.write(next)
+  }
+
+  /** Gives the lease up after the last order. */
+  async release (): Promise<void> {
+    if (this.isHeld) await this.update((record) => {
+      record.released = true
+    })
+    this.drop()
+  }
+
+  private drop (): void {
+    this.record = undefined
+    this.validUntil = -Infinity
+    this.ordersFrom = Infinity
+    this.seen = undefined
+  }
+
+  private get key (): string {
+    return `placement/shard/${this.opts.shard}`
+  }
+
+  private isFree (standing: ShardRecord): boolean {
+    if (standing.released || standing.holder === this.opts.holder) return true
+    const now = this.opts.clock.readTime()
+    if (this.seen?.version !== this.version) this.seen = { version: this.version, since: now }
+    const waitMs = standing.leaseMs * (1 + CLOCK_DRIFT) + this.opts.orderDelayMs
+    return now - this.seen.since > waitMs
+  }
+
+  private async write (next: ShardRecord): Promise<Result<void, PulleystackError>> {
+    const sentAt = this.opts.clock.readTime()
+    next.operation = this.opts.createOperation()
+    const written = await this.opts.store.writeObject(this.key, next, this.version)
+    const settled = written.isErr() && written.error.code === 'STORE_OUTCOME_UNKNOWN' ? await this.readBack(next.operation) : written
+    if (settled.isErr()) {
+      if (settled.error.code === 'STORE_CONFLICT') this.drop()
+      return err(settled.error)
+    }
+    this.version = settled.value
+    this.record = next
+    this.validUntil = sentAt + this.opts.leaseMs
+    return ok(undefined)
+  }
+
+  private async readBack (operation: string): Promise<Result<number, PulleystackError>> {
+    const read = await this.opts.store.readObject(this.key)
+    if (read.isErr()) return err(new PulleystackError('STORE_OUTCOME_UNKNOWN', 'Whether the ledger was written is not known', { cause: read.error }))
+    const standing = read.value?.value as ShardRecord | undefined
+    if (standing?.operation === operation) return ok(read.value?.version ?? 0)
+    if ((read.value?.version ?? 0) !== this.version) return err(createLost(this.opts.shard))
+    return err(new PulleystackError('STORE_OUTCOME_UNKNOWN', 'A write of the ledger was lost or is late'))
+  }
+}
+
+function createLost (shard: string): PulleystackError {
+  return new PulleystackError('STORE_CONFLICT', `Shard ${shard} went to another holder`)
+}
--- /dev/null
+++ b/placement/mover/src/index.ts
@@ -0,0 +1,6 @@
+export { ShardKeeper } from './ShardKeeper.js'
+export type { ShardKeeperOptions, ShardStatus } from './ShardKeeper.js'
+export { startPlacement } from './startPlacement.js'
+export type { Placement, PlacementOptions } from './startPlacement.js'
+export { listWantedGroups } from './listWantedGroups.js'
+export type { WantedGroup } from './listWantedGroups.js'
--- /dev/null
+++ b/placement/planner/src/index.ts
@@ -0,0 +1,6 @@
+export { Planner } from './Planner.js'
+export { HysteresisPlanner } from './HysteresisPlanner.js'
+export { GreedyPlanner, StaticPlanner } from './baselines.js'
+export { PlanState } from './PlanState.js'
+export { computeAttainment } from './computeAttainment.js'
+export type { Plan, PlanCopy, PlanGroup, PlanInput, PlanServer, PlanStep } from './planTypes.js'
--- /dev/null
+++ b/program/cli/src/AdminClient.ts
@@ -0,0 +1,76 @@
+import http from 'node:http'
+import https from 'node:https'
+import { PulleystackError, parseErrorBody } from '@pulleystack/core.errors'
+import type { CommandContext } from './Command.js'
+
+const TIMEOUT_MS = 10_000
+const DEFAULT_ADDRESS = '127.0.0.1:7080'
+
+/** Options of every command that talks to the system. */
+export interface ConnectionOptions {
+  /** One address or several, tried in turn. */
+  address?: string
+  key?: string
+  tls?: boolean
+}
+
+/** Talks to the operators' interface of whichever instance answers. */
+export class AdminClient {
+  private readonly addresses: string[]
+  private readonly key: string
+
+  constructor (context: CommandContext, private readonly opts: ConnectionOptions) {
+    this.addresses = (opts.address ?? context.environment.PULLEYSTACK_ADDRESS ?? DEFAULT_ADDRESS).split(',')
+    this.key = opts.key ?? context.environment.PULLEYSTACK_KEY ?? ''
+    if (this.key === '') throw new PulleystackError('USAGE', 'No operator key was given', { hint: 'Use --key or set PULLEYSTACK_KEY.' })
+  }
+
+  get (path: string, params: Record<string, string | undefined> = {}): Promise<unknown> {
+    return this.send('GET', path, params)
+  }
+
+  post (path: string, body: unknown): Promise<unknown> {
+    return this.send('POST', path, {}, JSON.stringify(body))
+  }
+
+  remove (path: string, params: Record<string, string | undefined>): Promise<unknown> {
+    return this.send('DELETE', path, params)
+  }
+
+  private async send (method: string, path: string, params: Record<string, string | undefined>, body?: string): Promise<unknown> {
+    let last: PulleystackError | undefined
+    for (const address of this.addresses) {
+      const answer = await this.sendTo(address, method, `${path}?${renderParams(params)}`, body).catch((cause: Error) => {
+        last = new PulleystackError('INSTANCE_UNREACHABLE', `${address} does not answer: ${cause.message}`, { hint: 'Give other addresses with --address.' })
+      })
+      if (!answer) continue
+      if (answer.status === 200) return answer.value
+      throw parseErrorBody(answer.value) ?? new PulleystackError('INSTANCE_UNREACHABLE', `${address} answered with status ${answer.status}`)
+    }
+    throw last ?? new PulleystackError('USAGE', 'No address was given')
+  }
+
+  private sendTo (address: string, method: string, path: string, body: string | undefined): Promise<{ status: number, value: unknown }> {
+    const colon = address.lastIndexOf(':')
+    const headers: http.OutgoingHttpHeaders = { 'authorization': `Bearer ${this.key}`, 'content-type': 'application/json' }
+    const target = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method, path, headers, timeout: TIMEOUT_MS, agent: false }
+    return new Promise((resolve, reject) => {
+      const request = this.opts.tls ? https.request(target) : http.request(target)
+      request.on('error', reject)
+      request.on('timeout', () => request.destroy(new Error('timed out')))
+      request.on('response', (response) => void readAnswer(response).then(resolve, reject))
+      request.end(body)
+    })
+  }
+}
+
+function renderParams (params: Record<string, string | undefined>): string {
+  const given = Object.entries(params).filter((it): it is [string, string] => it[1] !== undefined)
+  return new URLSearchParams(given).toString()
+}
+
+async function readAnswer (response: http.IncomingMessage): Promise<{ status: number, value: unknown }> {
+  const chunks: Buffer[] = []
+  for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk)
+  return { status: response.statusCode ?? 0, value: JSON.parse(Buffer.concat(chunks).toString() || 'null') as unknown }
+}
--- /dev/null
+++ b/program/cli/src/commands/apply.ts
@@ -0,0 +1,47 @@
+import { readFile } from 'node:fs/promises'
+import { PulleystackError } from '@pulleystack/core.errors'
+import type { Command } from 'cac'
+import { parse, type ParseError } from 'jsonc-parser'
+import { AdminClient, type ConnectionOptions } from '../AdminClient.js'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+import { addConnectionHelp, addOutputHelp } from '../connectionHelp.js'
+import { formatOutput, type OutputOptions } from '../output.js'
+
+export interface ApplyOptions extends ConnectionOptions, OutputOptions {
+  file?: string
+  dryRun?: boolean
+}
+
+interface ApplyAnswer {
+  results: { key: string, action: string, version: number, differences: { field: string, before: unknown, after: unknown }[] }[]
+}
+
+export const name = 'apply'
+export const description = 'Create or change objects from a file'
+
+export function help (command: Command): void {
+  addOutputHelp(addConnectionHelp(command))
+    .option('-f, --file <file>', 'JSON with comments: one object or a list')
+    .option('--dry-run', 'Show the differences and change nothing')
+    .example('pulleystack apply -f examples/peritos.jsonc --dry-run')
+}
+
+export async function handler (context: CommandContext, _: readonly string[], opts: ApplyOptions): Promise<ExitCode> {
+  if (!opts.file) throw new PulleystackError('USAGE', 'No file was given', { hint: 'pulleystack apply -f FILE' })
+  const objects = await readObjects(opts.file)
+  const answer = await new AdminClient(context, opts).post('/admin/apply', { objects, dryRun: opts.dryRun ?? false }) as ApplyAnswer
+  const rows = answer.results.map((it) => [it.key, it.action, it.version, it.differences.map((difference) => difference.field).join(' ')])
+  context.write(formatOutput(opts, answer, ['object', 'action', 'version', 'differences'], rows))
+  return ExitCodes.OK
+}
+
+/** Reads one object or a list of them. */
+export async function readObjects (file: string): Promise<unknown[]> {
+  const text = await readFile(file, 'utf8').catch((cause: unknown) => {
+    throw new PulleystackError('USAGE', `File ${file} cannot be read`, { cause })
+  })
+  const problems: ParseError[] = []
+  const value: unknown = parse(text, problems, { allowTrailingComma: true })
+  if (problems[0]) throw new PulleystackError('USAGE', `File ${file} is not JSON with comments, at character ${problems[0].offset}`)
+  return Array.isArray(value) ? value : [value]
+}
--- /dev/null
+++ b/program/cli/src/commands/certificates.ts
@@ -0,0 +1,51 @@
+import { mkdir, readFile, writeFile } from 'node:fs/promises'
+import path from 'node:path'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { createAccessKey, createAuthority, createCertificate, type KeyPair } from '@pulleystack/membership.keys'
+import type { Command } from 'cac'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+
+export interface CertificatesOptions {
+  dir?: string
+  days?: number
+}
+
+const DEFAULT_DAYS = 365
+const SECRET_MODE = 0o600
+
+export const name = 'create-certificates [...instances]'
+export const description = 'Make the system\'s authority, the peers\' secret, and a certificate for each instance named'
+
+export function help (command: Command): void {
+  command
+    .option('--dir <folder>', 'Where to write them')
+    .option('--days <days>', 'How long they are valid')
+    .example('pulleystack create-certificates --dir keys entry-1 entry-2')
+}
+
+export async function handler (context: CommandContext, instances: readonly string[], opts: CertificatesOptions): Promise<ExitCode> {
+  if (!opts.dir) throw new PulleystackError('USAGE', 'No folder was given', { hint: 'Use --dir FOLDER.' })
+  const dir = opts.dir
+  const validity = { days: Number(opts.days ?? DEFAULT_DAYS), now: new Date() }
+  await mkdir(dir, { recursive: true })
+  const authority = await readPair(dir, 'authority') ?? await writePair(dir, 'authority', createAuthority({ name: 'pulleystack', ...validity }))
+  await writeFile(path.join(dir, 'peers.secret'), createAccessKey('peers'), { mode: SECRET_MODE, flag: 'wx' }).catch(() => undefined)
+  for (const instance of instances) await writePair(dir, instance, createCertificate(authority, { name: instance, ...validity }))
+  context.write(`wrote ${instances.length} certificates to ${dir}`)
+  return ExitCodes.OK
+}
+
+async function readPair (dir: string, file: string): Promise<KeyPair | undefined> {
+  try {
+    const [certificate, key] = await Promise.all(['crt', 'key'].map((ending) => readFile(path.join(dir, `${file}.${ending}`), 'utf8')))
+    return { certificate: certificate as string, key: key as string }
+  } catch {
+    return undefined
+  }
+}
+
+async function writePair (dir: string, file: string, pair: KeyPair): Promise<KeyPair> {
+  await writeFile(path.join(dir, `${file}.crt`), pair.certificate)
+  await writeFile(path.join(dir, `${file}.key`), pair.key, { mode: SECRET_MODE })
+  return pair
+}
--- /dev/null
+++ b/program/cli/src/commands/createKey.ts
@@ -0,0 +1,16 @@
+import { createAccessKey, hashAccessKey } from '@pulleystack/membership.keys'
+import type { Command } from 'cac'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+
+export const name = 'create-key'
+export const description = 'Make an access key and the hash that is stored for it'
+
+export function help (command: Command): void {
+  command.example('pulleystack create-key')
+}
+
+export async function handler (context: CommandContext): Promise<ExitCode> {
+  const key = createAccessKey()
+  context.write(JSON.stringify({ key, keyHash: hashAccessKey(key) }))
+  return ExitCodes.OK
+}
--- /dev/null
+++ b/program/cli/src/commands/demo.ts
@@ -0,0 +1,20 @@
+import { runDemo } from '@pulleystack/program.demo'
+import type { Command } from 'cac'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+
+export interface DemoOptions {
+  once?: boolean
+}
+
+export const name = 'demo'
+export const description = 'Run the whole system here on embedded stand-ins, with traffic'
+
+export function help (command: Command): void {
+  command.option('--once', 'End after the traffic; exit code 1 when a promise was not kept').example('pulleystack demo --once')
+}
+
+export async function handler (context: CommandContext, _: readonly string[], opts: DemoOptions): Promise<ExitCode | undefined> {
+  const kept = await runDemo({ once: opts.once ?? false, write: context.write })
+  if (kept === undefined) return undefined
+  return kept ? ExitCodes.OK : ExitCodes.FAILED
+}
--- /dev/null
+++ b/program/cli/src/commands/explain.ts
@@ -0,0 +1,42 @@
+import { PulleystackError } from '@pulleystack/core.errors'
+import type { Command } from 'cac'
+import { AdminClient, type ConnectionOptions } from '../AdminClient.js'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+import { addConnectionHelp, addOutputHelp } from '../connectionHelp.js'
+import { formatOutput, type OutputOptions } from '../output.js'
+
+export interface ExplainOptions extends ConnectionOptions, OutputOptions {
+  caller?: string
+  model?: string
+  service?: string
+  partner?: string
+}
+
+interface ExplainAnswer {
+  service: string
+  items: string[]
+  conclusion: string
+  servers: { server: string, dataHall: string, load: number, ownInFlight: number, limit: number, why: string }[]
+}
+
+export const name = 'explain'
+export const description = 'Say where a request would run now, or why nowhere'
+
+export function help (command: Command): void {
+  addOutputHelp(addConnectionHelp(command))
+    .option('--caller <name>', 'Who asks')
+    .option('--model <name>', 'Model, model@version or adapter')
+    .option('--service <name>', 'Plain service')
+    .option('--partner <partner>', 'Partner of the caller, for operators of the platform')
+    .example('pulleystack explain --caller firm-1 --model appeal-large')
+}
+
+export async function handler (context: CommandContext, _: readonly string[], opts: ExplainOptions): Promise<ExitCode> {
+  if (!opts.caller || (!opts.model && !opts.service)) throw new PulleystackError('USAGE', 'Say which caller, and which model or service')
+  const { caller, model, service, partner } = opts
+  const answer = await new AdminClient(context, opts).get('/admin/explain', { caller, model, service, partner }) as ExplainAnswer
+  const rows = answer.servers.map((it) => [it.server, it.dataHall, it.load.toFixed(0), `${it.ownInFlight}/${it.limit}`, it.why])
+  if (opts.output !== 'json') context.write(`service ${answer.service}${answer.items.length > 0 ? `, items ${answer.items.join(' or ')}` : ''}: ${answer.conclusion}`)
+  context.write(formatOutput(opts, answer, ['server', 'data hall', 'load', 'own', 'why'], rows))
+  return ExitCodes.OK
+}
--- /dev/null
+++ b/program/cli/src/commands/index.ts
@@ -0,0 +1,33 @@
+import type { CommandModule } from '../Command.js'
+import * as apply from './apply.js'
+import * as certificates from './certificates.js'
+import * as createKey from './createKey.js'
+import * as demo from './demo.js'
+import * as describe from './describe.js'
+import * as explain from './explain.js'
+import * as get from './get.js'
+import * as label from './label.js'
+import * as remove from './remove.js'
+import * as serve from './serve.js'
+import * as settings from './settings.js'
+import * as standIns from './standIns.js'
+import * as status from './status.js'
+import * as timeline from './timeline.js'
+
+/** Every command, in the order in which help shows them. */
+export const commands: readonly CommandModule[] = [
+  serve,
+  apply,
+  get,
+  describe,
+  label,
+  remove,
+  status,
+  explain,
+  timeline,
+  settings,
+  createKey,
+  certificates,
+  demo,
+  standIns,
+]
--- /dev/null
+++ b/program/cli/src/commands/timeline.ts
@@ -0,0 +1,52 @@
+import type { TimelineEvent } from '@pulleystack/timeline.events'
+import { renderJsonLines, renderPage, renderText } from '@pulleystack/timeline.merge'
+import { PulleystackError } from '@pulleystack/core.errors'
+import type { Command } from 'cac'
+import { AdminClient, type ConnectionOptions } from '../AdminClient.js'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+import { addConnectionHelp } from '../connectionHelp.js'
+
+export interface TimelineOptions extends ConnectionOptions {
+  request?: string
+  order?: string
+  object?: string
+  partner?: string
+  server?: string
+  model?: string
+  limit?: number
+  output?: string
+}
+
+type Renderer = (events: readonly TimelineEvent[]) => string
+
+const RENDERERS: Readonly<Record<string, Renderer>> = {
+  text: renderText,
+  json: renderJsonLines,
+  html: (events) => renderPage(events, 'pulleystack time line'),
+}
+
+export const name = 'timeline'
+export const description = 'Show events of all instances in one order'
+
+export function help (command: Command): void {
+  addConnectionHelp(command)
+    .option('--request <id>', 'Only of this request')
+    .option('--order <id>', 'Only of this order')
+    .option('--object <key>', 'Only of this object')
+    .option('--partner <partner>', 'Only of this partner')
+    .option('--server <id>', 'Only of this backend server or instance')
+    .option('--model <item>', 'Only of this item')
+    .option('--limit <count>', 'Newest so many')
+    .option('-o, --output <format>', 'text, json (lines) or html')
+    .example('pulleystack timeline --request 6e5b... -o html > request.html')
+}
+
+export async function handler (context: CommandContext, _: readonly string[], opts: TimelineOptions): Promise<ExitCode> {
+  const render = RENDERERS[opts.output ?? 'text']
+  if (!render) throw new PulleystackError('USAGE', `Output "${opts.output}" is not known`, { hint: 'Use text, json or html.' })
+  const { request, order, object, partner, server, model } = opts
+  const limit = opts.limit === undefined ? undefined : String(opts.limit)
+  const answer = await new AdminClient(context, opts).get('/admin/timeline', { request, order, object, partner, server, model, limit }) as { events: TimelineEvent[] }
+  context.write(render(answer.events))
+  return ExitCodes.OK
+}
--- /dev/null
+++ b/program/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { runCli } from './runCli.js'
--- /dev/null
+++ b/program/cli/src/runCli.ts
@@ -0,0 +1,72 @@
+import { PulleystackError, convertToError, type ResultCodeName } from '@pulleystack/core.errors'
+import cac from 'cac'
+import { ExitCodes, type CommandContext, type CommandModule, type ExitCode } from './Command.js'
+import { commands } from './commands/index.js'
+
+const VERSION = '0.1.0'
+
+/** Runs one command line; gives the exit code, or undefined while the command goes on. */
+export async function runCli (argv: readonly string[], context: CommandContext = createContext()): Promise<ExitCode | undefined> {
+  const cli = cac('pulleystack')
+  let chosen: Promise<ExitCode | undefined> | undefined
+  for (const module of commands) {
+    const command = cli.command(module.name, module.description)
+    module.help(command)
+    command.action((...given: unknown[]) => {
+      chosen = runCommand(module, context, given)
+    })
+  }
+  cli.help()
+  cli.version(VERSION)
+  try {
+    cli.parse([...argv], { run: false })
+    if (cli.options.help || cli.options.version) return ExitCodes.OK
+    if (!cli.matchedCommand) return refuseUnknown(cli.args[0], () => cli.outputHelp())
+    await cli.runMatchedCommand()
+    return await chosen
+  } catch (thrown) {
+    return reportError(thrown instanceof PulleystackError
+      ? thrown
+      : new PulleystackError('USAGE', convertToError(thrown).message.replace('Unexpected fault: ', ''), {
+          hint: 'pulleystack COMMAND --help shows what a command takes.',
+        }))
+  }
+}
+
+async function runCommand (module: CommandModule, context: CommandContext, given: unknown[]): Promise<ExitCode | undefined> {
+  const opts = given.at(-1) as Record<string, unknown>
+  const args = given.slice(0, -1).flat().filter((arg) => arg !== undefined).map(String)
+  try {
+    return await module.handler(context, args, opts)
+  } catch (thrown) {
+    return reportError(convertToError(thrown))
+  }
+}
+
+function refuseUnknown (name: string | undefined, showHelp: () => void): ExitCode {
+  if (name === undefined) {
+    showHelp()
+    return ExitCodes.OK
+  }
+  return reportError(new PulleystackError('USAGE', `There is no command "${name}"`, { hint: 'pulleystack --help lists them.' }))
+}
+
+function reportError (error: PulleystackError): ExitCode {
+  const lines = [`error ${error.row.number} ${error.code}: ${error.message}`]
+  if (error.field !== undefined) lines.push(`  field: ${error.field}`)
+  if (error.details !== undefined) lines.push(`  details: ${JSON.stringify(error.details)}`)
+  if (error.hint !== undefined) lines.push(`  hint: ${error.hint}`)
+  process.stderr.write(`${lines.join('\n')}\n`)
+  return chooseExitCode(error.code)
+}
+
+function chooseExitCode (code: ResultCodeName): ExitCode {
+  if (code === 'USAGE') return ExitCodes.USAGE
+  if (code === 'VERSION_CONFLICT') return ExitCodes.CONFLICT
+  if (code === 'INSTANCE_UNREACHABLE') return ExitCodes.UNREACHABLE
+  return code === 'INTERNAL' ? ExitCodes.FAILED : ExitCodes.REFUSED
+}
+
+function createContext (): CommandContext {
+  return { write: (text) => void process.stdout.write(`${text}\n`), environment: process.env }
+}
--- /dev/null
+++ b/program/demo/src/DemoCaller.ts
@@ -0,0 +1,44 @@
+import http from 'node:http'
+
+/** What came back for one request. */
+export interface DemoAnswer {
+  status: number
+  headers: http.IncomingHttpHeaders
+  body: string
+  /** False when the connection broke before the answer's end. */
+  whole: boolean
+}
+
+/** One call over HTTP, as a caller of the system makes it. */
+export function sendCall (
+  address: string,
+  opts: { method: string, path: string, key: string, headers?: http.OutgoingHttpHeaders, body?: unknown },
+): Promise<DemoAnswer> {
+  const colon = address.lastIndexOf(':')
+  const text = opts.body === undefined ? undefined : JSON.stringify(opts.body)
+  const headers: http.OutgoingHttpHeaders = { authorization: `Bearer ${opts.key}`, ...opts.headers }
+  if (text !== undefined) Object.assign(headers, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  return new Promise((resolve, reject) => {
+    const request = http.request({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method: opts.method, path: opts.path, headers })
+    request.on('error', reject)
+    request.on('response', (response) => {
+      let body = ''
+      response.setEncoding('utf8')
+      response.on('data', (chunk: string) => {
+        body += chunk
+      })
+      const finish = (whole: boolean) => resolve({ status: response.statusCode ?? 0, headers: response.headers, body, whole })
+      response.on('end', () => finish(response.complete))
+      response.on('error', () => finish(false))
+    })
+    request.end(text)
+  })
+}
+
+/** The text of a streamed answer, undefined when it has no proper end. */
+export function readStreamText (body: string): string | undefined {
+  if (!body.includes('data: [DONE]')) return undefined
+  const events = body.split('\n\n').filter((event) => event.startsWith('data: {'))
+  const chunks = events.map((event) => JSON.parse(event.slice('data: '.length)) as { choices: { delta?: { content?: string }, text?: string }[] })
+  return chunks.map((chunk) => chunk.choices[0]?.delta?.content ?? chunk.choices[0]?.text ?? '').join('')
+}
--- /dev/null
+++ b/program/demo/src/demoTraffic.ts
@@ -0,0 +1,138 @@
+import { RandomSource } from '@pulleystack/core.clock'
+import { readStreamText, sendCall, type DemoAnswer } from './DemoCaller.js'
+import type { StandIns } from './startStandIns.js'
+
+const TOKENS = 24
+const ROUNDS = 40
+
+/** What the demo's callers saw, checked against what the stand-ins counted. */
+export interface DemoOutcome {
+  requests: number
+  complete: number
+  lost: number
+  duplicated: number
+  /** Request id of one streamed draft. */
+  sample: string
+  byKind: Record<string, { sent: number, complete: number, worstMs: number }>
+  failures: string[]
+}
+
+interface DemoCall {
+  kind: string
+  work: string
+  send: (address: string) => Promise<DemoAnswer>
+  isComplete: (answer: DemoAnswer) => boolean
+}
+
+/** Sends mixed requests of both partners over all addresses. */
+export async function runTraffic (addresses: readonly string[], standIns: StandIns): Promise<DemoOutcome> {
+  const random = new RandomSource(7)
+  const outcome: DemoOutcome = { requests: 0, complete: 0, lost: 0, duplicated: 0, sample: '', byKind: {}, failures: [] }
+  for (let round = 0; round < ROUNDS; round++) {
+    const calls = buildRound(round)
+    await Promise.all(calls.map((call) => runCall(call, random.pickOne(addresses), outcome)))
+  }
+  outcome.duplicated = countDuplicates(standIns)
+  outcome.lost = outcome.requests - outcome.complete
+  return outcome
+}
+
+async function runCall (call: DemoCall, address: string, outcome: DemoOutcome): Promise<void> {
+  const started = performance.now()
+  const answer = await call.send(address).catch((cause: Error): DemoAnswer => ({ status: 0, headers: {}, body: cause.message, whole: false }))
+  const kind = outcome.byKind[call.kind] ?? { sent: 0, complete: 0, worstMs: 0 }
+  outcome.byKind[call.kind] = kind
+  outcome.requests++
+  kind.sent++
+  kind.worstMs = Math.max(kind.worstMs, performance.now() - started)
+  if (!answer.whole || !call.isComplete(answer)) {
+    outcome.failures.push(`${call.kind} ${call.work}: status ${answer.status}, ${answer.body.slice(0, 200)}`)
+    return
+  }
+  outcome.complete++
+  kind.complete++
+  if (call.kind === 'streamed draft') outcome.sample = String(answer.headers['pulleystack-request'])
+}
+
+function buildRound (round: number): DemoCall[] {
+  return [
+    buildDraft('streamed draft', 'demo-peritos-firm', round % 2 === 0 ? 'appeal-large' : 'appeal-cartago', `parcel-${round}`),
+    buildDraft('streamed briefing', 'demo-shorewatch-planner', 'surge-briefing', `basin-${round}`),
+    buildReview(round),
+    buildLookup('plot lookup', 'demo-peritos-notary', `/services/window/plots/${round}`, `plot-${round}`),
+    buildLookup('gauge lookup', 'demo-shorewatch-emergency', `/services/gauges/status/${round}`, `gauge-${round}`),
+    buildStamp(round),
+    buildWarning(round),
+  ]
+}
+
+function buildDraft (kind: string, key: string, model: string, work: string): DemoCall {
+  const content = `${'Facts of the parcel and the law that applies to it. '.repeat(12)} ${work}`
+  const body = { model, stream: true, max_tokens: TOKENS, messages: [{ role: 'user', content }] }
+  return {
+    kind,
+    work,
+    send: (address) => sendCall(address, { method: 'POST', path: '/v1/chat/completions', key, body }),
+    isComplete: (answer) => readStreamText(answer.body) === buildExpected(work, TOKENS),
+  }
+}
+
+function buildReview (round: number): DemoCall {
+  const work = `review-${round}`
+  const body = { model: 'zoning-review', max_tokens: TOKENS, prompt: `Zoning of ${work}` }
+  return {
+    kind: 'whole review',
+    work,
+    send: (address) => sendCall(address, { method: 'POST', path: '/v1/completions', key: 'demo-peritos-firm', body }),
+    isComplete: (answer) => (JSON.parse(answer.body) as { choices?: { text: string }[] }).choices?.[0]?.text === buildExpected(work, TOKENS),
+  }
+}
+
+function buildLookup (kind: string, key: string, path: string, work: string): DemoCall {
+  return {
+    kind,
+    work,
+    send: (address) => sendCall(address, { method: 'GET', path, key }),
+    isComplete: (answer) => answer.status === 200 && answer.body.includes(path.split('/').at(-1) ?? ''),
+  }
+}
+
+/** A stamp is asked for twice under one key, as a caller does that saw no answer; it must run once. */
+function buildStamp (round: number): DemoCall {
+  const work = `stamp-${round}`
+  const opts = { method: 'POST', path: '/services/window/stamps', key: 'demo-peritos-notary', headers: { 'idempotency-key': work, work }, body: { plot: round } }
+  return {
+    kind: 'stamp, asked twice',
+    work,
+    send: async (address) => {
+      const [first, second] = await Promise.all([sendCall(address, opts), sendCall(address, opts)])
+      return first.body === second.body ? first : { ...first, whole: false }
+    },
+    isComplete: (answer) => answer.status === 200 && answer.body.includes(work),
+  }
+}
+
+function buildWarning (round: number): DemoCall {
+  const work = `warning-${round}`
+  const body = { model: 'warning-superior', max_tokens: TOKENS, prompt: `Issue ${work}` }
+  return {
+    kind: 'warning, once',
+    work,
+    send: (address) => sendCall(address, { method: 'POST', path: '/v1/completions', key: 'demo-shorewatch-emergency', headers: { 'idempotency-key': work }, body }),
+    isComplete: (answer) => answer.body.includes(`${work}#0`),
+  }
+}
+
+function buildExpected (work: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, i) => `${work.slice(0, 24)}#${i} `).join('')
+}
+
+/** Work of plain services that ran twice, and attempts that an engine began twice. */
+function countDuplicates (standIns: StandIns): number {
+  let duplicates = 0
+  for (const service of standIns.plain.values()) {
+    for (const runs of service.runs.values()) duplicates += runs - 1
+  }
+  for (const engine of standIns.engines) duplicates += engine.batch.started.length - new Set(engine.batch.started).size
+  return duplicates
+}
--- /dev/null
+++ b/program/demo/src/startStandIns.ts
@@ -0,0 +1,99 @@
+import { SystemClock, type Clock } from '@pulleystack/core.clock'
+import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import {
+  FakeEngine,
+  FakeService,
+  MemoryInstanceList,
+  MemoryObjectStore,
+  serveInstanceList,
+  serveObjectStore,
+  serveWeightStore,
+  WeightGate,
+  type LoopbackServer,
+} from '@pulleystack/platform.stand-ins'
+
+/** A platform and backend servers on loopback. */
+export interface StandIns {
+  clock: Clock
+  store: MemoryObjectStore
+  list: MemoryInstanceList
+  engines: FakeEngine[]
+  plain: Map<string, FakeService>
+  gate: WeightGate
+  objectApi: string
+  instanceList: string
+  weightStore: string
+  close: () => Promise<void>
+}
+
+const GIB = 1024 ** 3
+const MEMORY_BYTES = 40 * GIB
+const REGION = 'central-plateau'
+const HALLS = ['san-jose', 'cartago', 'heredia'] as const
+const PLAIN_SERVICES = { 'window-1': 'peritos/window', 'gauge-1': 'shorewatch/gauges' } as const
+
+type Servers = [LoopbackServer, LoopbackServer, LoopbackServer]
+
+/** Starts four engines and two plain services over three data halls, and the platform. */
+export async function startStandIns (opts: { engines?: number, bytesPerSecond?: number } = {}): Promise<StandIns> {
+  const clock = new SystemClock()
+  const store = new MemoryObjectStore({ clock })
+  const list = new MemoryInstanceList({ clock })
+  const gate = new WeightGate({ clock, limits: { loadsPerSecond: 20, loadsAtOnce: 8, bytesPerSecond: opts.bytesPerSecond ?? 40 * GIB } })
+  const servers = await Promise.all([serveObjectStore(store), serveInstanceList(list), serveWeightStore(gate)]) as Servers
+  const engines = await startEngines(clock, list, gate, opts.engines ?? 4)
+  const plain = await startPlain(clock, list)
+  return {
+    clock,
+    store,
+    list,
+    engines,
+    plain,
+    gate,
+    objectApi: servers[0].address,
+    instanceList: servers[1].address,
+    weightStore: servers[2].address,
+    close: async () => {
+      await Promise.all([...servers.map((server) => server.close()), ...engines.map((engine) => engine.kill()), ...[...plain.values()].map((it) => it.kill())])
+    },
+  }
+}
+
+async function startEngines (clock: Clock, list: MemoryInstanceList, gate: WeightGate, count: number): Promise<FakeEngine[]> {
+  const engines: FakeEngine[] = []
+  for (let i = 0; i < count; i++) {
+    const engine = await FakeEngine.start({ clock, memoryBytes: MEMORY_BYTES, gate, checksFences: i % 2 === 0 })
+    list.setInstance({
+      id: `engine-${i + 1}`,
+      role: InstanceRoles.ENGINE,
+      address: engine.address,
+      region: REGION,
+      dataHall: HALLS[i % HALLS.length] as string,
+      leaving: false,
+      labels: { accelerator: 'a' },
+      memoryBytes: MEMORY_BYTES,
+      checksFences: i % 2 === 0,
+    })
+    engines.push(engine)
+  }
+  return engines
+}
+
+async function startPlain (clock: Clock, list: MemoryInstanceList): Promise<Map<string, FakeService>> {
+  const plain = new Map<string, FakeService>()
+  for (const [id, service] of Object.entries(PLAIN_SERVICES)) {
+    const server = await FakeService.start({ clock, delayMs: 1 })
+    list.setInstance({
+      id,
+      role: InstanceRoles.PLAIN,
+      address: server.address,
+      region: REGION,
+      dataHall: HALLS[plain.size] as string,
+      leaving: false,
+      labels: {},
+      services: [service],
+    })
+    plain.set(id, server)
+  }
+  return plain
+}
--- /dev/null
+++ b/program/instance/src/connectPlatform.ts
@@ -0,0 +1,14 @@
+import type { Settings } from '@pulleystack/config.settings'
+import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, HttpWeightStore } from '@pulleystack/platform.http'
+import type { InstanceDependencies } from './startInstance.js'
+
+/** The HTTP implementations of everything outside. */
+export function connectPlatform (settings: Settings): Pick<InstanceDependencies, 'store' | 'list' | 'weights' | 'engines' | 'services'> {
+  return {
+    store: new HttpObjectStore({ address: settings.platform.objectApi }),
+    list: new HttpInstanceList({ address: settings.platform.instanceList }),
+    weights: new HttpWeightStore({ address: settings.platform.weightStore }),
+    engines: new HttpEngineClient(),
+    services: new HttpServiceClient(),
+  }
+}
--- /dev/null
+++ b/program/instance/src/createControl.ts
@@ -0,0 +1,95 @@
+import { defineChannel } from '@pulleystack/membership.peers'
+import { DemandMeter } from '@pulleystack/placement.demand'
+import { startPlacement, type Placement } from '@pulleystack/placement.mover'
+import type { WeightStoreLimits } from '@pulleystack/platform.interfaces'
+import { startCollector } from '@pulleystack/routing.runners'
+import type { Routing } from './createRouting.js'
+import type { Core } from './startInstance.js'
+
+const STATUS = defineChannel<null, InstanceStatus>('instance.status')
+const STATUS_TIMEOUT_MS = 2_000
+
+/** What `pulleystack status` shows of one instance. */
+export interface InstanceStatus {
+  instance: string
+  dataHall: string
+  state: string
+  ready: boolean
+  configVersion: number
+  objects: number
+  runners: number
+  queued: number
+  claims: number
+  shards: ReturnType<Placement['readStatus']>
+}
+
+/** The control work of one instance. */
+export interface Control {
+  meter: DemandMeter
+  start: (signal: AbortSignal) => void
+  /** Hands over what this instance owns. */
+  handOver: () => Promise<void>
+  readStatus: () => InstanceStatus
+  collectStatus: () => Promise<InstanceStatus[]>
+}
+
+export function createControl (core: Core, routing: Routing, limits: WeightStoreLimits): Control {
+  const { settings, deps } = core
+  const meter = new DemandMeter(core.clock.readTime())
+  let placement: Placement | undefined
+  const readStatus = (): InstanceStatus => ({
+    instance: settings.instance,
+    dataHall: settings.dataHall,
+    state: core.view.self.state,
+    ready: core.replica.isComplete,
+    configVersion: core.replica.knownThrough,
+    objects: core.replica.size,
+    runners: routing.table.size,
+    queued: routing.queue.size,
+    claims: routing.claims.size,
+    shards: placement?.readStatus() ?? [],
+  })
+  core.network.handleCalls(STATUS, () => readStatus())
+  addGauges(core, routing)
+  return {
+    meter,
+    readStatus,
+    start: (signal) => {
+      startCollector({
+        ...core,
+        engines: deps.engines,
+        table: routing.table,
+        listInterested: () => listOthers(core),
+        reportWaitMs: settings.timings.reportWaitMs,
+      }, signal)
+      placement = startPlacement({
+        ...core,
+        ...settings.placement,
+        store: deps.store,
+        engines: deps.engines,
+        table: routing.table,
+        meter,
+        limits,
+        shardsPerRegion: 1,
+      }, signal)
+    },
+    handOver: async () => placement?.stop(),
+    collectStatus: async () => {
+      const answers = await Promise.all(listOthers(core).map((peer) => core.network.call(peer, STATUS, null, STATUS_TIMEOUT_MS)))
+      return [readStatus(), ...answers.flatMap((answer) => answer.isOk() ? [answer.value] : [])]
+    },
+  }
+}
+
+function listOthers (core: Core): string[] {
+  return core.view.listMembers().filter((member) => member.state !== 'suspect' && member.instance !== core.settings.instance).map((member) => member.instance)
+}
+
+function addGauges (core: Core, routing: Routing): void {
+  core.metrics.addGauge('config_version', 'Version of the object API up to which everything is known', () => core.replica.knownThrough)
+  core.metrics.addGauge('queued_requests', 'Requests that wait for a place', () => routing.queue.size)
+  core.metrics.addGauge('claims_held', 'Keys of requests that may run once, in memory', () => routing.claims.size)
+  core.metrics.addGauge('claim_commits_total', 'Group commits of claims', () => routing.claims.commits)
+  core.metrics.addGauge('live_instances', 'Entry instances that may own work', () => core.view.listEligible().length)
+  core.metrics.addGauge('peer_sent_bytes_total', 'Bytes sent to peers', () => core.network.sentBytes)
+}
--- /dev/null
+++ b/program/instance/src/listen.ts
@@ -0,0 +1,118 @@
+import { readFile } from 'node:fs/promises'
+import http from 'node:http'
+import https from 'node:https'
+import type { AddressInfo, Socket } from 'node:net'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { sendError, sendJson } from '@pulleystack/gateway.http'
+import type { Gateways } from './createGateways.js'
+import { splitAddress, type Core } from './startInstance.js'
+
+const MAX_HEADER_BYTES = 32 << 10
+const MAX_HEADERS = 100
+const KEEP_ALIVE_MS = 30_000
+
+/** The listener for callers and operators. */
+export interface Listener {
+  address: string
+  /** Takes no new connection and tells those that are idle to go. */
+  close: () => Promise<void>
+  /** From now on every answer asks its caller to connect elsewhere. */
+  setClosing: () => void
+  /** Ends every connection at once. */
+  cut: () => Promise<void>
+}
+
+export async function listen (core: Core, gateways: Gateways): Promise<Listener> {
+  const { settings } = core
+  const state = { closing: false }
+  const options: http.ServerOptions = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: settings.limits.headersTimeoutMs,
+    requestTimeout: settings.limits.requestTimeoutMs,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    noDelay: true,
+  }
+  const handle: http.RequestListener = (request, response) => {
+    if (state.closing) response.setHeader('connection', 'close')
+    void dispatch(core, gateways, request, response)
+  }
+  const server = settings.callerTls ? https.createServer({ ...options, ...await readTls(settings.callerTls) }, handle) : http.createServer(options, handle)
+  server.maxHeadersCount = MAX_HEADERS
+  server.maxConnections = settings.limits.connections
+  server.on('clientError', answerClientError)
+  const { host, port } = splitAddress(settings.listen.callers)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  const address = `${host}:${(server.address() as AddressInfo).port}`
+  return {
+    address,
+    setClosing: () => {
+      state.closing = true
+    },
+    close: () => closeGently(server),
+    cut: () => {
+      const closed = closeGently(server)
+      server.closeAllConnections()
+      return closed
+    },
+  }
+}
+
+async function readTls (files: { certificate: string, key: string }): Promise<{ cert: string, key: string }> {
+  return { cert: await readFile(files.certificate, 'utf8'), key: await readFile(files.key, 'utf8') }
+}
+
+function closeGently (server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve())
+    server.closeIdleConnections()
+  })
+}
+
+async function dispatch (core: Core, gateways: Gateways, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  // Parts of a request that was refused may still come; they must not end the process.
+  request.on('error', () => undefined)
+  response.on('error', () => undefined)
+  const url = parseUrl(request)
+  if (!url) sendError(response, new PulleystackError('BAD_HEADER', 'The path of the request cannot be read', { field: 'path' }))
+  else if (url.pathname === '/healthz') sendJson(response, 200, { live: true })
+  else if (url.pathname === '/readyz') sendReadiness(core, response)
+  else if (url.pathname === '/metrics') await sendMetrics(core, response)
+  else if (url.pathname.startsWith('/admin/')) await gateways.admin.handle(request, response, url)
+  else if (!core.replica.isComplete) sendError(response, new PulleystackError('STORE_UNAVAILABLE', 'This instance has no configuration yet', { retryAfterSeconds: 1 }))
+  else await gateways.callers.handle(request, response, url)
+}
+
+function parseUrl (request: http.IncomingMessage): URL | undefined {
+  try {
+    return new URL(request.url ?? '/', 'http://instance')
+  } catch {
+    return undefined
+  }
+}
+
+function sendReadiness (core: Core, response: http.ServerResponse): void {
+  const ready = core.replica.isComplete && core.view.self.state === 'live'
+  sendJson(response, ready ? 200 : 503, { ready, state: core.view.self.state, configVersion: core.replica.knownThrough })
+}
+
+async function sendMetrics (core: Core, response: http.ServerResponse): Promise<void> {
+  const text = await core.metrics.registry.metrics()
+  response.writeHead(200, { 'content-type': core.metrics.registry.contentType })
+  response.end(text)
+}
+
+/** Answers what is not HTTP, or comes too slowly, and closes only that connection. */
+function answerClientError (error: NodeJS.ErrnoException, socket: Socket): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy()
+    return
+  }
+  const slow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+  const known = new PulleystackError(slow ? 'BODY_TOO_SLOW' : 'BAD_HEADER', slow ? 'The request did not arrive in time' : `Not a request that can be read: ${error.code}`)
+  const body = JSON.stringify(known.renderBody())
+  const status = `${known.row.status} ${http.STATUS_CODES[known.row.status]}`
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\npulleystack-ran: no\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+}
--- /dev/null
+++ b/program/instance/src/startInstance.ts
@@ -0,0 +1,177 @@
+import { randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
+import { readFile } from 'node:fs/promises'
+import { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
+import type { Settings } from '@pulleystack/config.settings'
+import { startConfigSync } from '@pulleystack/config.sync'
+import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
+import { createLogger, type Logger } from '@pulleystack/core.logging'
+import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
+import { MembershipView, startMembership } from '@pulleystack/membership.view'
+import type { EngineClient, InstanceList, ObjectStore, ServiceClient, WeightStore } from '@pulleystack/platform.interfaces'
+import { EventRing } from '@pulleystack/timeline.events'
+import { answerTimeline } from '@pulleystack/timeline.merge'
+import { createControl, type Control } from './createControl.js'
+import { createGateways } from './createGateways.js'
+import { createRouting } from './createRouting.js'
+import { listen, type Listener } from './listen.js'
+import { Metrics } from './Metrics.js'
+import { stopInstance } from './stopInstance.js'
+
+/** Everything that an instance takes from outside. */
+export interface InstanceDependencies {
+  store: ObjectStore
+  list: InstanceList
+  weights: WeightStore
+  engines: EngineClient
+  services: ServiceClient
+  clock?: Clock
+  random?: RandomSource
+  logger?: Logger
+}
+
+/** One running entry instance. */
+export interface Instance {
+  name: string
+  address: string
+  peerAddress: string
+  replica: ConfigReplica
+  index: ConfigIndex
+  view: MembershipView
+  ring: EventRing
+  control: Control
+  network: WebSocketNetwork
+  /** True when it holds a whole configuration. */
+  isReady: () => boolean
+  /** Planned stop: nothing that was accepted is cut off. A second call cuts short; gives the number of requests cut. */
+  stop: () => Promise<number>
+  /** Ends at once, as a death would look from outside. */
+  kill: () => Promise<void>
+}
+
+/** What the parts of one instance share. */
+export interface Core {
+  settings: Settings
+  deps: InstanceDependencies
+  clock: Clock
+  random: RandomSource
+  logger: Logger
+  ring: EventRing
+  view: MembershipView
+  network: WebSocketNetwork
+  replica: ConfigReplica
+  index: ConfigIndex
+  metrics: Metrics
+  createId: () => string
+  ended: AbortController
+}
+
+const LIMITS_WITHOUT_ANSWER = { loadsPerSecond: 2, loadsAtOnce: 8, bytesPerSecond: 1e9 }
+
+/** Starts an entry instance; resolves when it listens. It is ready for callers once it has a configuration. */
+export async function startInstance (settings: Settings, deps: InstanceDependencies): Promise<Instance> {
+  const core = await createCore(settings, deps)
+  const peerPort = await core.network.start()
+  const peerAddress = `${splitAddress(settings.listen.peers).host}:${peerPort}`
+  const routing = createRouting(core)
+  const limits = await deps.weights.readLimits()
+  const control = createControl(core, routing, limits.unwrapOr(LIMITS_WITHOUT_ANSWER))
+  const gateways = createGateways(core, routing, control)
+  const listener = await listen(core, gateways)
+  Object.assign(core.view.self, { address: listener.address, peerAddress })
+  answerTimeline(core.network, core.ring)
+  await startMembership({ ...core, list: deps.list, listPollMs: settings.timings.listPollMs }, core.ended.signal)
+  startConfigSync({ ...core, store: deps.store, digestMs: settings.timings.digestMs }, core.ended.signal)
+  control.start(core.ended.signal)
+  core.logger.info({ address: listener.address, peerAddress }, 'instance listens')
+  return createHandle(core, { control, listener, peerAddress, inFlight: () => gateways.callers.inFlight })
+}
+
+function createHandle (core: Core, parts: { control: Control, listener: Listener, peerAddress: string, inFlight: () => number }): Instance {
+  const { control, listener, peerAddress } = parts
+  return {
+    name: core.settings.instance,
+    address: listener.address,
+    peerAddress,
+    replica: core.replica,
+    index: core.index,
+    view: core.view,
+    ring: core.ring,
+    control,
+    network: core.network,
+    isReady: () => core.replica.isComplete,
+    stop: () => stopInstance(core, parts),
+    kill: async () => {
+      core.ended.abort()
+      await Promise.all([listener.cut(), core.network.stop()])
+    },
+  }
+}
+
+async function createCore (settings: Settings, deps: InstanceDependencies): Promise<Core> {
+  const clock = deps.clock ?? new SystemClock()
+  const random = deps.random ?? new RandomSource()
+  const logger = deps.logger ?? createLogger({ name: settings.instance, level: settings.log })
+  const ring = new EventRing({ clock, instance: settings.instance, dataHall: settings.dataHall })
+  const self = createIdentity(settings)
+  const view = new MembershipView({ clock, self })
+  const replica = new ConfigReplica()
+  const { host, port } = splitAddress(settings.listen.peers)
+  const network = new WebSocketNetwork({
+    clock,
+    random,
+    logger,
+    host,
+    port,
+    readIdentity: () => view.self,
+    findAddress: (instance) => view.findMember(instance)?.peerAddress,
+    heartbeatMs: settings.timings.heartbeatMs,
+    suspectAfterMs: settings.timings.suspectAfterMs,
+    secret: settings.peerKeyFile === undefined ? undefined : (await readFile(settings.peerKeyFile, 'utf8')).trim(),
+    tls: settings.tls && await readTls(settings.tls),
+  })
+  const metrics = new Metrics()
+  ring.events.subscribe((event) => metrics.countEvent(event.kind))
+  view.memberChanges.subscribe(({ member }) => {
+    if (member.instance === settings.instance) network.announceIdentity()
+  })
+  return {
+    settings,
+    deps,
+    clock,
+    random,
+    logger,
+    ring,
+    view,
+    network,
+    replica,
+    index: new ConfigIndex(replica),
+    metrics,
+    createId: () => randomUUID(),
+    ended: createEnd(),
+  }
+}
+
+/** Ends everything that runs in the instance; every task listens to it. */
+function createEnd (): AbortController {
+  const ended = new AbortController()
+  setMaxListeners(0, ended.signal)
+  return ended
+}
+
+function createIdentity (settings: Settings): PeerIdentity {
+  const { instance, region, dataHall, listen: addresses } = settings
+  // Wall time makes a restarted instance outrank what is still told about its former life.
+  return { instance, incarnation: Math.floor(Date.now() / 1000), address: addresses.callers, peerAddress: addresses.peers, region, dataHall, leaving: false }
+}
+
+async function readTls (files: { authority: string, certificate: string, key: string }): Promise<{ ca: string, cert: string, key: string }> {
+  const [ca, cert, key] = await Promise.all([files.authority, files.certificate, files.key].map((file) => readFile(file, 'utf8')))
+  return { ca: ca as string, cert: cert as string, key: key as string }
+}
+
+/** Takes an address apart at its last colon. */
+export function splitAddress (address: string): { host: string, port: number } {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
+}
--- a/routing/claims/src/ClaimClient.ts
+++ b/routing/claims/src/ClaimClient.ts
@@ -44,6 +44,13 @@
     return sum
   }
 
+  /** Drops from memory what other instances own now. */
+  review (): void {
+    for (const [shard, held] of this.shards) {
+      if (!this.opts.view.isOwner(`claims/${shard}`)) held.unload()
+    }
+  }
+
   /** Keys held in memory here. */
   get size (): number {
     let sum = 0
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -1,10 +1,11 @@
-import type { ListedInstance, ResidentItem } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance, type ResidentItem } from '@pulleystack/platform.interfaces'
 import { AdaptiveLimiter, type ConcurrencyLimiter } from '@pulleystack/routing.limiter'
 import { OutlierDetector } from '@pulleystack/routing.retries'
 import { PrefixIndex } from './PrefixIndex.js'
 import type { RunnerUpdate } from './RunnerUpdate.js'
 
 const DEFAULT_SLOTS = 8
+const PLAIN_SLOTS = 64
 const EWMA_SHARE = 0.1
 const INITIAL_SERVICE_MS = 200
 const INITIAL_PREFILL_MS = 4
@@ -36,14 +37,18 @@
   refusedUntil = 0
   private readonly items = new Map<string, ResidentItem>()
   private readonly inFlightByPartner = new Map<string, number>()
+  private readonly inFlightByItem = new Map<string, number>()
+  /** Items that get no new work because they will be removed; until a monotone time. */
+  private readonly draining = new Map<string, number>()
   private report: ReportState | undefined
   private life = ''
   private seq = 0
   private samples: OwnSample[] = [{ at: -Infinity, inFlight: 0 }]
   private inFlight = 0
+  private lookups = 0
 
   constructor (public server: ListedInstance) {
-    this.limiter = new AdaptiveLimiter({ initialLimit: DEFAULT_SLOTS })
+    this.limiter = new AdaptiveLimiter({ initialLimit: server.role === InstanceRoles.PLAIN ? PLAIN_SLOTS : DEFAULT_SLOTS })
     this.outlier = new OutlierDetector()
   }
 
@@ -56,7 +61,7 @@
   }
 
   get slots (): number {
-    return this.report?.slots ?? DEFAULT_SLOTS
+    return this.report?.slots ?? (this.server.role === InstanceRoles.PLAIN ? PLAIN_SLOTS : DEFAULT_SLOTS)
   }
 
   get freeBytes (): number {
@@ -77,12 +82,31 @@
   }
 
   hasReady (item: string): boolean {
-    return this.items.get(item)?.state === 'ready'
+    return this.items.get(item)?.state === 'ready' && !this.draining.has(item)
   }
 
-  /** Partners with something resident here. */
+  /** Sends an item no new work until a monotone time; gives the own requests still there. */
+  drain (item: string, until: number): number {
+    this.draining.set(item, until)
+    return this.inFlightByItem.get(item) ?? 0
+  }
+
+  /** Lets items have work again whose removal did not come. */
+  endDrains (now: number): void {
+    for (const [item, until] of this.draining) {
+      if (until <= now) this.draining.delete(item)
+    }
+  }
+
+  /** Partners with something resident or offered here. */
   listPartners (): Set<string> {
-    return new Set([...this.items.keys()].map((item) => item.slice(0, item.indexOf('/'))))
+    const names = [...this.items.keys(), ...this.server.services ?? []]
+    return new Set(names.map((name) => name.slice(0, name.indexOf('/'))))
+  }
+
+  /** Own requests in flight that are not lookups. */
+  get workInFlight (): number {
+    return this.inFlight - this.lookups
   }
 
   countOf (partner: string): number {
@@ -109,15 +133,19 @@
     return Math.max(this.inFlight, this.report.running + this.report.waiting + this.inFlight - then)
   }
 
-  noteStart (partner: string, now: number): void {
+  noteStart (partner: string, isLookup: boolean, now: number, item?: string): void {
+    if (item !== undefined) this.inFlightByItem.set(item, (this.inFlightByItem.get(item) ?? 0) + 1)
     this.inFlight++
+    if (isLookup) this.lookups++
     this.inFlightByPartner.set(partner, this.countOf(partner) + 1)
     this.samples.push({ at: now, inFlight: this.inFlight })
     if (!this.report) this.dropOldSamples()
   }
 
-  noteEnd (partner: string, now: number): void {
+  noteEnd (partner: string, isLookup: boolean, now: number, item?: string): void {
+    if (item !== undefined) this.inFlightByItem.set(item, (this.inFlightByItem.get(item) ?? 1) - 1)
     this.inFlight--
+    if (isLookup) this.lookups--
     this.inFlightByPartner.set(partner, this.countOf(partner) - 1)
     this.samples.push({ at: now, inFlight: this.inFlight })
   }
@@ -141,6 +169,9 @@
   private replaceItems (items: readonly ResidentItem[]): void {
     this.items.clear()
     for (const item of items) this.items.set(item.item, item)
+    for (const item of this.draining.keys()) {
+      if (!this.items.has(item)) this.draining.delete(item)
+    }
   }
 
   private dropOldSamples (): void {
--- /dev/null
+++ b/timeline/merge/src/index.ts
@@ -0,0 +1,5 @@
+export { mergeEvents, matchFilter, filterForPartner } from './mergeEvents.js'
+export type { TimelineFilter, InstanceEvents } from './mergeEvents.js'
+export { renderText, renderJsonLines } from './renderText.js'
+export { renderPage } from './renderPage.js'
+export { answerTimeline, collectTimeline } from './collectTimeline.js'
--- /dev/null
+++ b/timeline/merge/src/mergeEvents.ts
@@ -0,0 +1,43 @@
+import type { TimelineEvent } from '@pulleystack/timeline.events'
+
+export interface TimelineFilter {
+  request?: string
+  order?: string
+  object?: string
+  partner?: string
+  server?: string
+  model?: string
+  limit?: number
+}
+
+/** Events of one instance with the offset by which its clock is ahead. */
+export interface InstanceEvents {
+  events: TimelineEvent[]
+  offsetMs: number
+}
+
+const FIELDS = ['request', 'order', 'object', 'partner', 'server', 'model'] as const
+const DEFAULT_LIMIT = 2_000
+
+/** True when the event has every value that the filter names. */
+export function matchFilter (event: TimelineEvent, filter: TimelineFilter): boolean {
+  return FIELDS.every((field) => filter[field] === undefined || event[field] === filter[field])
+}
+
+/** What an operator of one partner may see: its own events and those that belong to nobody. */
+export function filterForPartner (event: TimelineEvent, partner: string): boolean {
+  const owner = event.partner ?? findPartner(event.model) ?? findPartner(event.object?.split('/').slice(2).join('/'))
+  return owner === undefined || owner === partner
+}
+
+/** Puts events of many instances in one order, by wall time without the offsets; of one instance in the order they happened. */
+export function mergeEvents (lists: readonly InstanceEvents[], limit = DEFAULT_LIMIT): TimelineEvent[] {
+  const all = lists.flatMap(({ events, offsetMs }) => events.map((event) => ({ ...event, at: event.at - offsetMs })))
+  all.sort((a, b) => a.at - b.at || (a.instance === b.instance ? a.seq - b.seq : a.instance.localeCompare(b.instance)))
+  return all.slice(-limit)
+}
+
+function findPartner (name: string | undefined): string | undefined {
+  const slash = name?.indexOf('/') ?? -1
+  return slash > 0 ? name?.slice(0, slash) : undefined
+}
