Let work wait here instead of in engines' own queues, and tell a frozen engine from a busy one

Cause: replaying the March traces, one review in 70 failed though nothing was wrong: it had waited for more than the stall limit in an engine's own queue, was taken for frozen and used up the retry budget. Instances sent by their own limits alone, three times what the engines had places for. Ruled out: a lost wake-up (all places were given back). Change: an instance holds back when the lagged report, corrected by its own work, says that the places are taken (Runner.isFull); silence counts as freezing only when reports have stopped too; silent engines are left out like ejected ones; what a lost engine had in hand goes elsewhere without costing budget; the limiter lowers for a queue of half the places or a whole request's time, not for the first waiting request.

--- a/routing/dispatch/src/GenerationDispatcher.ts
+++ b/routing/dispatch/src/GenerationDispatcher.ts
@@ -75,7 +75,7 @@
       return undefined
     } catch (thrown) {
       const error = explainFailure(abort.signal, convertToError(thrown))
-      noteFailure(answer, error, place.runner.id)
+      noteFailure(answer, error, place.runner.id, this.opts.places.isLost(place.runner, work))
       ring.record(EventKinds.ATTEMPT_FAILED, { ...fields, note: `${error.code}: ${error.message}` })
       return error
     } finally {
@@ -120,7 +120,9 @@
 
   private async* readStream (stream: AsyncIterable<GenerateItem>, work: GenerationWork, attempt: Attempt): AsyncGenerator<GenerateItem, void> {
     const { answer } = attempt
-    for await (const item of readWithStall(stream, this.opts.clock, this.opts.stallMs ?? STALL_MS)) {
+    const stallMs = this.opts.stallMs ?? STALL_MS
+    const mayWait = (): boolean => attempt.firstByteMs === undefined && this.isReporting(attempt.place, stallMs)
+    for await (const item of readWithStall(stream, { clock: this.opts.clock, stallMs, mayWait })) {
       // What an engine sends after it was told to stop is no part of the answer.
       if (attempt.abort.signal.aborted) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The attempt was stopped')
       if ('end' in item) {
@@ -140,6 +142,12 @@
     }
   }
 
+  /** An engine that reports is alive; one that was reported on and fell silent is not. */
+  private isReporting (place: Place, withinMs: number): boolean {
+    const { reportedAt } = place.runner
+    return reportedAt !== undefined && this.opts.clock.readTime() - reportedAt < withinMs
+  }
+
   private noteFirstByte (work: GenerationWork, attempt: Attempt): void {
     attempt.firstByteMs = this.opts.clock.readTime() - attempt.place.startedAt
     this.opts.ring.record(EventKinds.ATTEMPT_FIRST_BYTE, { request: work.request, attempt: attempt.id, ms: attempt.firstByteMs })
--- a/routing/dispatch/src/Places.ts
+++ b/routing/dispatch/src/Places.ts
@@ -105,10 +105,17 @@
     return []
   }
 
+  /** True when a server has fallen silent and another one that may take the request has not. */
+  isLost (runner: Runner, request: Pick<PlaceRequest, 'partner' | 'service' | 'items' | 'adapter'>): boolean {
+    const now = this.opts.clock.readTime()
+    return runner.isSilent(now) && this.listReady(request).some((other) => other !== runner && !other.isSilent(now))
+  }
+
   /** True when this instance may send one more request of this partner and class there. */
   hasRoom (runner: Runner, request: Pick<RequestWork, 'partner' | 'serviceClass'>): boolean {
     const { limit } = runner.limiter
-    if (runner.ownInFlight >= limit || this.opts.clock.readTime() < runner.refusedUntil) return false
+    const now = this.opts.clock.readTime()
+    if (runner.ownInFlight >= limit || now < runner.refusedUntil || runner.isFull(now)) return false
     const reserve = limit >= LEAST_TO_DIVIDE ? Math.max(1, Math.floor(limit * LOOKUP_RESERVE)) : 0
     if (request.serviceClass === ServiceClasses.WORK && runner.workInFlight >= limit - reserve) return false
     return runner.countOf(request.partner) < this.computePartnerLimit(runner, request.partner)
@@ -179,7 +186,8 @@
     runner.limiter.addSample({
       firstByteMs: Math.max(1, (firstByteMs ?? 0) - explained),
       inFlight: outcome.inFlight,
-      reportedWaiting: runner.waiting,
+      waitingShare: runner.waiting / runner.slots,
+      serviceMs: runner.serviceMs,
       overloaded: outcome.overloaded ?? false,
       now,
     })
--- a/routing/dispatch/src/attempts.ts
+++ b/routing/dispatch/src/attempts.ts
@@ -12,30 +12,33 @@
   uncertain: boolean
   /** Part of the answer has come. */
   answering: boolean
+  /** The newest attempt's server is out of use, and another can take the work. */
+  serverLost: boolean
   excluded: Set<string>
 }
 
 export function createProgress (): Progress {
-  return { attempts: 0, uncertain: false, answering: false, excluded: new Set() }
+  return { attempts: 0, uncertain: false, answering: false, serverLost: false, excluded: new Set() }
 }
 
 /** Notes a failed attempt; from then on the request may no longer be reported as not run, unless the failure is certain. */
-export function noteFailure (progress: Progress, error: PulleystackError, server: string): void {
+export function noteFailure (progress: Progress, error: PulleystackError, server: string, serverLost = false): void {
   progress.excluded.add(server)
+  progress.serverLost = serverLost
   if (error.ran !== Ran.NO) progress.uncertain = true
 }
 
 /**
  * Waits before another attempt, or throws the request's final error. Work that may not be repeated only gets another
- * attempt when it is certain that nothing ran. Servers that could not even be reached have seen no traffic, so going
- * past them costs no budget.
+ * attempt when it is certain that nothing ran. Servers that could not even be reached have seen no traffic, and what a
+ * lost server had in hand is done by nobody else, so that neither multiplies the traffic and neither costs budget.
  */
 export async function allowRetry (opts: DispatchOptions, work: RequestWork, progress: Progress, error: PulleystackError): Promise<void> {
   const final = createFinalError(progress, error)
   if (work.signal.aborted || progress.attempts >= MAX_ATTEMPTS) throw final
   if (!work.repeatable && (progress.uncertain || progress.answering)) throw final
   const unseen = error.code === 'ATTEMPT_FAILED_NOT_RUN'
-  if (!unseen && !opts.budgets.find(work.partner, work.service).take()) throw final
+  if (!unseen && !progress.serverLost && !opts.budgets.find(work.partner, work.service).take()) throw final
   const waitMs = computeBackoff(progress.attempts, opts.random.readFraction())
   if (opts.clock.readTime() + waitMs >= work.deadline) throw final
   await opts.clock.wait(waitMs, work.signal)
--- a/routing/dispatch/src/readWithStall.ts
+++ b/routing/dispatch/src/readWithStall.ts
@@ -1,13 +1,21 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
 
-/** Reads a stream, and fails when nothing comes for so long: the server may be frozen with its connection open. */
-export async function* readWithStall<T> (stream: AsyncIterable<T>, clock: Clock, stallMs: number): AsyncGenerator<T, void> {
+export interface StallOptions {
+  clock: Clock
+  /** Silence after which the server may be frozen with its connection open. */
+  stallMs: number
+  /** Asked then; true when silence is to be expected, as while the request waits in the server's own queue. */
+  mayWait: () => boolean
+}
+
+/** Reads a stream, and fails when nothing comes for too long. */
+export async function* readWithStall<T> (stream: AsyncIterable<T>, opts: StallOptions): AsyncGenerator<T, void> {
   const iterator = stream[Symbol.asyncIterator]()
   let finished = false
   try {
     for (;;) {
-      const next = await readNext(iterator, clock, stallMs)
+      const next = await readNext(iterator, opts)
       if (next.done) {
         finished = true
         return
@@ -20,10 +28,16 @@
   }
 }
 
-function readNext<T> (iterator: AsyncIterator<T>, clock: Clock, stallMs: number): Promise<IteratorResult<T>> {
+function readNext<T> (iterator: AsyncIterator<T>, opts: StallOptions): Promise<IteratorResult<T>> {
   return new Promise((resolve, reject) => {
-    const stalled = new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${stallMs} ms`)
-    const cancel = clock.setTimer(stallMs, () => reject(stalled))
-    iterator.next().then(resolve, reject).finally(cancel)
+    let cancel = (): void => undefined
+    const watch = (): void => {
+      cancel = opts.clock.setTimer(opts.stallMs, () => {
+        if (opts.mayWait()) watch()
+        else reject(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${opts.stallMs} ms`))
+      })
+    }
+    watch()
+    iterator.next().then(resolve, reject).finally(() => cancel())
   })
 }
--- a/routing/limiter/src/AdaptiveLimiter.ts
+++ b/routing/limiter/src/AdaptiveLimiter.ts
@@ -7,7 +7,8 @@
 }
 
 const DECREASE = 0.85
-const TOLERANCE = 2
+// A few requests waiting at the server keep it busy between reports; more only hide the order that they should go in.
+const WAITING_TOLERATED = 0.5
 // Slow changes of the floor let it follow a server whose hardware or model changed.
 const FLOOR_RISE = 0.01
 const SMOOTHING = 0.2
@@ -15,8 +16,9 @@
 
 /**
  * Additive increase, multiplicative decrease. The limit grows while it is used up and the first byte comes about as
- * fast as it ever does; it shrinks when first bytes take more than twice as long, when the server reports requests
- * waiting for a place, or when it refuses. Every entry instance sees the same server, so their limits settle together.
+ * fast as it ever does; it shrinks when first bytes come later by more than a whole request's time, when the server
+ * reports many requests waiting for a place, or when it refuses. Every entry instance sees the same server, so that
+ * their limits settle together.
  */
 export class AdaptiveLimiter extends ConcurrencyLimiter {
   private value: number
@@ -45,8 +47,8 @@
   }
 
   private isCongested (sample: LimiterSample): boolean {
-    const slow = (this.smoothedMs ?? 0) > this.floorMs * TOLERANCE + 2
-    return sample.overloaded || sample.reportedWaiting > 0 || (slow && sample.inFlight > 1)
+    const slow = (this.smoothedMs ?? 0) - this.floorMs > Math.max(this.floorMs, sample.serviceMs) + 2
+    return sample.overloaded || sample.waitingShare > WAITING_TOLERATED || (slow && sample.inFlight > 1)
   }
 
   // One burst of bad samples counts once, or a single hiccup would close the server.
--- a/routing/limiter/src/ConcurrencyLimiter.ts
+++ b/routing/limiter/src/ConcurrencyLimiter.ts
@@ -4,8 +4,10 @@
   firstByteMs: number
   /** Requests that this instance had there when it was sent. */
   inFlight: number
-  /** Requests that the server last reported as waiting for a place. */
-  reportedWaiting: number
+  /** Requests that the server last reported as waiting, as a share of its places. */
+  waitingShare: number
+  /** Smoothed milliseconds that a request holds a place there. */
+  serviceMs: number
   /** The server refused for lack of room, or timed out. */
   overloaded: boolean
   /** Monotone time of the sample. */
--- a/routing/retries/src/OutlierDetector.ts
+++ b/routing/retries/src/OutlierDetector.ts
@@ -31,8 +31,15 @@
   }
 }
 
-/** The candidates that are not ejected; all of them when more than half are, since then the fault is likely ours. */
-export function listUsable<T extends { outlier: OutlierDetector }> (candidates: readonly T[], now: number): T[] {
-  const usable = candidates.filter((candidate) => !candidate.outlier.isEjected(now))
+/** What decides whether a server may be used. */
+export interface Ejectable {
+  readonly outlier: OutlierDetector
+  /** True when its reports have stopped coming. */
+  isSilent: (now: number) => boolean
+}
+
+/** The candidates that are neither ejected nor silent; all of them when more than half are, since then the fault is likely ours. */
+export function listUsable<T extends Ejectable> (candidates: readonly T[], now: number): T[] {
+  const usable = candidates.filter((candidate) => !candidate.outlier.isEjected(now) && !candidate.isSilent(now))
   return usable.length >= candidates.length * (1 - PANIC_SHARE) ? usable : [...candidates]
 }
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -7,6 +7,8 @@
 const DEFAULT_SLOTS = 8
 const PLAIN_SLOTS = 64
 const EWMA_SHARE = 0.1
+// Several times what a report takes to come, so that one late report means nothing.
+const SILENT_MS = 1_500
 const INITIAL_SERVICE_MS = 200
 const INITIAL_PREFILL_MS = 4
 
@@ -133,6 +135,22 @@
     return Math.max(this.inFlight, this.report.running + this.report.waiting + this.inFlight - then)
   }
 
+  /** True when reports came and have stopped: the server may be frozen, or nobody can reach it. */
+  isSilent (now: number): boolean {
+    return this.report !== undefined && now - this.report.at > SILENT_MS
+  }
+
+  /**
+   * True when the engine's places are taken, as far as the report tells. It is allowed as many more as will have
+   * ended since the report, so that places don't stay empty until the next one; beyond that, work waits here, where
+   * class, deadline and share decide who goes first, and not in the engine's own queue.
+   */
+  isFull (now: number): boolean {
+    if (!this.report) return false
+    const ended = Math.ceil(this.slots * (now - this.report.at) / this.serviceMs)
+    return this.estimateLoad() >= this.slots + Math.min(this.slots, Math.max(1, ended))
+  }
+
   noteStart (partner: string, isLookup: boolean, now: number, item?: string): void {
     if (item !== undefined) this.inFlightByItem.set(item, (this.inFlightByItem.get(item) ?? 0) + 1)
     this.inFlight++
--- a/tools/replay/src/Trace.ts
+++ b/tools/replay/src/Trace.ts
@@ -22,7 +22,8 @@
 export type TraceFault =
   | { at: number, do: 'killEngine' | 'freezeEngine' | 'reviveEngine', engine: number }
   | { at: number, do: 'slowStore', ms: number }
-  | { at: number, do: 'loseStoreAnswers' | 'loseStoreWrites', count: number }
+  | { at: number, do: 'loseStoreAnswers', count: number }
+  | { at: number, do: 'loseStoreWrites', count: number }
 
 /** What must come out; fields that are left out are not asked for. */
 export interface TraceOutcome {
--- a/tools/replay/src/replayTrace.ts
+++ b/tools/replay/src/replayTrace.ts
@@ -32,6 +32,8 @@
   expected: number
 }
 
+const ENGINE_STATES = { killEngine: 'dead', freezeEngine: 'frozen', reviveEngine: 'live' } as const
+
 interface Replay {
   clock: ManualClock
   store: MemoryObjectStore
@@ -102,7 +104,7 @@
   if (fault.do === 'slowStore') replay.store.faults.delayMs = fault.ms
   else if (fault.do === 'loseStoreAnswers') replay.store.faults.loseAnswers += fault.count
   else if (fault.do === 'loseStoreWrites') replay.store.faults.loseWrites += fault.count
-  else replay.engines.setState(fault.engine, fault.do === 'killEngine' ? 'dead' : fault.do === 'freezeEngine' ? 'frozen' : 'live')
+  else if ('engine' in fault) replay.engines.setState(fault.engine, ENGINE_STATES[fault.do])
 }
 
 async function runRequest (replay: Replay, request: TraceRequest): Promise<void> {
