--- a/gateway/callers/src/CallerGateway.ts
+++ b/gateway/callers/src/CallerGateway.ts
@@ -5,7 +5,7 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { buildDirectoryAnswer, chooseSubset, computeSubsetSize } from '@pulleystack/directory.subset'
 import { Headers, parseBearer, sendError, sendJson } from '@pulleystack/gateway.http'
-import { hashAccessKey, matchKeyHash } from '@pulleystack/membership.keys'
+import { hashAccessKey } from '@pulleystack/membership.keys'
 import type { Member, MembershipView } from '@pulleystack/membership.view'
 import type { DemandMeter } from '@pulleystack/placement.demand'
 import type { ClaimClient } from '@pulleystack/routing.claims'
@@ -86,7 +86,8 @@
   private authenticate (request: http.IncomingMessage): ConfigObject<'Caller'> {
     const key = parseBearer(request.headers)
     const caller = key === undefined ? undefined : this.opts.index.findCaller(hashAccessKey(key))
-    if (key !== undefined && caller && matchKeyHash(key, caller.spec.keyHashes)) return caller
+    // Found by its SHA-256, so that the time taken tells nothing about keys that are nearly right.
+    if (caller) return caller
     throw new PulleystackError('ACCESS_KEY_WRONG', 'The access key is missing or not known', { hint: 'Send it as "Authorization: Bearer KEY".' })
   }
 
--- a/gateway/callers/src/handleCompletion.ts
+++ b/gateway/callers/src/handleCompletion.ts
@@ -1,10 +1,10 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { Headers, parseJsonBody, readBody } from '@pulleystack/gateway.http'
 import type { DemandMeter } from '@pulleystack/placement.demand'
-import type { GenerateItem } from '@pulleystack/platform.interfaces'
+import type { GenerateEnd, TokenSink } from '@pulleystack/platform.interfaces'
 import type { KeptOutcome } from '@pulleystack/routing.claims'
 import type { GenerationDispatcher, GenerationWork } from '@pulleystack/routing.dispatch'
-import { parseCompletion, renderChunk, renderWhole, STREAM_END, type CompletionFrame, type CompletionKind, type CompletionRequest } from './openaiFormat.js'
+import { createChunkRenderer, parseCompletion, renderEnd, renderWhole, type CompletionFrame, type CompletionKind, type CompletionRequest } from './openaiFormat.js'
 import { readDeadline, readRepeatable, type RequestContext } from './RequestContext.js'
 import { resolveModel, type ModelTarget } from './resolveTarget.js'
 import { runOnce, type RunOnceOptions } from './runOnce.js'
@@ -19,6 +19,8 @@
   admit: (context: RequestContext, service: ModelTarget['service'], body: Buffer) => Promise<boolean>
 }
 
+type RunGeneration = (sink: TokenSink) => Promise<GenerateEnd>
+
 /** Answers POST /v1/chat/completions and /v1/completions. */
 export async function handleCompletion (opts: CompletionOptions, context: RequestContext, kind: CompletionKind): Promise<void> {
   const body = await readBody(context.request, opts.maxBodyBytes)
@@ -66,9 +68,9 @@
   work: GenerationWork,
   frame: CompletionFrame,
 ): Promise<void> {
-  const items = opts.generations.run(work)
-  if (completion.stream) await streamAnswer(context, frame, items)
-  else sendWhole(context, await collectWhole(frame, items))
+  const run: RunGeneration = (sink) => opts.generations.run(work, sink)
+  if (completion.stream) await streamAnswer(context, frame, run)
+  else sendWhole(context, await collectWhole(frame, run))
 }
 
 async function runKeyed (
@@ -90,24 +92,24 @@
   }
   // A caller that goes away must not stop work that its repeat will ask for.
   const lasting = { ...work, signal: new AbortController().signal }
+  const run: RunGeneration = (sink) => opts.generations.run(lasting, sink)
   let streamed = false
   const outcome = await runOnce(opts, once, async () => {
-    if (!completion.stream) return collectWhole(frame, opts.generations.run(lasting))
+    if (!completion.stream) return collectWhole(frame, run)
     streamed = true
-    return streamAnswer(context, frame, opts.generations.run(lasting))
+    return streamAnswer(context, frame, run, true)
   })
   if (streamed) return
   if (completion.stream) replayStream(context, outcome)
   else sendWhole(context, outcome)
 }
 
-async function collectWhole (frame: CompletionFrame, items: AsyncIterable<GenerateItem>): Promise<KeptOutcome> {
+async function collectWhole (frame: CompletionFrame, run: RunGeneration): Promise<KeptOutcome> {
   let text = ''
-  for await (const item of items) {
-    if ('token' in item) text += item.token.text
-    else return { status: 200, contentType: 'application/json', body: JSON.stringify(renderWhole(frame, text, item.end.finish, item.end.tokens)) }
-  }
-  throw new PulleystackError('ANSWER_BROKEN', 'The answer ended without its end')
+  const end = await run((token) => {
+    text += token.text
+  })
+  return { status: 200, contentType: 'application/json', body: JSON.stringify(renderWhole(frame, text, end.finish, end.tokens)) }
 }
 
 function sendWhole (context: RequestContext, outcome: KeptOutcome): void {
@@ -120,21 +122,20 @@
 }
 
 /** Sends pieces as they come. An answer that breaks ends with an error event and a cut connection, never with [DONE]. */
-async function streamAnswer (context: RequestContext, frame: CompletionFrame, items: AsyncIterable<GenerateItem>): Promise<KeptOutcome> {
+async function streamAnswer (context: RequestContext, frame: CompletionFrame, run: RunGeneration, keep = false): Promise<KeptOutcome> {
   const { response } = context
+  const renderToken = createChunkRenderer(frame)
   let kept = ''
-  const write = async (text: string): Promise<void> => {
-    kept += text
-    if (response.destroyed) return
-    if (!response.write(text)) await waitForDrain(response)
+  const write = (text: string): void | Promise<void> => {
+    if (keep) kept += text
+    if (!response.destroyed && !response.write(text)) return waitForDrain(response)
   }
   try {
-    for await (const item of items) {
+    const end = await run((token) => {
       if (!response.headersSent && !response.destroyed) response.writeHead(200, buildStreamHeaders(context))
-      if ('token' in item) await write(renderChunk(frame, item.token.text, null))
-      else await write(renderChunk(frame, '', item.end.finish))
-    }
-    await write(STREAM_END)
+      return write(renderToken(token.text))
+    })
+    await write(renderEnd(frame, end.finish))
     response.end()
     return { status: 200, contentType: 'text/event-stream', body: kept }
   } catch (thrown) {
--- a/gateway/callers/src/handleServiceCall.ts
+++ b/gateway/callers/src/handleServiceCall.ts
@@ -121,18 +121,26 @@
 }
 
 async function collectOutcome (answer: ServiceAnswer): Promise<KeptOutcome> {
+  const contentType = answer.headers['content-type'] ?? 'application/octet-stream'
+  if (Buffer.isBuffer(answer.body)) return { status: answer.status, contentType, body: answer.body.toString() }
   const chunks: Buffer[] = []
   try {
     for await (const chunk of answer.body as AsyncIterable<Buffer>) chunks.push(chunk)
   } catch (cause) {
     throw new PulleystackError('ANSWER_BROKEN', 'The answer broke off', { cause })
   }
-  return { status: answer.status, contentType: answer.headers['content-type'] ?? 'application/octet-stream', body: Buffer.concat(chunks).toString() }
+  return { status: answer.status, contentType, body: Buffer.concat(chunks).toString() }
 }
 
 async function passOn (context: RequestContext, answer: ServiceAnswer): Promise<void> {
   const { response } = context
-  response.writeHead(answer.status, { ...filterHeaders(answer.headers, ANSWER_HOP_HEADERS), [Headers.REQUEST]: context.id })
+  const headers = filterHeaders(answer.headers, ANSWER_HOP_HEADERS)
+  headers[Headers.REQUEST] = context.id
+  response.writeHead(answer.status, headers)
+  if (Buffer.isBuffer(answer.body)) {
+    response.end(answer.body)
+    return
+  }
   try {
     await pipeline(answer.body, response)
   } catch (cause) {
@@ -142,7 +150,17 @@
 }
 
 function filterHeaders (headers: http.IncomingHttpHeaders, dropped: ReadonlySet<string>): Record<string, string | string[]> {
-  const named = new Set((headers.connection ?? '').toLowerCase().split(',').map((name) => name.trim()))
-  const kept = Object.entries(headers).filter(([name, value]) => value !== undefined && !dropped.has(name) && !named.has(name))
-  return Object.fromEntries(kept) as Record<string, string | string[]>
+  const kept: Record<string, string | string[]> = {}
+  const named = parseConnection(headers.connection)
+  for (const name in headers) {
+    const value = headers[name]
+    if (value !== undefined && !dropped.has(name) && !named?.has(name)) kept[name] = value
+  }
+  return kept
+}
+
+/** Headers that hold for one connection only, as the other side names them. */
+function parseConnection (connection: string | undefined): Set<string> | undefined {
+  if (connection === undefined || connection === 'keep-alive' || connection === 'close') return undefined
+  return new Set(connection.toLowerCase().split(',').map((name) => name.trim()))
 }
--- a/gateway/callers/src/openaiFormat.ts
+++ b/gateway/callers/src/openaiFormat.ts
@@ -3,6 +3,8 @@
 
 const DEFAULT_MAX_TOKENS = 128
 const MAX_TOKENS = 32_768
+// Stands for a token's text while a frame is rendered; no model's name can contain it.
+const MARK = '\u0000token\u0000'
 
 const textSchema = z.union([z.string(), z.array(z.object({ type: z.literal('text'), text: z.string() }))])
 const commonFields = {
@@ -59,8 +61,18 @@
   kind: CompletionKind
 }
 
-/** One event of a streamed answer. */
-export function renderChunk (frame: CompletionFrame, text: string, finish: string | null): string {
+/** Makes the function that renders one token's event; what is the same in all of them is rendered once. */
+export function createChunkRenderer (frame: CompletionFrame): (text: string) => string {
+  const [before, after] = renderChunk(frame, MARK, null).split(JSON.stringify(MARK)) as [string, string]
+  return (text) => before + JSON.stringify(text) + after
+}
+
+/** The last events of a streamed answer; an answer without them is not whole. */
+export function renderEnd (frame: CompletionFrame, finish: string): string {
+  return `${renderChunk(frame, '', finish)}data: [DONE]\n\n`
+}
+
+function renderChunk (frame: CompletionFrame, text: string, finish: string | null): string {
   const choice = frame.kind === 'chat'
     ? { index: 0, delta: text === '' ? {} : { content: text }, finish_reason: finish }
     : { index: 0, text, finish_reason: finish }
@@ -68,9 +80,6 @@
   return `data: ${JSON.stringify({ id: frame.id, object, created: frame.created, model: frame.model, choices: [choice] })}\n\n`
 }
 
-/** The end of a streamed answer; an answer without it is not whole. */
-export const STREAM_END = 'data: [DONE]\n\n'
-
 /** A whole answer. */
 export function renderWhole (frame: CompletionFrame, text: string, finish: string, tokens: number): object {
   const choice = frame.kind === 'chat'
--- a/membership/keys/src/accessKeys.ts
+++ b/membership/keys/src/accessKeys.ts
@@ -1,4 +1,4 @@
-import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import { hash, randomBytes, timingSafeEqual } from 'node:crypto'
 
 const KEY_BYTES = 24
 
@@ -9,15 +9,15 @@
 
 /** SHA-256 in hexadecimal. Keys are long random texts, so that no slow hash is needed. */
 export function hashAccessKey (key: string): string {
-  return createHash('sha256').update(key).digest('hex')
+  return hash('sha256', key, 'hex')
 }
 
 /** Compares a key with stored hashes in constant time; looks at all of them. */
 export function matchKeyHash (key: string, hashes: readonly string[]): boolean {
   const given = Buffer.from(hashAccessKey(key))
   let found = false
-  for (const hash of hashes) {
-    const stored = Buffer.from(hash)
+  for (const keyHash of hashes) {
+    const stored = Buffer.from(keyHash)
     if (stored.length === given.length && timingSafeEqual(stored, given)) found = true
   }
   return found
--- a/routing/dispatch/src/GenerationDispatcher.ts
+++ b/routing/dispatch/src/GenerationDispatcher.ts
@@ -1,12 +1,12 @@
 import { getWorkClass } from '@pulleystack/config.objects'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
-import type { EngineClient, GenerateItem } from '@pulleystack/platform.interfaces'
+import type { EngineClient, GenerateCall, GeneratedToken, GenerateEnd, TokenSink } from '@pulleystack/platform.interfaces'
 import { hashPrefixBlocks } from '@pulleystack/routing.runners'
 import { EventKinds } from '@pulleystack/timeline.events'
 import { allowRetry, createAttemptSignal, createProgress, explainFailure, noteFailure, type Progress } from './attempts.js'
 import type { DispatchOptions, RequestWork } from './DispatchOptions.js'
 import type { Place } from './Places.js'
-import { readWithStall } from './readWithStall.js'
+import { StallWatch } from './StallWatch.js'
 
 const MAX_RESUMES = 2
 const STALL_MS = 5_000
@@ -29,27 +29,28 @@
   id: string
   place: Place
   answer: Answer
-  abort: AbortController
+  /** Ends with the deadline or the caller. */
+  signal: AbortSignal
   firstByteMs?: number
-  /** The answer's end has come. */
-  ended: boolean
 }
 
-/** Runs requests to models. The pieces come in order, each once, whatever happens to attempts and streams. */
+type AttemptOutcome = { end: GenerateEnd } | { failure: PulleystackError }
+
+/** Runs requests to models. The tokens come in order, each once, whatever happens to attempts and streams. */
 export class GenerationDispatcher {
   constructor (private readonly opts: DispatchOptions & { engines: EngineClient, stallMs?: number }) {}
 
-  /** Yields the answer's tokens and then its end; throws when it can't be made whole. */
-  async* run (work: GenerationWork): AsyncGenerator<GenerateItem, void> {
+  /** Gives every token to the sink and resolves with the answer's end; rejects when it can't be made whole. */
+  async run (work: GenerationWork, sink: TokenSink): Promise<GenerateEnd> {
     const answer: Answer = { ...createProgress(), tokens: 0, text: '' }
     const blocks = hashPrefixBlocks(work.items[0] ?? '', work.prompt)
     this.opts.budgets.find(work.partner, work.service).noteRequest()
     for (;;) {
       const place = await this.acquire(work, answer, blocks)
       answer.attempts++
-      const failure = yield* this.runAttempt(work, answer, place)
-      if (!failure) return
-      await allowRetry(this.opts, work, answer, failure)
+      const outcome = await this.runAttempt(work, answer, place, sink)
+      if ('end' in outcome) return outcome.end
+      await allowRetry(this.opts, work, answer, outcome.failure)
     }
   }
 
@@ -63,54 +64,48 @@
     }
   }
 
-  private async* runAttempt (work: GenerationWork, answer: Answer, place: Place): AsyncGenerator<GenerateItem, PulleystackError | undefined> {
+  private async runAttempt (work: GenerationWork, answer: Answer, place: Place, sink: TokenSink): Promise<AttemptOutcome> {
     const { clock, ring } = this.opts
-    const { abort, release } = createAttemptSignal(clock, work)
-    const attempt: Attempt = { id: this.opts.createId(), place, answer, abort, ended: false }
+    const { signal, release } = createAttemptSignal(clock, work)
+    const attempt: Attempt = { id: this.opts.createId(), place, answer, signal }
     const fields = { request: work.request, attempt: attempt.id, server: place.runner.id, partner: work.partner }
     ring.record(EventKinds.ATTEMPT_PICKED, { ...fields, note: `load ${place.runner.estimateLoad()}, ${place.missingBlocks} blocks to prefill` })
     try {
-      yield* this.readAnswer(work, attempt)
+      const end = await this.readAnswer(work, attempt, sink)
       ring.record(EventKinds.ATTEMPT_FINISHED, { ...fields, ms: clock.readTime() - place.startedAt })
-      return undefined
+      place.end({ firstByteMs: attempt.firstByteMs, failed: false })
+      return { end }
     } catch (thrown) {
-      const error = explainFailure(abort.signal, convertToError(thrown))
-      noteFailure(answer, error, place.runner.id, this.opts.places.isLost(place.runner, work))
-      ring.record(EventKinds.ATTEMPT_FAILED, { ...fields, note: `${error.code}: ${error.message}` })
-      return error
+      const failure = explainFailure(signal, convertToError(thrown))
+      noteFailure(answer, failure, place.runner.id, this.opts.places.isLost(place.runner, work))
+      ring.record(EventKinds.ATTEMPT_FAILED, { ...fields, note: `${failure.code}: ${failure.message}` })
+      place.end({ firstByteMs: attempt.firstByteMs, failed: !signal.aborted })
+      void this.opts.engines.cancel(place.runner.server.address, attempt.id)
+      return { failure }
     } finally {
       release()
-      // Also reached when the reader of this generator stops reading: the engine's work is of no use any more.
-      const { ended } = attempt
-      place.end({ firstByteMs: attempt.firstByteMs, failed: !ended && !abort.signal.aborted })
-      if (!ended) this.cancel(attempt)
     }
   }
 
-  private cancel (attempt: Attempt): void {
-    attempt.abort.abort()
-    void this.opts.engines.cancel(attempt.place.runner.server.address, attempt.id)
-  }
-
   /** Reads the stream of one attempt, going on at its offset on the same engine when the connection breaks. */
-  private async* readAnswer (work: GenerationWork, attempt: Attempt): AsyncGenerator<GenerateItem, void> {
+  private async readAnswer (work: GenerationWork, attempt: Attempt, sink: TokenSink): Promise<GenerateEnd> {
     const { address } = attempt.place.runner.server
-    let stream = this.opts.engines.generate(address, this.buildCall(work, attempt), attempt.abort.signal)
+    const { engines, ring } = this.opts
     for (let resumes = 0; ; resumes++) {
       try {
-        yield* this.readStream(stream, work, attempt)
-        return
+        return await this.readStream(work, attempt, sink, (take, signal) => resumes === 0
+          ? engines.generate(address, this.buildCall(work, attempt), take, signal)
+          : engines.resume(address, attempt.id, attempt.answer.tokens, take, signal))
       } catch (thrown) {
-        const error = explainFailure(attempt.abort.signal, convertToError(thrown))
-        const canResume = !attempt.abort.signal.aborted && (error.ran !== Ran.NO || resumes > 0) && resumes < MAX_RESUMES
+        const error = explainFailure(attempt.signal, convertToError(thrown))
+        const canResume = !attempt.signal.aborted && (error.ran !== Ran.NO || resumes > 0) && resumes < MAX_RESUMES
         if (!canResume) throw resumes > 0 ? createUncertain(error) : error
-        this.opts.ring.record(EventKinds.ATTEMPT_RESUMED, { request: work.request, attempt: attempt.id, note: `at token ${attempt.answer.tokens}` })
-        stream = this.opts.engines.resume(address, attempt.id, attempt.answer.tokens, attempt.abort.signal)
+        ring.record(EventKinds.ATTEMPT_RESUMED, { request: work.request, attempt: attempt.id, note: `at token ${attempt.answer.tokens}` })
       }
     }
   }
 
-  private buildCall (work: GenerationWork, attempt: Attempt) {
+  private buildCall (work: GenerationWork, attempt: Attempt): GenerateCall {
     const { answer, place } = attempt
     const item = place.item ?? work.items[0] ?? ''
     const continuation = answer.text === '' ? undefined : answer.text
@@ -118,30 +113,42 @@
     return { attempt: attempt.id, item, adapter: work.adapter, prompt: work.prompt, maxTokens: work.maxTokens, priority, offset: answer.tokens, continuation }
   }
 
-  private async* readStream (stream: AsyncIterable<GenerateItem>, work: GenerationWork, attempt: Attempt): AsyncGenerator<GenerateItem, void> {
-    const { answer } = attempt
+  /** Reads one connection to its end, a break or a stall. */
+  private async readStream (
+    work: GenerationWork,
+    attempt: Attempt,
+    sink: TokenSink,
+    open: (take: TokenSink, signal: AbortSignal) => Promise<GenerateEnd>,
+  ): Promise<GenerateEnd> {
     const stallMs = this.opts.stallMs ?? STALL_MS
     const mayWait = (): boolean => attempt.firstByteMs === undefined && this.isReporting(attempt.place, stallMs)
-    for await (const item of readWithStall(stream, { clock: this.opts.clock, stallMs, mayWait })) {
-      // What an engine sends after it was told to stop is no part of the answer.
-      if (attempt.abort.signal.aborted) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The attempt was stopped')
-      if ('end' in item) {
-        if (item.end.tokens !== answer.tokens) throw createGap(answer.tokens)
-        attempt.ended = true
-        yield item
-        return
-      }
-      const { token } = item
-      if (token.offset < answer.tokens) continue
-      if (token.offset > answer.tokens) throw createGap(answer.tokens)
-      if (attempt.firstByteMs === undefined) this.noteFirstByte(work, attempt)
-      answer.tokens++
-      answer.text += token.text
-      answer.answering = true
-      yield item
+    const watch = new StallWatch({ clock: this.opts.clock, stallMs, mayWait, signal: attempt.signal })
+    try {
+      const reading = open((token) => {
+        watch.noteProgress()
+        return this.takeToken(work, attempt, token, sink)
+      }, watch.signal)
+      const end = await watch.guard(reading)
+      if (end.tokens !== attempt.answer.tokens) throw createGap(attempt.answer.tokens)
+      return end
+    } finally {
+      watch.stop()
     }
   }
 
+  private takeToken (work: GenerationWork, attempt: Attempt, token: GeneratedToken, sink: TokenSink): void | Promise<void> {
+    const { answer } = attempt
+    // What an engine sends after it was told to stop is no part of the answer.
+    if (attempt.signal.aborted) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The attempt was stopped')
+    if (token.offset < answer.tokens) return undefined
+    if (token.offset > answer.tokens) throw createGap(answer.tokens)
+    if (attempt.firstByteMs === undefined) this.noteFirstByte(work, attempt)
+    answer.tokens++
+    answer.text += token.text
+    answer.answering = true
+    return sink(token)
+  }
+
   /** An engine that reports is alive; one that was reported on and fell silent is not. */
   private isReporting (place: Place, withinMs: number): boolean {
     const { reportedAt } = place.runner
--- a/routing/dispatch/src/ServiceDispatcher.ts
+++ b/routing/dispatch/src/ServiceDispatcher.ts
@@ -62,14 +62,24 @@
     const first = this.start(work, progress, place)
     if (!canHedge(work)) return first.result
     const hedgeMs = this.latencies.estimateLate(`${work.partner}/${work.service}`)
-    const answered = new AbortController()
-    void first.result.then(() => answered.abort(), () => answered.abort())
-    await this.opts.clock.wait(hedgeMs, answered.signal)
-    const second = answered.signal.aborted ? undefined : this.startHedge(work, progress, place)
+    const isLate = await this.waitUntilLate(first.result, hedgeMs)
+    const second = isLate ? this.startHedge(work, progress, place) : undefined
     if (!second) return first.result
     return this.takeFirst(first, second)
   }
 
+  /** True when the time passed before the attempt was settled. */
+  private waitUntilLate (result: Promise<unknown>, ms: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const cancel = this.opts.clock.setTimer(ms, () => resolve(true))
+      const finish = (): void => {
+        cancel()
+        resolve(false)
+      }
+      result.then(finish, finish)
+    })
+  }
+
   private startHedge (work: ServiceWork, progress: Progress, place: Place): Running | undefined {
     const budget = this.opts.budgets.find(work.partner, work.service)
     if (!budget.take()) return undefined
@@ -87,7 +97,7 @@
       const winner = await Promise.any(tagged)
       const loser = winner.running === first ? second : first
       loser.stop()
-      void loser.result.then((answer) => answer.body.destroy(), () => undefined)
+      void loser.result.then(dropBody, () => undefined)
       return winner.answer
     } catch {
       return first.result
@@ -143,11 +153,15 @@
   } catch (cause) {
     throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The answer broke off', { cause })
   }
-  return { ...answer, body: Readable.from(chunks, { objectMode: false }) }
+  return { ...answer, body: Buffer.concat(chunks) }
+}
+
+function dropBody (answer: ServiceAnswer): void {
+  if (!Buffer.isBuffer(answer.body)) answer.body.destroy()
 }
 
-function endWithBody (body: Readable, end: () => void): void {
-  if (body.destroyed || body.readableEnded) {
+function endWithBody (body: Readable | Buffer, end: () => void): void {
+  if (Buffer.isBuffer(body) || body.destroyed || body.readableEnded) {
     end()
     return
   }
--- a/routing/dispatch/src/attempts.ts
+++ b/routing/dispatch/src/attempts.ts
@@ -62,18 +62,18 @@
 }
 
 /** Aborts at the deadline or with the caller; `release` must be called. */
-export function createAttemptSignal (clock: Clock, work: RequestWork): { abort: AbortController, release: () => void } {
+export function createAttemptSignal (clock: Clock, work: RequestWork): { signal: AbortSignal, abort: AbortController, release: () => void } {
   const abort = new AbortController()
   const leave = (): void => abort.abort(new PulleystackError('CALLER_GONE', 'The caller went away'))
-  const late = new PulleystackError('DEADLINE_UNKNOWN', 'The deadline passed after the work was sent')
-  const cancel = clock.setTimer(Math.max(0, work.deadline - clock.readTime()), () => abort.abort(late))
+  const expire = (): void => abort.abort(new PulleystackError('DEADLINE_UNKNOWN', 'The deadline passed after the work was sent'))
+  const cancel = clock.setTimer(Math.max(0, work.deadline - clock.readTime()), expire)
   if (work.signal.aborted) leave()
   work.signal.addEventListener('abort', leave, { once: true })
   const release = (): void => {
     cancel()
     work.signal.removeEventListener('abort', leave)
   }
-  return { abort, release }
+  return { signal: abort.signal, abort, release }
 }
 
 /** The reason an attempt was aborted, or what went wrong by itself. */
--- a/routing/dispatch/test/GenerationDispatcher.test.ts
+++ b/routing/dispatch/test/GenerationDispatcher.test.ts
@@ -3,7 +3,7 @@
 import { ConfigIndex } from '@pulleystack/config.replica'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
-import { EngineClient, InstanceRoles, type EngineInventory, type EngineReport, type GenerateCall, type GenerateItem } from '@pulleystack/platform.interfaces'
+import { EngineClient, InstanceRoles, type EngineInventory, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/platform.interfaces'
 import { CostPicker } from '@pulleystack/routing.picker'
 import { WorkQueue } from '@pulleystack/routing.queue'
 import { RunnerTable } from '@pulleystack/routing.runners'
@@ -35,19 +35,19 @@
     super()
   }
 
-  async* generate (_: string, call: GenerateCall, signal: AbortSignal): AsyncIterable<GenerateItem> {
+  async generate (_: string, call: GenerateCall, sink: TokenSink, signal: AbortSignal): Promise<GenerateEnd> {
     const fate = this.opts.fates.shift() ?? { kind: 'good' }
     if (fate.kind === 'unreachable') throw new PulleystackError('ATTEMPT_FAILED_NOT_RUN', 'unreachable')
     if (fate.kind === 'refused') throw new PulleystackError('BACKEND_REFUSED', 'refused', { ran: Ran.NO })
     this.began.push(call.attempt)
-    yield* this.stream(call.attempt, call.offset, fate, signal)
+    return this.stream(call.attempt, call.offset, fate, sink, signal)
   }
 
-  async* resume (_: string, attempt: string, offset: number, signal: AbortSignal): AsyncIterable<GenerateItem> {
+  async resume (_: string, attempt: string, offset: number, sink: TokenSink, signal: AbortSignal): Promise<GenerateEnd> {
     const fate = this.opts.fates.shift() ?? { kind: 'good' }
     if (this.opts.forgetful || fate.kind === 'refused') throw new PulleystackError('BACKEND_REFUSED', 'no such attempt', { ran: Ran.NO })
     if (fate.kind === 'unreachable') throw new PulleystackError('ATTEMPT_FAILED_NOT_RUN', 'unreachable')
-    yield* this.stream(attempt, offset, fate, signal)
+    return this.stream(attempt, offset, fate, sink, signal)
   }
 
   async cancel (_: string, attempt: string): Promise<void> {
@@ -66,17 +66,17 @@
     return err(new PulleystackError('INTERNAL', 'unused'))
   }
 
-  private async* stream (attempt: string, offset: number, fate: Fate, signal: AbortSignal): AsyncIterable<GenerateItem> {
+  private async stream (attempt: string, offset: number, fate: Fate, sink: TokenSink, signal: AbortSignal): Promise<GenerateEnd> {
     for (let at = offset; at < TOKENS; at++) {
       await this.opts.clock.wait(5, signal)
       if (signal.aborted || (fate.kind === 'breaks' && at - offset >= fate.after)) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'broke')
       if (fate.kind === 'stalls' && at - offset >= fate.after) await this.opts.clock.wait(60_000, signal)
       if (signal.aborted) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'aborted')
       if (fate.kind === 'skips' && at === fate.at) continue
-      yield { token: { attempt, offset: at, text: `t${at} ` } }
-      if (fate.kind === 'repeats' && at === fate.from) yield { token: { attempt, offset: at, text: `t${at} ` } }
+      await sink({ attempt, offset: at, text: `t${at} ` })
+      if (fate.kind === 'repeats' && at === fate.from) await sink({ attempt, offset: at, text: `t${at} ` })
     }
-    yield { end: { attempt, finish: 'stop', tokens: TOKENS } }
+    return { attempt, finish: 'stop', tokens: TOKENS }
   }
 }
 
@@ -120,10 +120,10 @@
   }
   const outcome = { text: '', ended: false, error: undefined as PulleystackError | undefined }
   const reading = (async () => {
-    for await (const item of bench.dispatcher.run(work)) {
-      if ('token' in item) outcome.text += item.token.text
-      else outcome.ended = true
-    }
+    await bench.dispatcher.run(work, (token) => {
+      outcome.text += token.text
+    })
+    outcome.ended = true
   })().catch((thrown: unknown) => {
     outcome.error = convertToError(thrown)
   })
--- /dev/null
+++ b/tools/bench/src/entry/worker.ts
@@ -0,0 +1,83 @@
+import http from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { parseSettings } from '@pulleystack/config.settings'
+import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import {
+  FakeEngine,
+  FakeService,
+  MemoryInstanceList,
+  MemoryObjectStore,
+  serveInstanceList,
+  serveObjectStore,
+  serveWeightStore,
+  WeightGate,
+} from '@pulleystack/platform.stand-ins'
+import { SystemClock } from '@pulleystack/core.clock'
+import { readExampleText } from '@pulleystack/program.demo'
+import { connectPlatform, startInstance } from '@pulleystack/program.instance'
+import { ProfileTaker } from '../profile.js'
+import { answerTasks, readCpu } from '../Worker.js'
+import { sendLoad, type LoadOptions } from './sendLoad.js'
+
+const GIB = 1024 ** 3
+
+/** A platform, one plain service, and one engine that is quick and has room for all. */
+async function startBackends () {
+  const clock = new SystemClock()
+  const store = new MemoryObjectStore({ clock })
+  const list = new MemoryInstanceList({ clock })
+  const gate = new WeightGate({ clock, limits: { loadsPerSecond: 100, loadsAtOnce: 8, bytesPerSecond: 1000 * GIB } })
+  const [objectApi, instanceList, weightStore] = await Promise.all([serveObjectStore(store), serveInstanceList(list), serveWeightStore(gate)])
+  const service = await FakeService.start({ clock })
+  const engine = await FakeEngine.start({ clock, memoryBytes: 40 * GIB, slots: 2_000, tokenMs: 10, batchMsPerRequest: 0, prefillMsPerBlock: 0 })
+  const place = { region: 'r', dataHall: 'h', leaving: false, labels: {} }
+  list.setInstance({ id: 'service', role: InstanceRoles.PLAIN, address: service.address, services: ['bench/lookups'], ...place })
+  list.setInstance({ id: 'engine', role: InstanceRoles.ENGINE, address: engine.address, memoryBytes: 40 * GIB, ...place })
+  return { objectApi: objectApi.address, instanceList: instanceList.address, weightStore: weightStore.address, service: service.address, engine: engine.address }
+}
+
+async function startEntry (platform: { objectApi: string, instanceList: string, weightStore: string }) {
+  const settings = parseSettings(readExampleText('settings.jsonc'), {
+    PULLEYSTACK_INSTANCE: 'entry',
+    PULLEYSTACK_REGION: 'r',
+    PULLEYSTACK_DATA_HALL: 'h',
+    PULLEYSTACK_LISTEN_CALLERS: '127.0.0.1:0',
+    PULLEYSTACK_LISTEN_PEERS: '127.0.0.1:0',
+    PULLEYSTACK_OBJECT_API: platform.objectApi,
+    PULLEYSTACK_INSTANCE_LIST: platform.instanceList,
+    PULLEYSTACK_WEIGHT_STORE: platform.weightStore,
+    PULLEYSTACK_LOG: 'warn',
+  })._unsafeUnwrap()
+  const operators = settings.operators.map((operator) => operator.partner === 'peritos' ? { ...operator, partner: 'bench' } : operator)
+  const instance = await startInstance({ ...settings, operators, placement: { ...settings.placement, orderDelayMs: 100, intervalMs: 100 } }, connectPlatform(settings))
+  return { address: instance.address }
+}
+
+/** A bare pass-through with Node's http on both sides: the least that any entry process must do. */
+async function startPassThrough (target: { address: string }) {
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 2_000, scheduling: 'lifo' })
+  const [host, port] = target.address.split(':') as [string, string]
+  const server = http.createServer((request, response) => {
+    const outgoing = http.request({ host, port: Number(port), method: request.method, path: request.url, headers: request.headers, agent }, (answer) => {
+      response.writeHead(answer.statusCode ?? 502, answer.headers)
+      answer.pipe(response)
+    })
+    outgoing.on('error', () => response.destroy())
+    request.pipe(outgoing)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}` }
+}
+
+const profile = new ProfileTaker()
+
+answerTasks({
+  startProfile: () => profile.start(),
+  stopProfile: () => profile.stop(),
+  startBackends,
+  startEntry,
+  startPassThrough,
+  sendLoad: (opts: LoadOptions) => sendLoad(opts),
+  readCpu: () => readCpu(),
+  readMemory: () => process.memoryUsage().rss,
+})
--- /dev/null
+++ b/tools/bench/src/index.ts
@@ -0,0 +1,1 @@
+export { benches } from './benches.js'
--- a/tools/replay/src/TimedEngines.ts
+++ b/tools/replay/src/TimedEngines.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { EngineClient, type EngineInventory, type EngineReport, type GenerateCall, type GenerateItem } from '@pulleystack/platform.interfaces'
+import { EngineClient, type EngineInventory, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/platform.interfaces'
 import { BatchModel, hashPromptBlocks, type BatchOptions } from '@pulleystack/platform.stand-ins'
 import { err, type Result } from 'neverthrow'
 
@@ -57,15 +57,15 @@
     }
   }
 
-  async* generate (address: string, call: GenerateCall, signal: AbortSignal): AsyncIterable<GenerateItem> {
+  async generate (address: string, call: GenerateCall, sink: TokenSink, signal: AbortSignal): Promise<GenerateEnd> {
     const engine = this.engines[Number(address)] as TimedEngine
     if (engine.state === 'dead') throw new PulleystackError('ATTEMPT_FAILED_NOT_RUN', 'The engine cannot be reached')
     const name = call.prompt.trim().split(/\s+/).at(-1) ?? ''
     this.started.set(name, (this.started.get(name) ?? 0) + (call.offset === 0 ? 1 : 0))
-    yield* this.stream(engine, call, name, signal)
+    return this.stream(engine, call, { name, sink, signal })
   }
 
-  async* resume (): AsyncIterable<GenerateItem> {
+  async resume (): Promise<GenerateEnd> {
     throw new PulleystackError('BACKEND_REFUSED', 'The engine does not know the attempt', { ran: Ran.NO })
   }
 
@@ -101,50 +101,28 @@
     return new BatchModel({ clock, slots, prefillMsPerBlock, tokenMs, batchMsPerRequest, cacheBlocks })
   }
 
-  private async* stream (engine: TimedEngine, call: GenerateCall, name: string, signal: AbortSignal): AsyncIterable<GenerateItem> {
-    const arrived: GenerateItem[] = []
-    let failure: PulleystackError | undefined
-    let wake: () => void = () => undefined
-    const fail = (error: PulleystackError): void => {
-      failure = error
-      wake()
-    }
-    const push = (item: GenerateItem): void => {
-      if (engine.state !== 'live') return
-      arrived.push(item)
-      wake()
-    }
-    const leave = (): void => fail(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'aborted'))
-    signal.addEventListener('abort', leave, { once: true })
-    engine.failures.add(fail)
-    this.submit(engine, call, name, push)
-    try {
-      for (;;) {
-        const item = arrived.shift()
-        if (item) yield item
-        if (item && 'end' in item) return
-        if (!item && failure) throw failure
-        if (arrived.length === 0 && !failure) await new Promise<void>((resolve) => (wake = resolve))
-      }
-    } finally {
-      signal.removeEventListener('abort', leave)
-      engine.failures.delete(fail)
-    }
-  }
-
-  private submit (engine: TimedEngine, call: GenerateCall, name: string, push: (item: GenerateItem) => void): void {
+  private stream (engine: TimedEngine, call: GenerateCall, opts: { name: string, sink: TokenSink, signal: AbortSignal }): Promise<GenerateEnd> {
+    const { attempt, offset, priority, maxTokens: tokens } = call
     const blocks = hashPromptBlocks(call.item, call.prompt)
     const cached = new Set(engine.batch.listCached())
-    this.served.set(call.attempt, { hits: blocks.filter((block) => cached.has(block)).length, blocks: blocks.length })
-    const { attempt, offset, priority, maxTokens: tokens } = call
-    engine.batch.submit({
-      attempt,
-      blocks,
-      tokens,
-      offset,
-      priority,
-      onToken: (at) => push({ token: { attempt, offset: at, text: `${name}#${at} ` } }),
-      onEnd: () => push({ end: { attempt, finish: 'stop', tokens } }),
+    this.served.set(attempt, { hits: blocks.filter((block) => cached.has(block)).length, blocks: blocks.length })
+    return new Promise((resolve, reject) => {
+      engine.failures.add(reject)
+      opts.signal.addEventListener('abort', () => reject(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'aborted')), { once: true })
+      engine.batch.submit({
+        attempt,
+        blocks,
+        tokens,
+        offset,
+        priority,
+        onToken: (at) => {
+          if (engine.state === 'live') void opts.sink({ attempt, offset: at, text: `${opts.name}#${at} ` })
+        },
+        onEnd: () => {
+          engine.failures.delete(reject)
+          if (engine.state === 'live') resolve({ attempt, finish: 'stop', tokens })
+        },
+      })
     })
   }
 }
--- a/tools/replay/src/replayTrace.ts
+++ b/tools/replay/src/replayTrace.ts
@@ -120,7 +120,7 @@
 
 async function generate (replay: Replay, node: RoutingNode, request: TraceRequest, repeatable: boolean): Promise<string> {
   let text = ''
-  const items = node.generations.run({
+  const work = {
     request: `r${replay.ids++}`,
     partner: request.partner,
     service: request.class,
@@ -131,10 +131,10 @@
     items: [buildModelItem(request.partner, 'm')],
     prompt: request.name,
     maxTokens: request.tokens,
-  })
-  for await (const item of items) {
-    if ('token' in item) text += item.token.text
   }
+  await node.generations.run(work, (token) => {
+    text += token.text
+  })
   return text
 }
 
--- a/tools/testing/src/MemoryEngines.ts
+++ b/tools/testing/src/MemoryEngines.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateItem } from '@pulleystack/platform.interfaces'
+import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateEnd } from '@pulleystack/platform.interfaces'
 import { EngineMemory } from '@pulleystack/platform.stand-ins'
 import { err, ok, type Result } from 'neverthrow'
 
@@ -38,11 +38,11 @@
     return ok({ life: '1', ageMs: 0, items: memory.listItems(), freeBytes: memory.freeBytes })
   }
 
-  async* generate (): AsyncIterable<GenerateItem> {
+  async generate (): Promise<GenerateEnd> {
     throw createLost(Ran.NO)
   }
 
-  async* resume (): AsyncIterable<GenerateItem> {
+  async resume (): Promise<GenerateEnd> {
     throw createLost(Ran.NO)
   }
 
