Refuse work once it can't be done by its deadline, and search the limit of a server quickly

Change: a runner learns its time for each token; work that would end after its deadline is refused at its latest start, truthfully not run, with Retry-After.

--- a/routing/dispatch/src/GenerationDispatcher.ts
+++ b/routing/dispatch/src/GenerationDispatcher.ts
@@ -56,7 +56,8 @@
 
   private async acquire (work: GenerationWork, answer: Answer, blocks: number[]): Promise<Place> {
     try {
-      return await this.opts.places.acquire({ ...work, blocks, excluded: answer.excluded })
+      const tokens = work.maxTokens - answer.tokens
+      return await this.opts.places.acquire({ ...work, blocks, tokens, excluded: answer.excluded })
     } catch (thrown) {
       const error = convertToError(thrown)
       if (!answer.uncertain && !answer.answering) throw error
@@ -73,7 +74,7 @@
     try {
       const end = await this.readAnswer(work, attempt, sink)
       ring.record(EventKinds.ATTEMPT_FINISHED, { ...fields, ms: clock.readTime() - place.startedAt })
-      place.end({ firstByteMs: attempt.firstByteMs, failed: false })
+      place.end({ firstByteMs: attempt.firstByteMs, failed: false, tokens: end.tokens })
       return { end }
     } catch (thrown) {
       const failure = explainFailure(signal, convertToError(thrown))
--- a/routing/dispatch/src/Places.ts
+++ b/routing/dispatch/src/Places.ts
@@ -30,6 +30,8 @@
 }
 
 export interface PlaceOutcome {
+  /** Tokens of a whole answer. */
+  tokens?: number
   /** Milliseconds from sending to the first byte; undefined when none came. */
   firstByteMs?: number
   failed: boolean
@@ -41,6 +43,8 @@
   items?: readonly string[]
   adapter?: string
   blocks: readonly number[]
+  /** Tokens still to generate; undefined for plain services. */
+  tokens?: number
   /** Servers that failed this request already. */
   excluded: ReadonlySet<string>
 }
@@ -77,11 +81,20 @@
       serviceClass: request.serviceClass,
       lane: `${request.service}|${request.items?.[0] ?? ''}`,
       deadline: request.deadline,
+      expectedMs: this.estimateTime(request),
       signal: request.signal,
       tryGrant: () => this.tryGrant(request),
     })
   }
 
+  /** Milliseconds that the fastest ready server would likely take; 0 when nothing is known. */
+  private estimateTime (request: PlaceRequest): number {
+    const { tokens } = request
+    if (tokens === undefined) return 0
+    const times = this.listReady(request).map((runner) => runner.msPerToken * tokens)
+    return times.length === 0 ? 0 : Math.min(...times)
+  }
+
   /** A place without waiting, for hedges; undefined when there is none. */
   tryGrant (request: PlaceRequest): Place | undefined {
     const ready = this.listReady(request)
@@ -178,7 +191,7 @@
       if (runner.outlier.noteFailure(now, this.opts.random.readFraction())) this.opts.ring.record(EventKinds.RUNNER_EJECTED, { server: runner.id })
     } else {
       runner.outlier.noteSuccess()
-      runner.noteServiceTime(now - outcome.startedAt)
+      runner.noteServiceTime(now - outcome.startedAt, outcome.tokens)
     }
     if (firstByteMs === undefined && !outcome.overloaded) return
     if (firstByteMs !== undefined) runner.notePrefill(outcome.missingBlocks, firstByteMs)
--- a/routing/limiter/src/AdaptiveLimiter.ts
+++ b/routing/limiter/src/AdaptiveLimiter.ts
@@ -25,6 +25,7 @@
   private floorMs = Infinity
   private smoothedMs: number | undefined
   private lowerableAt = 0
+  private searching = true
 
   constructor (private readonly opts: AdaptiveLimiterOptions = {}) {
     super()
@@ -38,7 +39,7 @@
   addSample (sample: LimiterSample): void {
     this.learn(sample.firstByteMs)
     if (this.isCongested(sample)) this.lower(sample.now)
-    else if (sample.inFlight * 2 >= this.limit) this.value = Math.min(this.opts.maxLimit ?? 1024, this.value + 1 / this.limit)
+    else if (sample.inFlight * 2 >= this.limit) this.raise()
   }
 
   private learn (firstByteMs: number): void {
@@ -51,9 +52,16 @@
     return sample.overloaded || sample.waitingShare > WAITING_TOLERATED || (slow && sample.inFlight > 1)
   }
 
+  /** Doubles with each round of answers until the first congestion, and is careful from then on. */
+  private raise (): void {
+    const step = this.searching ? 1 : 1 / this.limit
+    this.value = Math.min(this.opts.maxLimit ?? 1024, this.value + step)
+  }
+
   // One burst of bad samples counts once, or a single hiccup would close the server.
   private lower (now: number): void {
     if (now < this.lowerableAt) return
+    this.searching = false
     this.lowerableAt = now + COOLDOWN_MS + (this.smoothedMs ?? 0)
     this.value = Math.max(this.opts.minLimit ?? 1, this.value * DECREASE)
   }
--- a/routing/queue/src/WorkQueue.ts
+++ b/routing/queue/src/WorkQueue.ts
@@ -12,6 +12,8 @@
   lane: string
   /** Monotone time after which the answer is of no use. */
   deadline: number
+  /** Milliseconds that the work will likely take; started later than that before its deadline, it would be done in vain. */
+  expectedMs?: number
   /** Tries to take a place now; undefined when there is none. */
   tryGrant: () => Grant | undefined
   signal: AbortSignal
@@ -68,7 +70,8 @@
   /** Resolves with a place, or fails with OVERLOADED, DEADLINE_NOT_RUN or CALLER_GONE; always before the deadline. */
   acquire (work: QueuedWork<Grant>): Promise<Grant> {
     const lane = this.findLane(work)
-    const grant = lane.heap.size === 0 ? work.tryGrant() : undefined
+    const inTime = findLatestStart(work) >= this.opts.clock.readTime()
+    const grant = inTime && lane.heap.size === 0 ? work.tryGrant() : undefined
     if (grant !== undefined) {
       this.noteGrant(lane, work)
       return Promise.resolve(grant)
@@ -110,7 +113,7 @@
         },
       }
       const abandon = (): void => waiting.fail(new PulleystackError('CALLER_GONE', 'The caller went away while the request waited', { ran: 'no' }))
-      const cancel = clock.setTimer(Math.max(0, work.deadline - clock.readTime()), () => waiting.fail(createLate()))
+      const cancel = clock.setTimer(Math.max(0, findLatestStart(work) - clock.readTime()), () => waiting.fail(createLate()))
       work.signal.addEventListener('abort', abandon, { once: true })
       if (this.countWaiting(work.partner) === 0) this.shares.activate(work.partner)
       this.counts.set(work.partner, this.countWaiting(work.partner) + 1)
@@ -120,7 +123,7 @@
   }
 
   private checkRoom (work: QueuedWork<Grant>, lane: Lane<Grant>): PulleystackError | undefined {
-    const left = work.deadline - this.opts.clock.readTime()
+    const left = findLatestStart(work) - this.opts.clock.readTime()
     if (left <= 0) return createLate()
     const expectedMs = lane.heap.countBefore(work.deadline) * lane.gapMs
     const full = this.countWaiting(work.partner) >= this.opts.maxPerPartner
@@ -179,6 +182,10 @@
   }
 }
 
+function findLatestStart (work: { deadline: number, expectedMs?: number }): number {
+  return work.deadline - (work.expectedMs ?? 0)
+}
+
 function createLate (): PulleystackError {
-  return new PulleystackError('DEADLINE_NOT_RUN', 'The deadline passed while the request waited for a place', { retryAfterSeconds: 1 })
+  return new PulleystackError('DEADLINE_NOT_RUN', 'The request waited for a place until it could not be done by its deadline any more', { retryAfterSeconds: 1 })
 }
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -33,6 +33,8 @@
   readonly outlier: OutlierDetector
   /** Smoothed milliseconds that a request holds a place. */
   serviceMs = INITIAL_SERVICE_MS
+  /** Smoothed milliseconds of a request for each of its tokens, its wait at the server included. */
+  msPerToken = 0
   /** Smoothed milliseconds to prefill a block that was not cached. */
   prefillMsPerBlock = INITIAL_PREFILL_MS
   /** Monotone time until which the server asked for no work. */
@@ -168,8 +170,9 @@
     this.samples.push({ at: now, inFlight: this.inFlight })
   }
 
-  noteServiceTime (ms: number): void {
+  noteServiceTime (ms: number, tokens?: number): void {
     this.serviceMs += (ms - this.serviceMs) * EWMA_SHARE
+    if (tokens) this.msPerToken += (ms / tokens - this.msPerToken) * EWMA_SHARE
   }
 
   /** Learns the cost of prefill from a first token that did not wait behind others. */
--- a/tools/bench/src/Worker.ts
+++ b/tools/bench/src/Worker.ts
@@ -1,28 +1,4 @@
 import { fork, type ChildProcess } from 'node:child_process'
-import path from 'node:path'
-import { build } from 'esbuild'
-
-const BUNDLES = path.join(import.meta.dirname, '../../../dist/bench')
-// Optional native helpers of our libraries; the binary does without them as well.
-const LEFT_OUT = ['dtrace-provider', 'bufferutil', 'utf-8-validate', 'msgpackr-extract']
-
-/** Bundles a worker's module like the binary, so that what is measured is what ships. */
-export async function buildWorker (module: string): Promise<string> {
-  const outfile = path.join(BUNDLES, `${path.basename(path.dirname(module))}-${path.basename(module, '.ts')}.cjs`)
-  await build({
-    entryPoints: [module],
-    outfile,
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    mainFields: ['module', 'main'],
-    external: LEFT_OUT,
-    define: { 'import.meta.dirname': JSON.stringify(path.dirname(module)) },
-    logLevel: 'warning',
-  })
-  return outfile
-}
 
 /** A process of a benchmark that answers requests of the main one. */
 export class Worker {
@@ -32,6 +8,10 @@
 
   constructor (module: string) {
     this.child = fork(module, [], { execArgv: [], stdio: ['ignore', 'inherit', 'inherit', 'ipc'] })
+    // A worker that dies ends the benchmark; waiting for its answers would take for ever.
+    this.child.on('exit', (code) => {
+      if (code !== null && code !== 0) process.exit(1)
+    })
     this.child.on('message', (message) => {
       const { id, answer } = message as { id: number, answer: unknown }
       this.waiting.get(id)?.(answer)
--- a/tools/bench/src/entry/runEntry.ts
+++ b/tools/bench/src/entry/runEntry.ts
@@ -2,7 +2,8 @@
 import { hashAccessKey } from '@pulleystack/membership.keys'
 import { sendCall } from '@pulleystack/program.demo'
 import { computeQuantile, printReport, printTable, roundTo, type Row } from '../report.js'
-import { buildWorker, Worker } from '../Worker.js'
+import { buildWorker } from '../buildWorker.js'
+import { Worker } from '../Worker.js'
 import type { LoadOptions, LoadResult } from './sendLoad.js'
 
 const MODULE = path.join(import.meta.dirname, 'worker.ts')
--- a/tools/bench/src/entry/worker.ts
+++ b/tools/bench/src/entry/worker.ts
@@ -33,7 +33,8 @@
   const place = { region: 'r', dataHall: 'h', leaving: false, labels: {} }
   list.setInstance({ id: 'service', role: InstanceRoles.PLAIN, address: service.address, services: ['bench/lookups'], ...place })
   list.setInstance({ id: 'engine', role: InstanceRoles.ENGINE, address: engine.address, memoryBytes: 40 * GIB, ...place })
-  return { objectApi: objectApi.address, instanceList: instanceList.address, weightStore: weightStore.address, service: service.address, engine: engine.address }
+  const platform = { objectApi: objectApi.address, instanceList: instanceList.address, weightStore: weightStore.address }
+  return { ...platform, service: service.address, engine: engine.address }
 }
 
 async function startEntry (platform: { objectApi: string, instanceList: string, weightStore: string }) {
@@ -49,7 +50,8 @@
     PULLEYSTACK_LOG: 'warn',
   })._unsafeUnwrap()
   const operators = settings.operators.map((operator) => operator.partner === 'peritos' ? { ...operator, partner: 'bench' } : operator)
-  const instance = await startInstance({ ...settings, operators, placement: { ...settings.placement, orderDelayMs: 100, intervalMs: 100 } }, connectPlatform(settings))
+  const placement = { ...settings.placement, orderDelayMs: 100, intervalMs: 100 }
+  const instance = await startInstance({ ...settings, operators, placement }, connectPlatform(settings))
   return { address: instance.address }
 }
 
--- /dev/null
+++ b/tools/bench/src/fleet/runConvergence.ts
@@ -0,0 +1,93 @@
+import { buildObjectKey, Kinds } from '@pulleystack/config.objects'
+import { SystemClock } from '@pulleystack/core.clock'
+import { MemoryInstanceList, MemoryObjectStore } from '@pulleystack/platform.stand-ins'
+import { buildCaller } from '@pulleystack/tools.testing'
+import { readCpu } from '../Worker.js'
+import { computeQuantile, printReport, roundTo, type Row } from '../report.js'
+import { MiniInstance } from './MiniInstance.js'
+
+const SIZES = [4, 8, 16, 32, 64]
+const OBJECTS = 500
+const CHANGES = 40
+const CHANGE_GAP_MS = 150
+const QUIET_MS = 5_000
+const STORE_MS = 3
+const SETTLE_MS = 6_000
+
+export interface ConvergenceResult {
+  instances: number
+  latencies: number[]
+  storeCallsPerSecond: number
+  bytesPerInstance: number
+  cpuShare: number
+}
+
+/** Instances on real links in one process: how long until a change is in force everywhere, and what control costs. */
+export async function runConvergence (): Promise<void> {
+  const rows: Row[] = []
+  for (const instances of SIZES) rows.push(describe(await measureConvergence(instances)))
+  printReport('convergence', rows, { objects: OBJECTS, changes: CHANGES, note: 'store calls and control bytes while nothing changes; cpu of one core' })
+}
+
+function describe (result: ConvergenceResult): Row {
+  return {
+    'instances': result.instances,
+    'p50 ms': roundTo(computeQuantile(result.latencies, 0.5), 1),
+    'p99 ms': roundTo(computeQuantile(result.latencies, 0.99), 1),
+    'max ms': roundTo(Math.max(...result.latencies), 1),
+    'store calls/s': roundTo(result.storeCallsPerSecond, 2),
+    'control B/s per instance': roundTo(result.bytesPerInstance, 0),
+    'cpu % of a core per instance': roundTo(result.cpuShare * 100, 3),
+  }
+}
+
+export async function measureConvergence (count: number): Promise<ConvergenceResult> {
+  const clock = new SystemClock()
+  const store = new MemoryObjectStore({ clock })
+  store.faults.delayMs = STORE_MS
+  const list = new MemoryInstanceList({ clock, lagMs: 500 })
+  for (let i = 0; i < OBJECTS; i++) await store.writeObject(buildObjectKey(Kinds.CALLER, 'p', `c${i}`), buildCaller('p', `c${i}`, `key-${i}`), 0)
+  const instances: MiniInstance[] = []
+  for (let i = 0; i < count; i++) instances.push(await MiniInstance.start({ clock, name: `n${i}`, store, list, region: `r${i % 2}`, hall: `h${i % 4}` }))
+  await clock.wait(600)
+  await Promise.all(instances.map((instance) => instance.follow()))
+  await waitForAll(instances, (instance) => instance.replica.isComplete)
+  await clock.wait(SETTLE_MS)
+  const quiet = await measureQuiet(instances, store)
+  const latencies: number[] = []
+  for (let i = 0; i < CHANGES; i++) {
+    latencies.push(await measureChange(instances, store, i))
+    await clock.wait(CHANGE_GAP_MS)
+  }
+  await Promise.all(instances.map((instance) => instance.stop()))
+  return { instances: count, latencies, ...quiet }
+}
+
+async function measureQuiet (instances: readonly MiniInstance[], store: MemoryObjectStore) {
+  const countBytes = (): number => instances.reduce((sum, instance) => sum + instance.network.sentBytes, 0)
+  const before = { cpu: readCpu(), bytes: countBytes(), calls: store.counts.reads + store.counts.watches, at: performance.now() }
+  await new Promise((resolve) => setTimeout(resolve, QUIET_MS))
+  const seconds = (performance.now() - before.at) / 1000
+  return {
+    storeCallsPerSecond: (store.counts.reads + store.counts.watches - before.calls) / seconds,
+    bytesPerInstance: (countBytes() - before.bytes) / seconds / instances.length,
+    cpuShare: (readCpu() - before.cpu) / 1e6 / seconds / instances.length,
+  }
+}
+
+async function measureChange (instances: readonly MiniInstance[], store: MemoryObjectStore, i: number): Promise<number> {
+  const key = buildObjectKey(Kinds.CALLER, 'p', `c${i}`)
+  const standing = (await store.readObject(key))._unsafeUnwrap()
+  const started = performance.now()
+  const version = (await store.writeObject(key, buildCaller('p', `c${i}`, `key-${i}`, { change: String(i) }), standing?.version ?? 0))._unsafeUnwrap()
+  await waitForAll(instances, (instance) => instance.replica.readVersion(key) >= version)
+  return performance.now() - started
+}
+
+async function waitForAll (instances: readonly MiniInstance[], check: (instance: MiniInstance) => boolean): Promise<void> {
+  const deadline = performance.now() + 30_000
+  while (!instances.every(check)) {
+    if (performance.now() > deadline) throw new Error('the instances did not converge')
+    await new Promise((resolve) => setTimeout(resolve, 1))
+  }
+}
