Plan with loads as routing spreads them, and no copies that an item's own load can't fill

It took an item's load for spread evenly over its copies, so that a copy beside a hot neighbour looked overloaded though routing had shifted the load; it preferred further data halls over idle accelerators for every copy; and it added copies of small items that only dodged their neighbours. Change: balanced flows in the plan's state, hall preference for the second copy only, no copy that would carry less than 0.7 of an accelerator, relief above 1.05.

--- a/placement/planner/src/HysteresisPlanner.ts
+++ b/placement/planner/src/HysteresisPlanner.ts
@@ -3,9 +3,13 @@
 import type { Plan, PlanGroup, PlanInput } from './planTypes.js'
 
 // An accelerator above this share of its throughput is worth relieving; below it, copies stay where they are.
-const HIGH_LOAD = 0.85
+const HIGH_LOAD = 1.05
+// A copy that would carry less than this is not worth having.
+const USEFUL_LOAD = 0.7
 // What a move must win, times the partner's penalty, in shares of an accelerator.
-const LEAST_GAIN = 0.08
+const LEAST_GAIN = 0.1
+// Outweighs any load: one copy more in the same data hall is lost together with the first.
+const SAME_HALL = 10
 
 /**
  * Moves little: first every item gets a copy and its minimum, in different data halls; then items on overloaded
@@ -91,12 +95,17 @@
     if (server.load <= HIGH_LOAD) continue
     for (const item of server.items) {
       const group = state.groups.get(item)
-      if (group && !group.retiring && group.load > 0 && state.countCopies(item) < group.maxCopies) stressed.add(group)
+      if (group && !group.retiring && state.countCopies(item) < countUseful(group)) stressed.add(group)
     }
   }
   return stressed
 }
 
+/** Copies beyond what an item's own load fills would only dodge its neighbours, at the price of a move each. */
+function countUseful (group: PlanGroup): number {
+  return Math.min(group.maxCopies, Math.ceil(group.load / USEFUL_LOAD))
+}
+
 function evaluateRelief (state: PlanState, group: PlanGroup): Relief | undefined {
   if (!state.mayTake(group.partner, group.bytes)) return undefined
   const holders = state.listHolders(group.item)
@@ -105,20 +114,19 @@
   const server = findRoom(state, group)
   const target = server ?? findLeastLoaded(state, group)
   const spare = target ? Math.max(0, HIGH_LOAD - target.load) : 0
-  const movable = group.load / (holders.length + 1)
-  const gain = Math.min(over, spare, movable) * group.weight
+  const gain = Math.min(over, spare, group.load) * group.weight
   if (gain < LEAST_GAIN * group.movePenalty) return undefined
   return { group, server, gain, highest }
 }
 
-/** The best allowed accelerator with room: a new data hall before others, then the least loaded, then the tightest fit. */
+/** The best allowed accelerator with room: a second data hall before the first, then the least loaded, then the tightest fit. */
 function findRoom (state: PlanState, group: PlanGroup): ServerState | undefined {
   const halls = new Set(state.listHolders(group.item).map((server) => server.dataHall))
   let best: ServerState | undefined
   let bestScore = Infinity
   for (const server of state.servers.values()) {
     if (server.free < group.bytes || !state.isAllowed(group, server)) continue
-    const score = (halls.has(server.dataHall) ? 10 : 0) + server.load + (group.load > 0 ? 0 : (server.free - group.bytes) / server.capacity)
+    const score = (halls.size === 1 && halls.has(server.dataHall) ? SAME_HALL : 0) + server.load + (group.load > 0 ? 0 : (server.free - group.bytes) / server.capacity)
     if (score < bestScore) {
       best = server
       bestScore = score
--- a/placement/planner/src/PlanState.ts
+++ b/placement/planner/src/PlanState.ts
@@ -1,19 +1,24 @@
+import { balanceFlow, createFlow, type Flow } from './balanceFlows.js'
 import type { PlanGroup, PlanInput, PlanServer, PlanStep } from './planTypes.js'
 
 /** One accelerator while a plan is being made. */
 export interface ServerState extends PlanServer {
   free: number
-  /** Sum of the loads that its copies bring. */
+  /** Sum of the loads that its copies bring, with each item's load split over its copies as routing would. */
   load: number
   items: Set<string>
 }
 
-/** What would be resident after the steps so far; loads are spread evenly over an item's copies. */
+const FIRST_ROUNDS = 8
+
+/** What would be resident after the steps so far, and how routing would spread the load over it. */
 export class PlanState {
   readonly servers = new Map<string, ServerState>()
   readonly groups = new Map<string, PlanGroup>()
   readonly steps: PlanStep[] = []
   private readonly copies = new Map<string, Set<string>>()
+  private readonly flows = new Map<string, Flow>()
+  private readonly loads = new Map<string, number>()
   private readonly ready = new Map<string, number>()
   private readonly usedBytes = new Map<string, number>()
   private readonly poolBytes: number
@@ -28,6 +33,7 @@
       this.place(copy.item, copy.server)
       if (copy.ready) this.ready.set(copy.item, (this.ready.get(copy.item) ?? 0) + 1)
     }
+    for (let round = 0; round < FIRST_ROUNDS; round++) this.balance(this.flows.keys())
   }
 
   countCopies (item: string): number {
@@ -42,11 +48,6 @@
     return [...this.copies.get(item) ?? []].flatMap((id) => this.servers.get(id) ?? [])
   }
 
-  /** Load that one copy of the item carries. */
-  computeShare (group: PlanGroup): number {
-    return group.load / Math.max(1, this.countCopies(group.item))
-  }
-
   isAllowed (group: PlanGroup, server: ServerState): boolean {
     return !server.items.has(group.item) && (group.allowed?.has(server.id) ?? true)
   }
@@ -65,17 +66,16 @@
   load (group: PlanGroup, server: ServerState, reason: string): void {
     this.steps.push({ action: 'load', item: group.item, server: server.id, reason })
     this.place(group.item, server.id)
+    this.settle(group)
   }
 
   /** The bytes of an unloaded copy are not free yet; nothing else may be planned into them until they are. */
   unload (group: PlanGroup, server: ServerState, reason: string): void {
     this.steps.push({ action: 'unload', item: group.item, server: server.id, reason })
-    const before = this.computeShare(group)
-    for (const holder of this.listHolders(group.item)) holder.load -= before
     this.copies.get(group.item)?.delete(server.id)
     server.items.delete(group.item)
-    const after = this.computeShare(group)
-    for (const holder of this.listHolders(group.item)) holder.load += after
+    this.spread(group)
+    this.settle(group)
     this.usedBytes.set(group.partner, (this.usedBytes.get(group.partner) ?? 0) - group.bytes)
   }
 
@@ -83,15 +83,46 @@
     const server = this.servers.get(serverId)
     const group = this.groups.get(item)
     if (!server || !group || server.items.has(item)) return
-    const before = this.computeShare(group)
-    for (const holder of this.listHolders(item)) holder.load -= before
     const holders = this.copies.get(item) ?? new Set<string>()
     this.copies.set(item, holders.add(serverId))
     server.items.add(item)
     server.free -= group.bytes
     this.usedBytes.set(group.partner, (this.usedBytes.get(group.partner) ?? 0) + group.bytes)
-    const after = this.computeShare(group)
-    for (const holder of this.listHolders(item)) holder.load += after
+    this.spread(group)
+  }
+
+  /** Spreads an item's load evenly over the copies that it has now. */
+  private spread (group: PlanGroup): void {
+    const before = this.flows.get(group.item)
+    before?.servers.forEach((server, i) => this.addLoad(server, -(before.parts[i] ?? 0)))
+    const flow = createFlow(group, [...this.copies.get(group.item) ?? []])
+    this.flows.set(group.item, flow)
+    flow.servers.forEach((server, i) => this.addLoad(server, flow.parts[i] ?? 0))
+  }
+
+  /** Lets the load of an item and of its neighbours settle after a change. */
+  private settle (group: PlanGroup): void {
+    const neighbours = this.listHolders(group.item).flatMap((server) => [...server.items])
+    this.balance([group.item, ...neighbours, group.item])
+  }
+
+  private balance (items: Iterable<string>): void {
+    for (const item of items) {
+      const flow = this.flows.get(item)
+      if (!flow || flow.servers.length < 2) continue
+      balanceFlow(flow, this.loads)
+      for (const id of flow.servers) this.showLoad(id)
+    }
+  }
+
+  private addLoad (server: string, load: number): void {
+    this.loads.set(server, (this.loads.get(server) ?? 0) + load)
+    this.showLoad(server)
+  }
+
+  private showLoad (id: string): void {
+    const server = this.servers.get(id)
+    if (server) server.load = this.loads.get(id) ?? 0
   }
 
   private computeUnguaranteed (): number {
