Send reports only to instances that need them, pace collecting, and ask engines themselves only when needed

Cause (worked out from the code for 350 instances before 12,000 runners): every collector sent every report to every instance, four times a second: 349 x 137 reports/s x about 130 bytes from each instance; and a placement shard's holder asked each of its 100 engines every second. Change: reports go to the subset of the services that are resident there and to the shard's holder, items only when changed, to peers that are new, or every 10 s; the time between reports grows with the engines that an instance collects (60 ms each); an engine is asked for its inventory when an order is under way, when its report disagrees with the ledger, when it fell silent, or once a minute. Silence is told by the engine's own pace.

--- a/membership/peers/src/PeerNetwork.ts
+++ b/membership/peers/src/PeerNetwork.ts
@@ -32,7 +32,7 @@
 export abstract class PeerNetwork {
   /** Peers with an open link. */
   abstract listLinked (): string[]
-  /** Sends when a link is open; false when it is not. */
+  /** Sends when a link is open; when not, begins to open one for the next time and gives false. */
   abstract send<Body> (to: string, channel: Channel<Body>, body: Body): boolean
   abstract receive<Body> (channel: Channel<Body>): Observable<Received<Body>>
   /** Asks one peer, opening a link where needed. The error's `ran` tells whether the peer may have acted. */
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -100,7 +100,9 @@
   }
 
   send<Body> (to: string, channel: Channel<Body>, body: Body): boolean {
-    return this.links.get(to)?.send(channel.name, body) ?? false
+    const link = this.findOpen(to)
+    if (!link) void this.openOnce(to)
+    return link?.send(channel.name, body) ?? false
   }
 
   receive<Body> (channel: Channel<Body>): Observable<Received<Body>> {
--- a/placement/mover/src/ShardKeeper.ts
+++ b/placement/mover/src/ShardKeeper.ts
@@ -29,10 +29,19 @@
   listServers: () => ListedInstance[]
   readDemand: (item: string) => number
   hasRefused: (shard: string, item: string) => boolean
+  /** What the newest report said about an engine; undefined when none came here. Without one every engine is asked itself. */
+  readHint: (server: string) => EngineHint | undefined
   /** Asks all instances to stop sending; gives what is still there, undefined when not all answered. */
   drain: (server: string, item: string) => Promise<number | undefined>
 }
 
+/** An engine as its newest report shows it. */
+export interface EngineHint {
+  /** Monotone time of the figures. */
+  at: number
+  items: readonly { item: string }[]
+}
+
 /** What people are shown about a shard. */
 export interface ShardStatus {
   shard: string
@@ -50,6 +59,7 @@
 }
 
 const RETRY_MS = 1_000
+const INSPECT_MS = 60_000
 const MAX_MOVES_PER_STEP = 1
 const MAX_DRAIN_MS = 600_000
 const ORDER_EXPIRY_MS = 1_500
@@ -58,6 +68,7 @@
 export class ShardKeeper {
   private readonly orders: OrderBook
   private readonly heardAt = new Map<string, number>()
+  private readonly inspectedAt = new Map<string, number>()
   private readonly drainingSince = new Map<string, number>()
   private renewedAt = -Infinity
   private unplaced: string[] = []
@@ -130,7 +141,7 @@
   private async reconcile (): Promise<void> {
     const record = this.opts.lease.readRecord()
     if (!record) return
-    const servers = this.opts.listServers().filter((server) => record.servers[server.id])
+    const servers = this.opts.listServers().filter((server) => this.mustInspect(server, record))
     const results = await Promise.all(servers.map((server) => this.inspect(server, record)))
     const changed = results.filter((it): it is [ListedInstance, Reconciliation] => it !== undefined && hasChanges(it[1]))
     if (changed.length === 0) return
@@ -142,11 +153,26 @@
     await this.sendOrders(changed.flatMap(([server, result]) => this.listResends(server, result)))
   }
 
+  /** Engines are asked when something is under way there, when a report doesn't agree with the ledger, and now and then. */
+  private mustInspect (server: ListedInstance, record: ShardRecord): boolean {
+    const ledger = record.servers[server.id]
+    if (!ledger) return false
+    const hint = this.opts.readHint(server.id)
+    const now = this.opts.clock.readTime()
+    if (!hint || now - hint.at > this.opts.deadAfterMs) return true
+    this.heardAt.set(server.id, Math.max(hint.at, this.heardAt.get(server.id) ?? -Infinity))
+    if (now - (this.inspectedAt.get(server.id) ?? -Infinity) > INSPECT_MS) return true
+    if (ledger.entries.some((entry) => entry.state !== EntryStates.READY)) return true
+    const shown = new Set(hint.items.map((item) => item.item))
+    return shown.size !== ledger.entries.length || ledger.entries.some((entry) => !shown.has(entry.item))
+  }
+
   private async inspect (server: ListedInstance, record: ShardRecord): Promise<[ListedInstance, Reconciliation] | undefined> {
     const askedAt = this.opts.clock.readTime()
     const inventory = await this.opts.engines.readInventory(server.address)
     if (inventory.isErr()) return undefined
     this.heardAt.set(server.id, this.opts.clock.readTime())
+    this.inspectedAt.set(server.id, this.opts.clock.readTime())
     const ledger = record.servers[server.id]
     if (!ledger) return undefined
     const quietSince = this.opts.lease.quietSince
--- a/placement/mover/src/startPlacement.ts
+++ b/placement/mover/src/startPlacement.ts
@@ -5,12 +5,12 @@
 import { DemandEstimator, type DemandMeter } from '@pulleystack/placement.demand'
 import { chooseShard, listShards, readShardMap, ShardLease, type ShardMap } from '@pulleystack/placement.ledger'
 import { HysteresisPlanner } from '@pulleystack/placement.planner'
-import { InstanceRoles, type EngineClient, type ObjectStore, type WeightStoreLimits } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type EngineClient, type ListedInstance, type ObjectStore, type WeightStoreLimits } from '@pulleystack/platform.interfaces'
 import type { RunnerTable } from '@pulleystack/routing.runners'
 import type { EventRing } from '@pulleystack/timeline.events'
 import { answerDrains, drainEverywhere } from './drainChannel.js'
 import { LoadBudget } from './LoadBudget.js'
-import { ShardKeeper, type ShardStatus } from './ShardKeeper.js'
+import { ShardKeeper, type EngineHint, type ShardStatus } from './ShardKeeper.js'
 
 const DEMAND = defineChannel<Record<string, number>>('placement.demand')
 const REFUSALS = defineChannel<{ shard: string, items: string[] }>('placement.refusals')
@@ -39,6 +39,8 @@
 
 /** What the rest of the program sees of placement. */
 export interface Placement {
+  /** The instance that should hold an engine's shard; undefined before the map is read. */
+  findHolder: (server: ListedInstance) => string | undefined
   /** Status of the shards that this instance holds. */
   readStatus: () => ShardStatus[]
   /** Hands the held shards over. */
@@ -65,6 +67,7 @@
   void keepStepping(running, signal)
   void keepReportingDemand(running, signal)
   return {
+    findHolder: (server) => running.map && opts.view.findOwner(`placement/${chooseShard(running.map, server.region, server.id)}`),
     readStatus: () => [...running.keepers.values()].flatMap((keeper) => keeper.readStatus() ?? []),
     stop: async () => {
       running.stopped = true
@@ -123,10 +126,16 @@
     listServers: () => listShardServers(running, shard),
     readDemand: (item) => running.demand.read(item),
     hasRefused: (other, item) => running.refusals.get(other)?.has(item) ?? false,
+    readHint: (server) => readHint(running, server),
     drain: (server, item) => drainEverywhere(running, server, item),
   })
 }
 
+function readHint (running: Running, server: string): EngineHint | undefined {
+  const runner = running.table.findRunner(server)
+  return runner?.reportedAt === undefined ? undefined : { at: runner.reportedAt, items: runner.listItems() }
+}
+
 function listAllShards (running: Running): string[] {
   const engines = running.view.listServers().filter((server) => server.role === InstanceRoles.ENGINE)
   return running.map ? listShards(running.map, engines.map((server) => server.region)) : []
--- a/placement/mover/test/ShardKeeper.test.ts
+++ b/placement/mover/test/ShardKeeper.test.ts
@@ -89,6 +89,7 @@
       listServers: () => this.servers,
       readDemand: (item) => this.demand.get(item) ?? 0,
       hasRefused: () => false,
+      readHint: () => undefined,
       drain: async () => 0,
     })
     return { keeper, lease, paused: false, owner }
--- a/placement/planner/src/HysteresisPlanner.ts
+++ b/placement/planner/src/HysteresisPlanner.ts
@@ -126,7 +126,8 @@
   let bestScore = Infinity
   for (const server of state.servers.values()) {
     if (server.free < group.bytes || !state.isAllowed(group, server)) continue
-    const score = (halls.size === 1 && halls.has(server.dataHall) ? SAME_HALL : 0) + server.load + (group.load > 0 ? 0 : (server.free - group.bytes) / server.capacity)
+    const slack = group.load > 0 ? 0 : (server.free - group.bytes) / server.capacity
+    const score = (halls.size === 1 && halls.has(server.dataHall) ? SAME_HALL : 0) + server.load + slack
     if (score < bestScore) {
       best = server
       bestScore = score
--- a/program/instance/src/createControl.ts
+++ b/program/instance/src/createControl.ts
@@ -1,7 +1,8 @@
+import { Kinds, parseItem } from '@pulleystack/config.objects'
 import { defineChannel } from '@pulleystack/membership.peers'
 import { DemandMeter } from '@pulleystack/placement.demand'
 import { startPlacement, type Placement } from '@pulleystack/placement.mover'
-import type { WeightStoreLimits } from '@pulleystack/platform.interfaces'
+import type { ListedInstance, ResidentItem, WeightStoreLimits } from '@pulleystack/platform.interfaces'
 import { startCollector } from '@pulleystack/routing.runners'
 import type { Routing } from './createRouting.js'
 import type { Core } from './startInstance.js'
@@ -23,10 +24,13 @@
   shards: ReturnType<Placement['readStatus']>
 }
 
+type ListSubset = (partner: string, service: string) => readonly { instance: string }[]
+
 /** The control work of one instance. */
 export interface Control {
   meter: DemandMeter
-  start: (signal: AbortSignal) => void
+  /** Begins; `listSubset` names the instances that serve a service. */
+  start: (signal: AbortSignal, listSubset: ListSubset) => void
   /** Hands over what this instance owns. */
   handOver: () => Promise<void>
   readStatus: () => InstanceStatus
@@ -54,12 +58,12 @@
   return {
     meter,
     readStatus,
-    start: (signal) => {
+    start: (signal, listSubset) => {
       startCollector({
         ...core,
         engines: deps.engines,
         table: routing.table,
-        listInterested: () => listOthers(core),
+        listInterested: (server, items) => listInterested(core, listSubset, placement, server, items),
         reportWaitMs: settings.timings.reportWaitMs,
       }, signal)
       placement = startPlacement({
@@ -81,6 +85,30 @@
   }
 }
 
+/** Who needs an engine's reports: those that serve what is resident there, and the holder of its placement shard. */
+function listInterested (
+  core: Core,
+  listSubset: ListSubset,
+  placement: Placement | undefined,
+  server: ListedInstance,
+  items: readonly ResidentItem[],
+): string[] {
+  const services = new Set<string>()
+  for (const { item } of items) {
+    const { partner, model } = parseItem(item)
+    const service = model === undefined ? undefined : core.index.findObject(Kinds.MODEL, partner, model)?.spec.service
+    if (service !== undefined) services.add(`${partner}/${service}`)
+  }
+  const interested = new Set<string>()
+  for (const name of services) {
+    const [partner, service] = name.split('/') as [string, string]
+    for (const member of listSubset(partner, service)) interested.add(member.instance)
+  }
+  const holder = placement?.findHolder(server)
+  if (holder !== undefined) interested.add(holder)
+  return [...interested]
+}
+
 function listOthers (core: Core): string[] {
   return core.view.listMembers().filter((member) => member.state !== 'suspect' && member.instance !== core.settings.instance).map((member) => member.instance)
 }
--- a/program/instance/src/startInstance.ts
+++ b/program/instance/src/startInstance.ts
@@ -82,7 +82,7 @@
   answerTimeline(core.network, core.ring)
   await startMembership({ ...core, list: deps.list, listPollMs: settings.timings.listPollMs }, core.ended.signal)
   startConfigSync({ ...core, store: deps.store, digestMs: settings.timings.digestMs }, core.ended.signal)
-  control.start(core.ended.signal)
+  control.start(core.ended.signal, (partner, service) => gateways.callers.listSubset(partner, service))
   core.logger.info({ address: listener.address, peerAddress }, 'instance listens')
   return createHandle(core, { control, listener, peerAddress, inFlight: () => gateways.callers.inFlight })
 }
--- a/routing/dispatch/test/GenerationDispatcher.test.ts
+++ b/routing/dispatch/test/GenerationDispatcher.test.ts
@@ -91,7 +91,7 @@
   table.applyServers(servers, 0)
   for (const { id } of servers) {
     const items = [{ item: ITEM, bytes: 1, state: 'ready' as const }]
-    table.applyUpdate({ server: id, life: '1', seq: 1, ageMs: 0, running: 0, waiting: 0, slots: 8, freeBytes: 0, items, cacheEvents: [], cacheSeq: 0 }, 0)
+    table.applyUpdate({ server: id, life: '1', seq: 1, everyMs: 250, ageMs: 0, running: 0, waiting: 0, slots: 8, freeBytes: 0, items, cacheEvents: [], cacheSeq: 0 }, 0)
   }
   const ring = new EventRing({ clock, instance: 'a', dataHall: 'h' })
   const eligible = new EligibleRunners({ index, replica, table, view })
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -7,8 +7,9 @@
 const DEFAULT_SLOTS = 8
 const PLAIN_SLOTS = 64
 const EWMA_SHARE = 0.1
-// Several times what a report takes to come, so that one late report means nothing.
-const SILENT_MS = 1_500
+// Several reports must be missing before silence means anything.
+const SILENT_REPORTS = 3
+const SILENT_MIN_MS = 1_500
 const INITIAL_SERVICE_MS = 200
 const INITIAL_PREFILL_MS = 4
 
@@ -20,6 +21,7 @@
 interface ReportState {
   /** Monotone time of the figures. */
   at: number
+  everyMs: number
   running: number
   waiting: number
   slots: number
@@ -122,7 +124,8 @@
     if (update.life !== this.life) this.forgetLife(update.life)
     else if (update.seq <= this.seq) return false
     this.seq = update.seq
-    this.report = { at: now - update.ageMs, running: update.running, waiting: update.waiting, slots: update.slots, freeBytes: update.freeBytes }
+    const { everyMs, running, waiting, slots, freeBytes } = update
+    this.report = { at: now - update.ageMs, everyMs, running, waiting, slots, freeBytes }
     if (update.items) this.replaceItems(update.items)
     this.cache.applyEvents(update.cacheEvents, update.cacheSeq)
     this.dropOldSamples()
@@ -139,7 +142,7 @@
 
   /** True when reports came and have stopped: the server may be frozen, or nobody can reach it. */
   isSilent (now: number): boolean {
-    return this.report !== undefined && now - this.report.at > SILENT_MS
+    return this.report !== undefined && now - this.report.at > Math.max(SILENT_MIN_MS, SILENT_REPORTS * this.report.everyMs)
   }
 
   /**
--- a/routing/runners/src/RunnerUpdate.ts
+++ b/routing/runners/src/RunnerUpdate.ts
@@ -5,6 +5,8 @@
   server: string
   life: string
   seq: number
+  /** Milliseconds between two reports of this engine, by which silence is told. */
+  everyMs: number
   /** Age of the figures in milliseconds when this was sent. */
   ageMs: number
   running: number
--- a/routing/runners/src/startCollector.ts
+++ b/routing/runners/src/startCollector.ts
@@ -11,8 +11,10 @@
 
 const REVIEW_MS = 250
 const MAX_BACKOFF_MS = 2_000
-// Every so many reports the items go along though nothing changed, for peers that missed one.
-const FULL_EVERY = 8
+// After this time the items go along though nothing changed, for peers that missed them.
+const FULL_MS = 10_000
+// Each engine collected from makes the time between reports longer, so that collecting costs the same however many there are.
+const EVERY_MS_PER_ENGINE = 60
 
 export interface CollectorOptions {
   clock: Clock
@@ -22,10 +24,8 @@
   table: RunnerTable
   /** Instances that want an engine's reports. */
   listInterested: (server: ListedInstance, items: readonly ResidentItem[]) => string[]
-  /** Milliseconds between two reports of one engine. */
+  /** Least milliseconds between two reports of one engine. */
   reportWaitMs: number
-  /** Every report as it comes, for placement. */
-  onReport?: (server: ListedInstance, report: EngineReport) => void
 }
 
 /** Collects the reports of the engines that fall to this instance, one task for each, until the signal ends. */
@@ -54,7 +54,7 @@
       if (tasks.has(id)) continue
       const task = new AbortController()
       tasks.set(id, task)
-      void collectFrom(opts, server, task.signal)
+      void collectFrom(opts, server, () => Math.max(opts.reportWaitMs, tasks.size * EVERY_MS_PER_ENGINE), task.signal)
     }
     await opts.clock.wait(REVIEW_MS, signal)
   }
@@ -64,14 +64,21 @@
   return server.role === InstanceRoles.ENGINE && opts.view.isOwner(`collect/${server.id}`)
 }
 
+/** What was last passed on about one engine. */
+interface Passed {
+  items: ResidentItem[]
+  fullAt: number
+  peers: ReadonlySet<string>
+}
+
 /** The task of one engine: ask for a report, pass it on, again. */
-async function collectFrom (opts: CollectorOptions, server: ListedInstance, signal: AbortSignal): Promise<void> {
+async function collectFrom (opts: CollectorOptions, server: ListedInstance, getEveryMs: () => number, signal: AbortSignal): Promise<void> {
   let seq = 0
-  let count = 0
-  let items: ResidentItem[] = []
+  let passed: Passed = { items: [], fullAt: -Infinity, peers: new Set() }
   let backoff = opts.reportWaitMs
   while (!signal.aborted) {
-    const report = await opts.engines.readReport(server.address, seq, opts.reportWaitMs, signal)
+    const everyMs = getEveryMs()
+    const report = await opts.engines.readReport(server.address, seq, everyMs, signal)
     if (signal.aborted) return
     if (report.isErr()) {
       await opts.clock.wait(backoff, signal)
@@ -79,20 +86,19 @@
       continue
     }
     backoff = opts.reportWaitMs
-    const changed = !equal(items, report.value.items)
     seq = report.value.seq
-    items = report.value.items
-    passOn(opts, server, report.value, changed || count++ % FULL_EVERY === 0)
+    passed = passOn(opts, server, report.value, everyMs, passed)
   }
 }
 
-function passOn (opts: CollectorOptions, server: ListedInstance, report: EngineReport, withItems: boolean): void {
+/** Passes a report on; items only when they changed, for peers that are new to this engine, and now and then. */
+function passOn (opts: CollectorOptions, server: ListedInstance, report: EngineReport, everyMs: number, passed: Passed): Passed {
   const { life, seq, ageMs, running, waiting, slots, freeBytes, items, cacheEvents, cacheSeq } = report
-  const update: RunnerUpdate = { server: server.id, life, seq, ageMs, running, waiting, slots, freeBytes, cacheEvents, cacheSeq }
-  opts.onReport?.(server, report)
-  opts.table.applyUpdate({ ...update, items }, opts.clock.readTime())
-  if (withItems) update.items = items
-  for (const peer of opts.listInterested(server, items)) {
-    if (peer !== opts.view.self.instance) opts.network.send(peer, RUNNER_UPDATES, update)
-  }
+  const now = opts.clock.readTime()
+  const update: RunnerUpdate = { server: server.id, life, seq, everyMs, ageMs, running, waiting, slots, freeBytes, cacheEvents, cacheSeq }
+  opts.table.applyUpdate({ ...update, items }, now)
+  const isFull = now - passed.fullAt > FULL_MS || !equal(items, passed.items)
+  const peers = new Set(opts.listInterested(server, items).filter((peer) => peer !== opts.view.self.instance))
+  for (const peer of peers) opts.network.send(peer, RUNNER_UPDATES, isFull || !passed.peers.has(peer) ? { ...update, items } : update)
+  return { items, fullAt: isFull ? now : passed.fullAt, peers }
 }
--- /dev/null
+++ b/tools/bench/src/entry/configure.ts
@@ -0,0 +1,28 @@
+import { hashAccessKey } from '@pulleystack/membership.keys'
+import { sendCall } from '@pulleystack/program.demo'
+
+/** Access key of the load's caller. */
+export const KEY = 'bench-caller'
+
+const OPERATOR = 'demo-operator-peritos'
+
+/** Applies the benchmark's objects and waits until its model answers. */
+export async function configure (address: string): Promise<void> {
+  const objects = [
+    { kind: 'Service', partner: 'bench', name: 'lookups', spec: { type: 'plain', class: 'lookup' } },
+    { kind: 'Service', partner: 'bench', name: 'drafts', spec: { type: 'model', class: 'work' } },
+    { kind: 'Model', partner: 'bench', name: 'm', spec: { service: 'drafts', bytes: 1_000_000, kvFloorBytes: 0, weights: 'm' } },
+    { kind: 'Caller', partner: 'bench', name: 'c', spec: { keyHashes: [hashAccessKey(KEY)] } },
+  ]
+  await retry(async () => (await sendCall(address, { method: 'POST', path: '/admin/apply', key: OPERATOR, body: { objects } })).status === 200)
+  const body = { model: 'm', max_tokens: 1, prompt: 'x' }
+  await retry(async () => (await sendCall(address, { method: 'POST', path: '/v1/completions', key: KEY, headers: { 'pulleystack-deadline-ms': '500' }, body })).status === 200)
+}
+
+async function retry (check: () => Promise<boolean>): Promise<void> {
+  for (let i = 0; i < 100; i++) {
+    if (await check().catch(() => false)) return
+    await new Promise((resolve) => setTimeout(resolve, 100))
+  }
+  throw new Error('the entry instance did not become ready')
+}
--- a/tools/bench/src/entry/runEntry.ts
+++ b/tools/bench/src/entry/runEntry.ts
@@ -1,14 +1,11 @@
 import path from 'node:path'
-import { hashAccessKey } from '@pulleystack/membership.keys'
-import { sendCall } from '@pulleystack/program.demo'
 import { computeQuantile, printReport, printTable, roundTo, type Row } from '../report.js'
 import { buildWorker } from '../buildWorker.js'
 import { Worker } from '../Worker.js'
+import { configure, KEY } from './configure.js'
 import type { LoadOptions, LoadResult } from './sendLoad.js'
 
 const MODULE = path.join(import.meta.dirname, 'worker.ts')
-const OPERATOR = 'demo-operator-peritos'
-const KEY = 'bench-caller'
 const TOKENS = 64
 const CLOSED_MS = 4_000
 const OPEN_MS = 5_000
@@ -42,26 +39,6 @@
   }
 }
 
-async function configure (address: string): Promise<void> {
-  const objects = [
-    { kind: 'Service', partner: 'bench', name: 'lookups', spec: { type: 'plain', class: 'lookup' } },
-    { kind: 'Service', partner: 'bench', name: 'drafts', spec: { type: 'model', class: 'work' } },
-    { kind: 'Model', partner: 'bench', name: 'm', spec: { service: 'drafts', bytes: 1_000_000, kvFloorBytes: 0, weights: 'm' } },
-    { kind: 'Caller', partner: 'bench', name: 'c', spec: { keyHashes: [hashAccessKey(KEY)] } },
-  ]
-  await retry(async () => (await sendCall(address, { method: 'POST', path: '/admin/apply', key: OPERATOR, body: { objects } })).status === 200)
-  const body = { model: 'm', max_tokens: 1, prompt: 'x' }
-  await retry(async () => (await sendCall(address, { method: 'POST', path: '/v1/completions', key: KEY, headers: { 'pulleystack-deadline-ms': '500' }, body })).status === 200)
-}
-
-async function retry (check: () => Promise<boolean>): Promise<void> {
-  for (let i = 0; i < 100; i++) {
-    if (await check().catch(() => false)) return
-    await new Promise((resolve) => setTimeout(resolve, 100))
-  }
-  throw new Error('the entry instance did not become ready')
-}
-
 interface Parts {
   entry: Worker
   passThrough: Worker
--- a/tools/replay/src/RoutingNode.ts
+++ b/tools/replay/src/RoutingNode.ts
@@ -76,7 +76,7 @@
   takeReport (engines: TimedEngines, i: number, report: ReturnType<TimedEngines['takeReport']>, ageMs: number): void {
     if (!report) return
     const items = this.items.map((item) => ({ item, bytes: 1, state: 'ready' as const }))
-    this.table.applyUpdate({ ...report, server: `e${i}`, items, ageMs }, this.clock.readTime())
+    this.table.applyUpdate({ ...report, server: `e${i}`, everyMs: 250, items, ageMs }, this.clock.readTime())
   }
 }
 
--- /dev/null
+++ b/tools/scripts/write-capacity.mts
@@ -0,0 +1,22 @@
+// Writes the tables of docs/CAPACITY.md from docs/capacity/measured.json, so that the page cannot drift from what was
+// measured. With --check it only compares, and exits with 1 when they differ.
+import fs from 'node:fs'
+import { renderBudgetTable, renderSlopeTable, type Measured } from '../bench/src/capacity/budget.js'
+
+const PAGE = 'docs/CAPACITY.md'
+const FILE = 'docs/capacity/measured.json'
+
+function replaceBetween (text: string, name: string, table: string): string {
+  const begin = `<!-- ${name} -->`
+  const end = `<!-- end of ${name} -->`
+  const from = text.indexOf(begin)
+  const to = text.indexOf(end)
+  if (from < 0 || to < 0) throw new Error(`${PAGE} has no place for ${name}`)
+  return `${text.slice(0, from + begin.length)}\n${table}\n${text.slice(to)}`
+}
+
+const measured = JSON.parse(fs.readFileSync(FILE, 'utf8')) as Measured
+const present = fs.readFileSync(PAGE, 'utf8')
+const written = replaceBetween(replaceBetween(present, 'slopes', renderSlopeTable(measured)), 'budget', renderBudgetTable(measured))
+if (process.argv.includes('--check')) process.exit(written === present ? 0 : 1)
+fs.writeFileSync(PAGE, written)
