--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -11,6 +11,8 @@
 
 export interface PeerLinkOptions {
   socket: WebSocket
+  /** This side opened the connection. */
+  dialled: boolean
   clock: Clock
   secret: string | undefined
   readIdentity: () => PeerIdentity
@@ -52,6 +54,10 @@
     this.write({ t: 'hello', identity: opts.readIdentity(), nonce: this.nonce })
   }
 
+  get dialled (): boolean {
+    return this.opts.dialled
+  }
+
   get isOpen (): boolean {
     return this.proven && this.opts.socket.readyState === this.opts.socket.OPEN
   }
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -14,6 +14,7 @@
 
 const MAX_DIAL_WAIT_MS = 4_000
 const DIAL_TIMEOUT_MS = 2_000
+const REPLACED_MS = 1_000
 const LOOPBACK = /^(::1|(::ffff:)?127\.)/
 
 // Peers connect by IP number, so the name in a certificate says nothing; the authority's signature is what counts.
@@ -39,7 +40,8 @@
 /** The peer network over WebSockets: one task for each peer keeps its link open, one timer sends heartbeats. */
 export class WebSocketNetwork extends PeerNetwork {
   private readonly links = new Map<string, PeerLink>()
-  private readonly unproven = new Set<PeerLink>()
+  /** Every connection, also those that are being proven or that another one to the same peer has replaced. */
+  private readonly all = new Set<PeerLink>()
   private readonly dialling = new Map<string, AbortController>()
   private readonly opening = new Map<string, Promise<PeerLink | undefined>>()
   private readonly handlers = new Map<string, CallHandler<unknown, unknown>>()
@@ -72,7 +74,7 @@
   async stop (): Promise<void> {
     this.stopped.abort()
     for (const abort of this.dialling.values()) abort.abort()
-    for (const link of [...this.links.values(), ...this.unproven]) link.close()
+    for (const link of this.all) link.close()
     this.server?.closeAllConnections()
     await new Promise<void>((resolve) => {
       if (this.server) this.server.close(() => resolve())
@@ -188,19 +190,20 @@
       }
       socket.on('error', () => finish(undefined))
       socket.on('close', () => finish(undefined))
-      socket.on('open', () => this.createLink(socket, finish))
+      socket.on('open', () => this.createLink(socket, true, finish))
     })
   }
 
   private accept (socket: WebSocket, request: http.IncomingMessage): void {
     const remote = request.socket.remoteAddress ?? ''
     if (this.opts.secret === undefined && !this.opts.tls && !LOOPBACK.test(remote)) socket.terminate()
-    else this.createLink(socket)
+    else this.createLink(socket, false)
   }
 
-  private createLink (socket: WebSocket, onOpened?: (link: PeerLink) => void): void {
+  private createLink (socket: WebSocket, dialled: boolean, onOpened?: (link: PeerLink) => void): void {
     const link = new PeerLink({
       socket,
+      dialled,
       clock: this.opts.clock,
       secret: this.opts.secret,
       readIdentity: this.opts.readIdentity,
@@ -213,7 +216,7 @@
       onSend: (from, channel, body) => this.received.next({ from, channel, body }),
       onCall: (from, channel, body) => this.answerCall(from, channel, body),
     })
-    this.unproven.add(link)
+    this.all.add(link)
   }
 
   private async answerCall (from: string, channel: string, body: unknown): Promise<unknown> {
@@ -223,18 +226,29 @@
   }
 
   private takeLink (link: PeerLink): void {
-    this.unproven.delete(link)
     const instance = link.identity?.instance
     if (!instance) return
-    // Of two links to one peer the newer stays: the older may be a dead connection that nobody closed.
-    const older = this.links.get(instance)
-    this.links.set(instance, link)
-    if (older && !older.isOpen) older.close()
+    const older = this.findOpen(instance)
+    const kept = older && this.choosePreferred(instance, older, link)
+    this.links.set(instance, kept ?? link)
+    if (older) this.closeLater(kept === older ? link : older)
     this.reportHeard(link)
   }
 
+  /** When both sides have dialled, both keep the link that the one with the lower name opened; else the newer is kept. */
+  private choosePreferred (instance: string, older: PeerLink, newer: PeerLink): PeerLink {
+    if (older.dialled === newer.dialled) return newer
+    const dialsFirst = this.opts.readIdentity().instance < instance
+    return older.dialled === dialsFirst ? older : newer
+  }
+
+  /** Calls that are under way on a link that is not kept may still be answered. */
+  private closeLater (link: PeerLink): void {
+    this.opts.clock.setTimer(REPLACED_MS, () => link.close())
+  }
+
   private dropLink (link: PeerLink): void {
-    this.unproven.delete(link)
+    this.all.delete(link)
     this.sentByClosed += link.sentBytes
     const instance = link.identity?.instance
     if (instance && this.links.get(instance) === link) this.links.delete(instance)
--- a/membership/peers/test/WebSocketNetwork.test.ts
+++ b/membership/peers/test/WebSocketNetwork.test.ts
@@ -51,6 +51,16 @@
     assert.equal(await noted, 'back')
   })
 
+  // Found by the convergence bench: of two links the one that was not kept was never closed, and a stop never ended.
+  it('keeps one link when both sides have dialled, and stops in spite of the other', async () => {
+    const addresses = new Map<string, string>()
+    const [a, b] = [await start('a', addresses), await start('b', addresses)]
+    const answers = await Promise.all([a.call('b', ECHO, 'x', 2_000), b.call('a', ECHO, 'y', 2_000)])
+    assert.ok(answers.every((answer) => answer.isOk()))
+    assert.deepEqual([a.listLinked(), b.listLinked()], [['b'], ['a']])
+    await Promise.all([a.stop(), b.stop()])
+  })
+
   it('says that nothing ran when a peer cannot be reached', async () => {
     const a = await start('a', new Map([['b', '127.0.0.1:1']]))
     assert.equal((await a.call('b', ECHO, 'x', 1_000))._unsafeUnwrapErr().ran, 'no')
--- a/routing/runners/src/PrefixIndex.ts
+++ b/routing/runners/src/PrefixIndex.ts
@@ -20,13 +20,18 @@
   return blocks
 }
 
+// With `max` the cache would set aside its whole room for each runner at once.
+function createBlocks (): LRUCache<number, true> {
+  return new LRUCache({ maxSize: MAX_KEPT_BLOCKS, sizeCalculation: () => 1 })
+}
+
 /**
  * Which blocks one engine has cached, from its events. After a gap in the events what was known before is
  * doubtful: some of it may have been evicted unseen, so it counts half until the engine confirms it again.
  */
 export class PrefixIndex {
-  private certain = new LRUCache<number, true>({ max: MAX_KEPT_BLOCKS })
-  private doubtful = new LRUCache<number, true>({ max: MAX_KEPT_BLOCKS })
+  private certain = createBlocks()
+  private doubtful = createBlocks()
   private seq: number | undefined
 
   applyEvents (events: readonly CacheEvent[], newestSeq: number): void {
--- a/tools/bench/src/capacity/budget.ts
+++ b/tools/bench/src/capacity/budget.ts
@@ -75,7 +75,6 @@
   const updateBytes = read('reportBytes').intercept + read('cacheEventBytes').slope * ASSUMED.cacheBlocksPerReport
   const known = SIZE.runners * peers / SIZE.nodes
   const changes = SIZE.changesPerDay / SECONDS_PER_DAY
-  const shards = SIZE.runners / ASSUMED.shardAccelerators
   return [
     {
       role: 'collector of reports',
@@ -107,6 +106,14 @@
       mechanism: 'relay between neighbours, digests repair',
       slopes: 'objectMemory, changeCpu, changeBytes',
     },
+    ...listControlRoles(read),
+  ]
+}
+
+/** Roles that have nothing to do with requests. */
+function listControlRoles (read: Read): RoleCost[] {
+  const shards = SIZE.runners / ASSUMED.shardAccelerators
+  return [
     {
       role: 'membership links',
       state: `${SIZE.nodes} members, 4 to 8 links`,
