--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -35,6 +35,8 @@
   lastHeard: number
   clockOffsetMs = 0
   sentBytes = 0
+  /** Monotone time at which the link was last used for more than heartbeats. */
+  lastUsed: number
   private readonly nonce = createNonce()
   private theirNonce = ''
   private proven = false
@@ -44,6 +46,7 @@
 
   constructor (private readonly opts: PeerLinkOptions) {
     this.lastHeard = opts.clock.readTime()
+    this.lastUsed = this.lastHeard
     opts.socket.on('message', (data) => this.receive(data))
     opts.socket.on('close', () => this.finish())
     opts.socket.on('error', () => opts.socket.terminate())
@@ -65,12 +68,14 @@
   send (channel: string, body: unknown): boolean {
     // A peer that does not read gets less, not more; digests mend what it missed.
     if (!this.isOpen || this.opts.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
+    this.lastUsed = this.opts.clock.readTime()
     this.write({ t: 'send', channel, body })
     return true
   }
 
   call (channel: string, body: unknown, timeoutMs: number): Promise<Result<unknown, PulleystackError>> {
     const id = this.nextCall++
+    this.lastUsed = this.opts.clock.readTime()
     return new Promise((resolve) => {
       const cancelTimer = this.opts.clock.setTimer(timeoutMs, () => this.settle(id, err(createCallError('did not answer in time'))))
       this.pending.set(id, { resolve, cancelTimer })
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -15,6 +15,7 @@
 const MAX_DIAL_WAIT_MS = 4_000
 const DIAL_TIMEOUT_MS = 2_000
 const REPLACED_MS = 1_000
+const IDLE_MS = 30_000
 const LOOPBACK = /^(::1|(::ffff:)?127\.)/
 
 // Peers connect by IP number, so the name in a certificate says nothing; the authority's signature is what counts.
@@ -266,11 +267,17 @@
       for (const [instance, link] of this.links) {
         link.sendBeat()
         if (now - link.lastHeard > suspectAfterMs) this.cutSilent(instance, link)
+        else if (this.isIdle(instance, link, now)) link.close()
         else this.reportHeard(link)
       }
     }
   }
 
+  /** A link that this side opened for one use or a former neighbour, and that nobody has needed since. */
+  private isIdle (instance: string, link: PeerLink, now: number): boolean {
+    return link.dialled && !this.dialling.has(instance) && now - link.lastUsed > IDLE_MS
+  }
+
   private cutSilent (instance: string, link: PeerLink): void {
     link.close()
     this.events.next({ kind: 'silent', instance })
--- a/membership/view/src/startMembership.ts
+++ b/membership/view/src/startMembership.ts
@@ -1,15 +1,22 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { listRanked } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { InstanceList } from '@pulleystack/platform.interfaces'
 import { EventKinds, type EventRing } from '@pulleystack/timeline.events'
+import { ListCopy, type ListChanges } from './ListCopy.js'
 import { listNeighbours } from './listNeighbours.js'
 import { MemberStates, type MemberChange, type MembershipView, type Rumour } from './MembershipView.js'
 
 /** Rumours about members. */
 export const RUMOURS = defineChannel<Rumour>('membership.rumour')
+const LIST_CHANGES = defineChannel<ListChanges>('membership.listChanges')
 
-// The whole fleet together asks the list about this often, however many instances there are.
-const LIST_CALLS_PER_SECOND = 40
+// In a small system everybody reads the list; in a large one few do, and tell the others what changed.
+const SMALL_SYSTEM = 9
+const READERS = 2
+const READ_MS_PER_ENTRY = 0.4
+// The others read it themselves this often, in case a change was lost on its way to them.
+const REPAIR_MS_PER_MEMBER = 10_000
 
 const STATE_EVENTS = {
   [MemberStates.LIVE]: EventKinds.MEMBER_JOINED,
@@ -26,8 +33,16 @@
   listPollMs: number
 }
 
+interface Running extends MembershipOptions {
+  copy: ListCopy
+  readAt: number
+  /** A whole list is being taken in; neighbours are chosen once it is. */
+  taking: boolean
+}
+
 /** Keeps the view up to date until the signal ends; resolves when the list was read or has failed for the first time. */
 export async function startMembership (opts: MembershipOptions, signal: AbortSignal): Promise<void> {
+  const running: Running = { ...opts, copy: new ListCopy(), readAt: -Infinity, taking: false }
   const { view, network } = opts
   const subscriptions = [
     network.peerEvents.subscribe((event) => {
@@ -37,29 +52,54 @@
     network.receive(RUMOURS).subscribe(({ from, body }) => {
       if (view.applyRumour(body)) network.broadcast(RUMOURS, body, from)
     }),
+    network.receive(LIST_CHANGES).subscribe(({ from, body }) => takeChanges(running, from, body)),
     view.memberChanges.subscribe((change) => {
       spreadChange(opts, change)
-      updateNeighbours(opts)
+      if (!running.taking) updateNeighbours(opts)
     }),
   ]
   signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()))
-  await readList(opts)
-  void keepReading(opts, signal)
+  await readList(running)
+  void keepReading(running, signal)
 }
 
-async function keepReading (opts: MembershipOptions, signal: AbortSignal): Promise<void> {
+async function keepReading (running: Running, signal: AbortSignal): Promise<void> {
   while (!signal.aborted) {
-    const members = opts.view.listMembers().length
-    await opts.clock.wait(Math.max(opts.listPollMs, members / LIST_CALLS_PER_SECOND * 1000), signal)
-    if (!signal.aborted) await readList(opts)
+    await running.clock.wait(Math.max(running.listPollMs, running.copy.size * READ_MS_PER_ENTRY), signal)
+    if (!signal.aborted && mustRead(running)) await readList(running)
   }
 }
 
-async function readList (opts: MembershipOptions): Promise<void> {
-  const listed = await opts.list.listInstances()
+function mustRead (running: Running): boolean {
+  const { view } = running
+  const eligible = view.listEligible()
+  if (eligible.length <= SMALL_SYSTEM || running.copy.size === 0) return true
+  const readers = listRanked('list-reader', eligible, (member) => member.instance).slice(0, READERS)
+  if (readers.some((reader) => reader.instance === view.self.instance)) return true
+  return running.clock.readTime() - running.readAt > REPAIR_MS_PER_MEMBER * eligible.length
+}
+
+async function readList (running: Running): Promise<void> {
+  const askedAt = running.clock.readWallTime()
+  const listed = await running.list.listInstances()
   if (listed.isErr()) return
-  opts.view.applyList(listed.value)
-  updateNeighbours(opts)
+  running.readAt = running.clock.readTime()
+  const changes = running.copy.replace(listed.value, askedAt)
+  takeList(running)
+  if (changes) running.network.broadcast(LIST_CHANGES, changes)
+}
+
+function takeChanges (running: Running, from: string, changes: ListChanges): void {
+  if (!running.copy.apply(changes)) return
+  takeList(running)
+  running.network.broadcast(LIST_CHANGES, changes, from)
+}
+
+function takeList (running: Running): void {
+  running.taking = true
+  running.view.applyList(running.copy.list())
+  running.taking = false
+  updateNeighbours(running)
 }
 
 function updateNeighbours (opts: MembershipOptions): void {
--- a/routing/runners/src/startCollector.ts
+++ b/routing/runners/src/startCollector.ts
@@ -3,18 +3,20 @@
 import type { MembershipView } from '@pulleystack/membership.view'
 import { InstanceRoles, type EngineClient, type EngineReport, type ListedInstance, type ResidentItem } from '@pulleystack/platform.interfaces'
 import equal from 'fast-deep-equal'
+import { packUpdate, unpackUpdate, type PackedUpdate } from './packUpdate.js'
 import type { RunnerTable } from './RunnerTable.js'
 import type { RunnerUpdate } from './RunnerUpdate.js'
 
 /** Reports that a collector passes on to the instances that serve the engine's models. */
-export const RUNNER_UPDATES = defineChannel<RunnerUpdate>('runners.update')
+export const RUNNER_UPDATES = defineChannel<PackedUpdate>('runners.update')
 
 const REVIEW_MS = 250
 const MAX_BACKOFF_MS = 2_000
 // After this time the items go along though nothing changed, for peers that missed them.
 const FULL_MS = 10_000
-// Each engine collected from makes the time between reports longer, so that collecting costs the same however many there are.
-const EVERY_MS_PER_ENGINE = 60
+// Beyond a few, each engine makes the time between reports longer, so that collecting costs the same however many there are.
+const ENGINES_AT_FULL_PACE = 8
+const EVERY_MS_PER_ENGINE = 150
 
 export interface CollectorOptions {
   clock: Clock
@@ -32,7 +34,7 @@
 export function startCollector (opts: CollectorOptions, signal: AbortSignal): void {
   const { view, network, table, clock } = opts
   const subscriptions = [
-    network.receive(RUNNER_UPDATES).subscribe(({ body }) => table.applyUpdate(body, clock.readTime())),
+    network.receive(RUNNER_UPDATES).subscribe(({ body }) => table.applyUpdate(unpackUpdate(body), clock.readTime())),
     view.serverChanges.subscribe(() => table.applyServers(view.listServers(), clock.readTime())),
   ]
   table.applyServers(view.listServers(), clock.readTime())
@@ -54,7 +56,7 @@
       if (tasks.has(id)) continue
       const task = new AbortController()
       tasks.set(id, task)
-      void collectFrom(opts, server, () => Math.max(opts.reportWaitMs, tasks.size * EVERY_MS_PER_ENGINE), task.signal)
+      void collectFrom(opts, server, () => Math.max(opts.reportWaitMs, (tasks.size - ENGINES_AT_FULL_PACE) * EVERY_MS_PER_ENGINE), task.signal)
     }
     await opts.clock.wait(REVIEW_MS, signal)
   }
@@ -99,6 +101,8 @@
   opts.table.applyUpdate({ ...update, items }, now)
   const isFull = now - passed.fullAt > FULL_MS || !equal(items, passed.items)
   const peers = new Set(opts.listInterested(server, items).filter((peer) => peer !== opts.view.self.instance))
-  for (const peer of peers) opts.network.send(peer, RUNNER_UPDATES, isFull || !passed.peers.has(peer) ? { ...update, items } : update)
+  const whole = packUpdate({ ...update, items })
+  const short = packUpdate(update)
+  for (const peer of peers) opts.network.send(peer, RUNNER_UPDATES, isFull || !passed.peers.has(peer) ? whole : short)
   return { items, fullAt: isFull ? now : passed.fullAt, peers }
 }
--- a/tools/bench/src/capacity/slopes.ts
+++ b/tools/bench/src/capacity/slopes.ts
@@ -6,7 +6,7 @@
 import { MemoryObjectStore } from '@pulleystack/platform.stand-ins'
 import { ClaimShard } from '@pulleystack/routing.claims'
 import { CostPicker } from '@pulleystack/routing.picker'
-import { RunnerTable, type RunnerUpdate } from '@pulleystack/routing.runners'
+import { packUpdate, RunnerTable, type RunnerUpdate } from '@pulleystack/routing.runners'
 import { buildCaller } from '@pulleystack/tools.testing'
 import { pack } from 'msgpackr'
 import { measurePlan } from '../placement/runPlanScale.js'
@@ -29,8 +29,8 @@
 export const slopeTasks: readonly SlopeTask[] = [
   { name: 'runnerMemory', per: 'runner', unit: 'bytes', sizes: [100, 200, 400, 800], measure: (size) => measureHeap(() => buildTable(size)) },
   { name: 'reportCpu', per: 'report', unit: 'us', sizes: [2_000, 4_000, 8_000, 16_000], measure: measureReports },
-  { name: 'reportBytes', per: 'resident item', unit: 'bytes', sizes: [0, 4, 8, 16], measure: (size) => pack(buildUpdate(1, 1, size)).length },
-  { name: 'cacheEventBytes', per: 'cache block', unit: 'bytes', sizes: [0, 10, 20, 40], measure: (size) => pack(buildUpdate(1, 1, 0, size)).length },
+  { name: 'reportBytes', per: 'resident item', unit: 'bytes', sizes: [0, 4, 8, 16], measure: (size) => pack(packUpdate(buildUpdate(1, 1, size))).length },
+  { name: 'cacheEventBytes', per: 'cache block', unit: 'bytes', sizes: [0, 10, 20, 40], measure: (size) => pack(packUpdate(buildUpdate(1, 1, 0, size))).length },
   { name: 'objectMemory', per: 'object', unit: 'bytes', sizes: [1_000, 2_000, 4_000, 8_000], measure: (size) => measureHeap(() => buildReplica(size)) },
   { name: 'changeCpu', per: 'change', unit: 'us', sizes: [1_000, 2_000, 4_000, 8_000], measure: measureChanges },
   { name: 'changeBytes', per: 'change', unit: 'bytes', sizes: [1, 2, 4, 8], measure: (size) => pack(Array.from({ length: size }, (_, i) => buildEntry(i, 1))).length },
--- /dev/null
+++ b/tools/bench/test/capacity.test.ts
@@ -0,0 +1,29 @@
+import assert from 'node:assert/strict'
+import { readFileSync } from 'node:fs'
+import path from 'node:path'
+import { describe, it } from 'node:test'
+import { renderBudgetTable, renderSlopeTable, type Measured } from '../src/capacity/budget.js'
+import { fitLine } from '../src/capacity/fitLine.js'
+
+const ROOT = path.join(import.meta.dirname, '../../..')
+
+describe('docs/CAPACITY.md', () => {
+  const page = readFileSync(path.join(ROOT, 'docs/CAPACITY.md'), 'utf8')
+  const measured = JSON.parse(readFileSync(path.join(ROOT, 'docs/capacity/measured.json'), 'utf8')) as Measured
+
+  it('shows the slopes that were measured', () => {
+    assert.ok(page.includes(renderSlopeTable(measured)))
+  })
+
+  it('multiplies them out as the script does', () => {
+    assert.ok(page.includes(renderBudgetTable(measured)))
+  })
+
+  it('has at least four points for each slope, and lines that fit them', () => {
+    for (const slope of measured.slopes) {
+      assert.ok(slope.points.length >= 4, slope.name)
+      const fit = fitLine(slope.points)
+      assert.ok(Math.abs(fit.slope - slope.fit.slope) <= Math.abs(fit.slope) * 0.01 + 0.01, `${slope.name}: ${fit.slope} against ${slope.fit.slope}`)
+    }
+  })
+})
