--- a/tools/bench/src/capacity/slopes.ts
+++ b/tools/bench/src/capacity/slopes.ts
@@ -1,4 +1,4 @@
-import { buildObjectKey, Kinds } from '@pulleystack/config.objects'
+import { buildObjectKey, Kinds, type ConfigObject } from '@pulleystack/config.objects'
 import { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
 import { ManualClock, RandomSource, SystemClock } from '@pulleystack/core.clock'
 import { MembershipView } from '@pulleystack/membership.view'
@@ -7,7 +7,7 @@
 import { ClaimShard } from '@pulleystack/routing.claims'
 import { CostPicker } from '@pulleystack/routing.picker'
 import { packUpdate, RunnerTable, type RunnerUpdate } from '@pulleystack/routing.runners'
-import { buildCaller } from '@pulleystack/tools.testing'
+import { buildAdapter, buildCaller, buildModel, buildService } from '@pulleystack/tools.testing'
 import { pack } from 'msgpackr'
 import { measurePlan } from '../placement/runPlanScale.js'
 
@@ -32,6 +32,9 @@
   { name: 'reportBytes', per: 'resident item', unit: 'bytes', sizes: [0, 4, 8, 16], measure: (size) => pack(packUpdate(buildUpdate(1, 1, size))).length },
   { name: 'cacheEventBytes', per: 'cache block', unit: 'bytes', sizes: [0, 10, 20, 40], measure: (size) => pack(packUpdate(buildUpdate(1, 1, 0, size))).length },
   { name: 'objectMemory', per: 'object', unit: 'bytes', sizes: [1_000, 2_000, 4_000, 8_000], measure: (size) => measureHeap(() => buildReplica(size)) },
+  { name: 'modelMemory', per: 'model with a version', unit: 'bytes', sizes: [400, 800, 1_600, 3_200], measure: (size) => measureHeap(() => buildKinds(size, buildModelPair)) },
+  { name: 'adapterMemory', per: 'adapter', unit: 'bytes', sizes: [400, 800, 1_600, 3_200], measure: (size) => measureHeap(() => buildKinds(size, buildAdapterOnly)) },
+  { name: 'serviceMemory', per: 'service', unit: 'bytes', sizes: [400, 800, 1_600, 3_200], measure: (size) => measureHeap(() => buildKinds(size, buildServiceOnly)) },
   { name: 'changeCpu', per: 'change', unit: 'us', sizes: [1_000, 2_000, 4_000, 8_000], measure: measureChanges },
   { name: 'changeBytes', per: 'change', unit: 'bytes', sizes: [1, 2, 4, 8], measure: (size) => pack(Array.from({ length: size }, (_, i) => buildEntry(i, 1))).length },
   { name: 'listCpu', per: 'listed server', unit: 'us', sizes: [1_000, 3_000, 6_000, 12_000], measure: measureList },
@@ -110,6 +113,30 @@
   return { replica, index }
 }
 
+/** A replica of one kind of objects. */
+function buildKinds (count: number, build: (i: number) => ConfigObject[]): unknown {
+  const replica = new ConfigReplica()
+  const index = new ConfigIndex(replica)
+  let version = 0
+  for (let i = 0; i < count; i++) {
+    for (const value of build(i)) replica.applyEntry({ key: buildObjectKey(value.kind, value.partner, value.name), version: ++version, value })
+  }
+  return { replica, index }
+}
+
+function buildModelPair (i: number): ConfigObject[] {
+  const spec = { model: `model-${i}`, weights: `partner/model-${i}/v2`, bytes: 9e9, active: true }
+  return [buildModel('partner', `model-${i}`), { kind: Kinds.MODEL_VERSION, partner: 'partner', name: `model-${i}-v2`, spec }]
+}
+
+function buildAdapterOnly (i: number): ConfigObject[] {
+  return [buildAdapter('partner', `adapter-${i}`, { model: `model-${i % 100}` })]
+}
+
+function buildServiceOnly (i: number): ConfigObject[] {
+  return [buildService('partner', `service-${i}`, { callers: { role: ['firm', 'notary'] }, dataHalls: ['h1', 'h2'], deadlineMs: 5_000 })]
+}
+
 function measureChanges (count: number): number {
   const replica = new ConfigReplica()
   const index = new ConfigIndex(replica)
