--- /dev/null
+++ b/core/addresses/src/index.ts
@@ -0,0 +1,2 @@
+export { parseAddress } from './parseAddress.js'
+export type { HostAndPort } from './parseAddress.js'
--- a/gateway/callers/src/handleServiceCall.ts
+++ b/gateway/callers/src/handleServiceCall.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import { text } from 'node:stream/consumers'
 import { pipeline } from 'node:stream/promises'
 import type { ConfigObject } from '@pulleystack/config.objects'
 import type { ConfigIndex } from '@pulleystack/config.replica'
@@ -123,13 +124,11 @@
 async function collectOutcome (answer: ServiceAnswer): Promise<KeptOutcome> {
   const contentType = answer.headers['content-type'] ?? 'application/octet-stream'
   if (Buffer.isBuffer(answer.body)) return { status: answer.status, contentType, body: answer.body.toString() }
-  const chunks: Buffer[] = []
   try {
-    for await (const chunk of answer.body as AsyncIterable<Buffer>) chunks.push(chunk)
+    return { status: answer.status, contentType, body: await text(answer.body) }
   } catch (cause) {
     throw new PulleystackError('ANSWER_BROKEN', 'The answer broke off', { cause })
   }
-  return { status: answer.status, contentType, body: Buffer.concat(chunks).toString() }
 }
 
 async function passOn (context: RequestContext, answer: ServiceAnswer): Promise<void> {
--- a/gateway/callers/src/relayRequest.ts
+++ b/gateway/callers/src/relayRequest.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 import { pipeline } from 'node:stream/promises'
+import { parseAddress } from '@pulleystack/core.addresses'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { Headers } from '@pulleystack/gateway.http'
 import type { RequestContext } from './RequestContext.js'
@@ -32,13 +33,11 @@
 
 function openRelay (context: RequestContext, target: RelayTarget, from: string, body: Buffer | undefined): Promise<http.IncomingMessage> {
   const { request, url } = context
-  const colon = target.address.lastIndexOf(':')
   const headers: http.OutgoingHttpHeaders = { ...dropHopHeaders(request.headers), [Headers.RELAYED]: from }
   if (body) headers['content-length'] = body.length
   return new Promise((resolve, reject) => {
     const outgoing = http.request({
-      host: target.address.slice(0, colon),
-      port: Number(target.address.slice(colon + 1)),
+      ...parseAddress(target.address),
       method: request.method,
       path: url.pathname + url.search,
       headers,
--- a/program/cli/src/AdminClient.ts
+++ b/program/cli/src/AdminClient.ts
@@ -1,5 +1,7 @@
 import http from 'node:http'
 import https from 'node:https'
+import { text } from 'node:stream/consumers'
+import { parseAddress } from '@pulleystack/core.addresses'
 import { PulleystackError, parseErrorBody } from '@pulleystack/core.errors'
 import type { CommandContext } from './Command.js'
 
@@ -51,9 +53,8 @@
   }
 
   private sendTo (address: string, method: string, path: string, body: string | undefined): Promise<{ status: number, value: unknown }> {
-    const colon = address.lastIndexOf(':')
     const headers: http.OutgoingHttpHeaders = { 'authorization': `Bearer ${this.key}`, 'content-type': 'application/json' }
-    const target = { host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method, path, headers, timeout: TIMEOUT_MS, agent: false }
+    const target = { ...parseAddress(address), method, path, headers, timeout: TIMEOUT_MS, agent: false }
     return new Promise((resolve, reject) => {
       const request = this.opts.tls ? https.request(target) : http.request(target)
       request.on('error', reject)
@@ -70,7 +71,5 @@
 }
 
 async function readAnswer (response: http.IncomingMessage): Promise<{ status: number, value: unknown }> {
-  const chunks: Buffer[] = []
-  for await (const chunk of response as AsyncIterable<Buffer>) chunks.push(chunk)
-  return { status: response.statusCode ?? 0, value: JSON.parse(Buffer.concat(chunks).toString() || 'null') as unknown }
+  return { status: response.statusCode ?? 0, value: JSON.parse(await text(response) || 'null') as unknown }
 }
--- a/program/cli/src/commands/status.ts
+++ b/program/cli/src/commands/status.ts
@@ -1,3 +1,4 @@
+import type { InstanceStatus } from '@pulleystack/program.instance'
 import type { Command } from 'cac'
 import { AdminClient, type ConnectionOptions } from '../AdminClient.js'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
@@ -6,23 +7,10 @@
 
 export type StatusOptions = ConnectionOptions & OutputOptions
 
-interface ShownServer {
-  capacity: number
-  entries: { item: string, bytes: number, state: string }[]
-}
+type ShownServer = InstanceStatus['shards'][number]['servers'][string]
 
 interface StatusAnswer {
-  instances: {
-    instance: string
-    dataHall: string
-    state: string
-    ready: boolean
-    configVersion: number
-    objects: number
-    runners: number
-    queued: number
-    shards: { shard: string, fence: number, unplaced: string[], servers: Record<string, ShownServer> }[]
-  }[]
+  instances: InstanceStatus[]
   rejected: { key: string, version: number, error: string }[]
 }
 
--- a/program/cli/src/commands/timeline.ts
+++ b/program/cli/src/commands/timeline.ts
@@ -1,19 +1,12 @@
 import type { TimelineEvent } from '@pulleystack/timeline.events'
-import { renderJsonLines, renderPage, renderText } from '@pulleystack/timeline.merge'
+import { renderJsonLines, renderPage, renderText, type TimelineFilter } from '@pulleystack/timeline.merge'
 import { PulleystackError } from '@pulleystack/core.errors'
 import type { Command } from 'cac'
 import { AdminClient, type ConnectionOptions } from '../AdminClient.js'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
 import { addConnectionHelp } from '../connectionHelp.js'
 
-export interface TimelineOptions extends ConnectionOptions {
-  request?: string
-  order?: string
-  object?: string
-  partner?: string
-  server?: string
-  model?: string
-  limit?: number
+export interface TimelineOptions extends ConnectionOptions, TimelineFilter {
   output?: string
 }
 
--- a/program/demo/src/DemoCaller.ts
+++ b/program/demo/src/DemoCaller.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import { parseAddress } from '@pulleystack/core.addresses'
 
 /** What came back for one request. */
 export interface DemoAnswer {
@@ -14,12 +15,11 @@
   address: string,
   opts: { method: string, path: string, key: string, headers?: http.OutgoingHttpHeaders, body?: unknown },
 ): Promise<DemoAnswer> {
-  const colon = address.lastIndexOf(':')
   const text = opts.body === undefined ? undefined : JSON.stringify(opts.body)
   const headers: http.OutgoingHttpHeaders = { authorization: `Bearer ${opts.key}`, ...opts.headers }
   if (text !== undefined) Object.assign(headers, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
   return new Promise((resolve, reject) => {
-    const request = http.request({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method: opts.method, path: opts.path, headers })
+    const request = http.request({ ...parseAddress(address), method: opts.method, path: opts.path, headers })
     request.on('error', reject)
     request.on('response', (response) => {
       let body = ''
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -2,10 +2,11 @@
 import http from 'node:http'
 import https from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
+import { parseAddress } from '@pulleystack/core.addresses'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { sendError, sendJson } from '@pulleystack/gateway.http'
 import type { Gateways } from './createGateways.js'
-import { splitAddress, type Core } from './startInstance.js'
+import type { Core } from './startInstance.js'
 
 const MAX_HEADER_BYTES = 32 << 10
 const MAX_HEADERS = 100
@@ -40,7 +41,7 @@
   server.maxHeadersCount = MAX_HEADERS
   server.maxConnections = settings.limits.connections
   server.on('clientError', answerClientError)
-  const { host, port } = splitAddress(settings.listen.callers)
+  const { host, port } = parseAddress(settings.listen.callers)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
--- a/program/instance/src/startInstance.ts
+++ b/program/instance/src/startInstance.ts
@@ -4,6 +4,7 @@
 import { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
 import type { Settings } from '@pulleystack/config.settings'
 import { startConfigSync } from '@pulleystack/config.sync'
+import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
 import { createLogger, type Logger } from '@pulleystack/core.logging'
 import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
@@ -72,7 +73,7 @@
 export async function startInstance (settings: Settings, deps: InstanceDependencies): Promise<Instance> {
   const core = await createCore(settings, deps)
   const peerPort = await core.network.start()
-  const peerAddress = `${splitAddress(settings.listen.peers).host}:${peerPort}`
+  const peerAddress = `${parseAddress(settings.listen.peers).host}:${peerPort}`
   const routing = createRouting(core)
   const limits = await deps.weights.readLimits()
   const control = createControl(core, routing, limits.unwrapOr(LIMITS_WITHOUT_ANSWER))
@@ -116,7 +117,7 @@
   const self = createIdentity(settings)
   const view = new MembershipView({ clock, self })
   const replica = new ConfigReplica()
-  const { host, port } = splitAddress(settings.listen.peers)
+  const { host, port } = parseAddress(settings.listen.peers)
   const network = new WebSocketNetwork({
     clock,
     random,
@@ -169,9 +170,3 @@
   const [ca, cert, key] = await Promise.all([files.authority, files.certificate, files.key].map((file) => readFile(file, 'utf8')))
   return { ca: ca as string, cert: cert as string, key: key as string }
 }
-
-/** Takes an address apart at its last colon. */
-export function splitAddress (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon).replace(/^\[|\]$/g, ''), port: Number(address.slice(colon + 1)) }
-}
--- a/routing/dispatch/src/ServiceDispatcher.ts
+++ b/routing/dispatch/src/ServiceDispatcher.ts
@@ -1,4 +1,5 @@
 import { Readable } from 'node:stream'
+import { buffer } from 'node:stream/consumers'
 import { ServiceClasses } from '@pulleystack/config.objects'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import type { ServiceAnswer, ServiceClient } from '@pulleystack/platform.interfaces'
@@ -147,13 +148,11 @@
 async function holdAnswer (work: ServiceWork, answer: ServiceAnswer): Promise<ServiceAnswer> {
   const length = Number(answer.headers['content-length'] ?? NaN)
   if (work.serviceClass !== ServiceClasses.LOOKUP || !(length <= MAX_HELD_BYTES)) return answer
-  const chunks: Buffer[] = []
   try {
-    for await (const chunk of answer.body as AsyncIterable<Buffer>) chunks.push(chunk)
+    return { ...answer, body: await buffer(answer.body as Readable) }
   } catch (cause) {
     throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The answer broke off', { cause })
   }
-  return { ...answer, body: Buffer.concat(chunks) }
 }
 
 function dropBody (answer: ServiceAnswer): void {
