--- a/config/replica/src/ConfigReplica.ts
+++ b/config/replica/src/ConfigReplica.ts
@@ -48,7 +48,7 @@
   private readonly changed = new Subject<ReplicaChange>()
   private readonly arrived = new Subject<ReplicaEntry>()
   private through = 0
-  private watched = 0
+  private newest = 0
   private complete = false
 
   /** Changes of what is in force. */
@@ -61,9 +61,9 @@
     return this.arrived
   }
 
-  /** Version of the newest change that a watch has brought; for people. */
-  get watchedThrough (): number {
-    return Math.max(this.watched, this.through)
+  /** Version of the newest change that came in any way; for people. */
+  get newestVersion (): number {
+    return Math.max(this.newest, this.through)
   }
 
   /**
@@ -87,7 +87,6 @@
   /** Takes the changes of a watch. */
   applyBatch (batch: ChangeBatch): void {
     for (const change of batch.changes) this.applyEntry(change)
-    this.watched = Math.max(this.watched, batch.version)
   }
 
   /** Takes a whole listing. A key that is held but not listed was deleted, unless it is newer than the listing. */
@@ -174,6 +173,7 @@
     const held = this.held.get(entry.key)
     if (held && entry.version <= held.entry.version) return false
     if (!held && entry.version <= floor) return false
+    this.newest = Math.max(this.newest, entry.version)
     this.storeEntry(entry, held)
     this.arrived.next(this.held.get(entry.key)?.entry ?? entry)
     return true
--- a/config/replica/test/ConfigReplica.test.ts
+++ b/config/replica/test/ConfigReplica.test.ts
@@ -42,6 +42,14 @@
     })
   })
 
+  it('shows the newest version that came, whatever way', () => {
+    const replica = new ConfigReplica()
+    replica.applyListing({ objects: [], version: 3 })
+    replica.applyEntry({ key: KEY, version: 7, value: buildValue('relayed') })
+    assert.equal(replica.newestVersion, 7)
+    assert.equal(replica.knownThrough, 3)
+  })
+
   describe('listings', () => {
     it('keeps what is newer than a listing that comes late', () => {
       const replica = new ConfigReplica()
--- a/program/instance/src/createControl.ts
+++ b/program/instance/src/createControl.ts
@@ -46,7 +46,7 @@
     dataHall: settings.dataHall,
     state: core.view.self.state,
     ready: core.replica.isComplete,
-    configVersion: core.replica.watchedThrough,
+    configVersion: core.replica.newestVersion,
     objects: core.replica.size,
     runners: routing.table.size,
     queued: routing.queue.size,
@@ -114,7 +114,7 @@
 }
 
 function addGauges (core: Core, routing: Routing): void {
-  core.metrics.addGauge('config_version', 'Version of the object API up to which everything is known', () => core.replica.watchedThrough)
+  core.metrics.addGauge('config_version', 'Newest version of the object API that is held', () => core.replica.newestVersion)
   core.metrics.addGauge('queued_requests', 'Requests that wait for a place', () => routing.queue.size)
   core.metrics.addGauge('claims_held', 'Keys of requests that may run once, in memory', () => routing.claims.size)
   core.metrics.addGauge('claim_commits_total', 'Group commits of claims', () => routing.claims.commits)
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -96,7 +96,7 @@
 
 function sendReadiness (core: Core, response: http.ServerResponse): void {
   const ready = core.replica.isComplete && core.view.self.state === 'live'
-  sendJson(response, ready ? 200 : 503, { ready, state: core.view.self.state, configVersion: core.replica.watchedThrough })
+  sendJson(response, ready ? 200 : 503, { ready, state: core.view.self.state, configVersion: core.replica.newestVersion })
 }
 
 async function sendMetrics (core: Core, response: http.ServerResponse): Promise<void> {
--- a/routing/dispatch/src/Places.ts
+++ b/routing/dispatch/src/Places.ts
@@ -199,7 +199,7 @@
     runner.limiter.addSample({
       firstByteMs: Math.max(1, (firstByteMs ?? 0) - explained),
       inFlight: outcome.inFlight,
-      waitingShare: runner.waiting / runner.slots,
+      waitingShare: runner.isOutdated(now) ? 0 : runner.waiting / runner.slots,
       serviceMs: runner.serviceMs,
       overloaded: outcome.overloaded ?? false,
       now,
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -8,6 +8,7 @@
 const PLAIN_SLOTS = 64
 const EWMA_SHARE = 0.1
 // Several reports must be missing before silence means anything.
+const OUTDATED_TIMES = 3
 const SILENT_REPORTS = 3
 const SILENT_MIN_MS = 1_500
 const INITIAL_SERVICE_MS = 200
@@ -145,13 +146,18 @@
     return this.report !== undefined && now - this.report.at > Math.max(SILENT_MIN_MS, SILENT_REPORTS * this.report.everyMs)
   }
 
+  /** True when the report is so old that what it counted has ended; then only answers' times tell how busy the server is. */
+  isOutdated (now: number): boolean {
+    return this.report !== undefined && now - this.report.at > OUTDATED_TIMES * this.serviceMs
+  }
+
   /**
    * True when the engine's places are taken, as far as the report tells. It is allowed as many more as will have
    * ended since the report, so that places don't stay empty until the next one; beyond that, work waits here, where
    * class, deadline and share decide who goes first, and not in the engine's own queue.
    */
   isFull (now: number): boolean {
-    if (!this.report) return false
+    if (!this.report || this.isOutdated(now)) return false
     const ended = Math.ceil(this.slots * (now - this.report.at) / this.serviceMs)
     return this.estimateLoad() >= this.slots + Math.min(this.slots, Math.max(1, ended))
   }
