--- a/tools/bench/src/capacity/runCapacity.ts
+++ b/tools/bench/src/capacity/runCapacity.ts
@@ -23,7 +23,7 @@
 /** Measures every slope at four sizes or more, and writes the file and the plots that docs/CAPACITY.md is made from. */
 export async function runCapacity (args: readonly string[] = []): Promise<void> {
   if (!args.includes('--here')) {
-    rerunWithCollector()
+    runWithCollector()
     return
   }
   const slopes: MeasuredSlope[] = []
@@ -38,7 +38,7 @@
 }
 
 /** Heap sizes need a garbage collector that can be asked to run. */
-function rerunWithCollector (): void {
+function runWithCollector (): void {
   const main = path.join(import.meta.dirname, '../main.ts')
   spawnSync(process.execPath, ['--expose-gc', '--import', 'tsx', main, 'capacity', '--here'], { stdio: 'inherit' })
 }
--- a/tools/scripts/check-names.mjs
+++ b/tools/scripts/check-names.mjs
@@ -5,7 +5,7 @@
 import ts from 'typescript'
 
 const SKIPPED = new Set(['node_modules', 'dist', '.git', 'test', 'features'])
-const PREDICATES = new Set(['is', 'has', 'may', 'can', 'have'])
+const PREDICATES = new Set(['is', 'has', 'may', 'can', 'have', 'must'])
 
 function listSources (dir) {
   return fs.readdirSync(dir, { withFileTypes: true }).flatMap((entry) => {
