Don't serve a body that a failed relay has read in part; don't call a timed-out upload not run

Found by reading the change once more for answers that say too much. A request whose body streams was piped to an instance that could not be reached, and then served here without the part that had been read; it is refused now, truthfully not run. And a request that did not arrive in time was answered with ran: no, though part of its body may have reached a backend server: unknown now. Ruled out on the way: kept bodies (sent whole again), keyed requests (claimed before they are sent).

--- a/gateway/callers/src/relayRequest.ts
+++ b/gateway/callers/src/relayRequest.ts
@@ -25,7 +25,11 @@
     await pipeline(answer, context.response)
     return true
   } catch (thrown) {
-    if (thrown instanceof PulleystackError && thrown.ran === Ran.NO) return false
+    if (thrown instanceof PulleystackError && thrown.ran === Ran.NO) {
+      // A body that streams has been read in part by now; nobody else can be sent the whole of it.
+      if (body === undefined) throw thrown
+      return false
+    }
     if (context.response.headersSent) context.response.destroy()
     throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The relay to ${target.instance} broke off`, { cause: thrown })
   }
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -3,7 +3,7 @@
 import https from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
-import { PulleystackError } from '@pulleystack/core.errors'
+import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { sendError, sendJson } from '@pulleystack/gateway.http'
 import type { Gateways } from './createGateways.js'
 import type { Core } from './startInstance.js'
@@ -112,8 +112,11 @@
     return
   }
   const slow = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-  const known = new PulleystackError(slow ? 'BODY_TOO_SLOW' : 'BAD_HEADER', slow ? 'The request did not arrive in time' : `Not a request that can be read: ${error.code}`)
+  // Part of a body that streams may have reached a backend server by now.
+  const known = slow
+    ? new PulleystackError('BODY_TOO_SLOW', 'The request did not arrive in time', { ran: Ran.UNKNOWN })
+    : new PulleystackError('BAD_HEADER', `Not a request that can be read: ${error.code}`)
   const body = JSON.stringify(known.renderBody())
   const status = `${known.row.status} ${http.STATUS_CODES[known.row.status]}`
-  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\npulleystack-ran: no\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\npulleystack-ran: ${known.ran}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
 }
