Order nothing to an engine whose inventory this holder has not read

Found by reading the change once more for memory that counts as free: since engines are asked themselves only when needed, fresh reports alone made an engine count as alive. One that the ledger did not know (listed again, or under a new holder) and whose inventory could not be read was planned onto as if it were empty. Now it takes part only after its inventory was read by this holder, since this lease began. The new test fails on the code before and passes on this one; the generated faults still pass.

--- a/placement/mover/src/ShardKeeper.ts
+++ b/placement/mover/src/ShardKeeper.ts
@@ -110,6 +110,8 @@
     const { clock, lease, ring, shard } = this.opts
     if (!lease.isHeld) {
       this.orders.clear()
+      // A new holder orders nothing to an engine before it has seen what that holds.
+      this.inspectedAt.clear()
       if (!await lease.tryTake()) return false
       this.renewedAt = clock.readTime()
       ring.record(EventKinds.LEASE_TAKEN, { object: shard, fence: lease.fence })
@@ -129,6 +131,8 @@
     const fresh = [...listed.values()].filter((server) => !record.servers[server.id])
     const gone = Object.keys(record.servers).filter((id) => !listed.has(id) && this.isDead(id))
     if (fresh.length === 0 && gone.length === 0) return
+    // An engine that comes back is unknown again, whatever its reports say.
+    for (const id of gone) this.inspectedAt.delete(id)
     await this.update((next) => {
       for (const server of fresh) next.servers[server.id] = { capacity: server.memoryBytes ?? 0, entries: [] }
       for (const id of gone) delete next.servers[id]
@@ -248,7 +252,7 @@
   }
 
   private listAlive (): Map<string, ListedInstance> {
-    return new Map(this.opts.listServers().filter((server) => !this.isDead(server.id)).map((server) => [server.id, server]))
+    return new Map(this.opts.listServers().filter((server) => this.inspectedAt.has(server.id) && !this.isDead(server.id)).map((server) => [server.id, server]))
   }
 
   /** Reserves for all loads in one write, and only then orders. */
--- a/placement/mover/test/ShardKeeper.test.ts
+++ b/placement/mover/test/ShardKeeper.test.ts
@@ -37,6 +37,8 @@
   readonly demand = new Map<string, number>()
   readonly servers: ListedInstance[] = []
   readonly holders: Holder[]
+  /** What reports say of every engine; undefined when none come. */
+  hint: { items: { item: string }[] } | undefined
   private version = 1_000
   private ids = 0
 
@@ -89,7 +91,7 @@
       listServers: () => this.servers,
       readDemand: (item) => this.demand.get(item) ?? 0,
       hasRefused: () => false,
-      readHint: () => undefined,
+      readHint: () => this.hint && { ...this.hint, at: clock.readTime() },
       drain: async () => 0,
     })
     return { keeper, lease, paused: false, owner }
@@ -243,6 +245,20 @@
     })
   })
 
+  describe('an engine whose inventory was never read', () => {
+    // Found by reading: fresh reports alone made it count as alive, with an empty ledger over whatever it held.
+    it('is ordered nothing, though its reports come', async () => {
+      const bench = new Bench({ engines: 1, memory: 100, checksFences: false, objects: listModels([60]) })
+      bench.engines.memories.get('e0')!.placeItem('q/unknown@base', 60 * MEBI)
+      bench.hint = { items: [] }
+      bench.engines.down.add('e0')
+      await bench.run(3_000)
+      assert.deepEqual((await bench.readLedger()).e0?.entries, [])
+      bench.engines.down.delete('e0')
+      await bench.run(6_000)
+    })
+  })
+
   describe('when an order arrives late', () => {
     it('does not give the bytes of a load away while its order may still arrive', async () => {
       const bench = new Bench({ engines: 2, memory: 100, checksFences: false, objects: listModels([60, 60, 60]) })
