--- a/platform/http/src/HttpEngineClient.ts
+++ b/backend/http/src/HttpEngineClient.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import { StringDecoder } from 'node:string_decoder'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
-import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/platform.interfaces'
+import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { exchange, openExchange, parseJson } from './exchange.js'
 import { Paths, type GenerateLine } from './wire.js'
--- a/platform/http/src/HttpInstanceList.ts
+++ b/backend/http/src/HttpInstanceList.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { InstanceList, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { InstanceList, type ListedInstance } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { exchange, parseJson } from './exchange.js'
 import { Paths } from './wire.js'
--- a/platform/http/src/HttpObjectStore.ts
+++ b/backend/http/src/HttpObjectStore.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
-import { ObjectStore, type ChangeBatch, type StoredObject, type StoreListing } from '@pulleystack/platform.interfaces'
+import { ObjectStore, type ChangeBatch, type StoredObject, type StoreListing } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { exchange, parseJson, type ExchangeAnswer } from './exchange.js'
 import { Paths, VERSION_HEADER, type ListAnswer, type WatchAnswer } from './wire.js'
--- a/platform/http/src/HttpServiceClient.ts
+++ b/backend/http/src/HttpServiceClient.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import { Readable } from 'node:stream'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { ServiceClient, type ServiceAnswer, type ServiceCall } from '@pulleystack/platform.interfaces'
+import { ServiceClient, type ServiceAnswer, type ServiceCall } from '@pulleystack/backend.interfaces'
 import { openExchange } from './exchange.js'
 import { ATTEMPT_HEADER, RAN_HEADER } from './wire.js'
 
--- a/platform/http/src/HttpWeightStore.ts
+++ b/backend/http/src/HttpWeightStore.ts
@@ -1,5 +1,5 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { WeightStore, type WeightStoreLimits } from '@pulleystack/platform.interfaces'
+import { WeightStore, type WeightStoreLimits } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { exchange, parseJson } from './exchange.js'
 import { Paths } from './wire.js'
--- a/platform/http/src/wire.ts
+++ b/backend/http/src/wire.ts
@@ -1,4 +1,4 @@
-import type { GenerateEnd, GeneratedToken, StoreChange, StoredObject } from '@pulleystack/platform.interfaces'
+import type { GenerateEnd, GeneratedToken, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
 
 /** Paths of the platform's and the engines' HTTP interfaces. */
 export const Paths = {
--- a/config/admission/test/isolation.test.ts
+++ b/config/admission/test/isolation.test.ts
@@ -4,7 +4,7 @@
 import { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
 import { ManualClock } from '@pulleystack/core.clock'
 import { listAllowedModels } from '@pulleystack/gateway.callers'
-import { InstanceRoles, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance } from '@pulleystack/backend.interfaces'
 import { HysteresisPlanner, type PlanGroup } from '@pulleystack/placement.planner'
 import { EligibleRunners } from '@pulleystack/routing.dispatch'
 import { RunnerTable } from '@pulleystack/routing.runners'
--- a/config/replica/src/ConfigReplica.ts
+++ b/config/replica/src/ConfigReplica.ts
@@ -1,6 +1,6 @@
 import { parseConfigObject, parseObjectKey, type ConfigObject } from '@pulleystack/config.objects'
 import { PulleystackError } from '@pulleystack/core.errors'
-import type { ChangeBatch, StoreListing } from '@pulleystack/platform.interfaces'
+import type { ChangeBatch, StoreListing } from '@pulleystack/backend.interfaces'
 import { Subject, type Observable } from 'rxjs'
 import { BUCKET_COUNT, combineBuckets, getBucket, hashEntry, type BucketSummary, type ReplicaDigest } from './digest.js'
 
--- a/config/sync/src/startConfigSync.ts
+++ b/config/sync/src/startConfigSync.ts
@@ -3,7 +3,7 @@
 import { listRanked } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { MembershipView } from '@pulleystack/membership.view'
-import { watchObjects, type ObjectStore, type WatchItem } from '@pulleystack/platform.interfaces'
+import { watchObjects, type ObjectStore, type WatchItem } from '@pulleystack/backend.interfaces'
 import { filter, type Subscription } from 'rxjs'
 
 const RELAY = defineChannel<ReplicaEntry[]>('config.relay')
--- a/platform/stand-ins/src/BatchModel.ts
+++ b/emulator/stand-ins/src/BatchModel.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
-import type { CacheEvent } from '@pulleystack/platform.interfaces'
+import type { CacheEvent } from '@pulleystack/backend.interfaces'
 import { LRUCache } from 'lru-cache'
 
 export interface BatchOptions {
--- a/platform/stand-ins/src/EngineMemory.ts
+++ b/emulator/stand-ins/src/EngineMemory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
-import type { EngineOrder, ResidentItem } from '@pulleystack/platform.interfaces'
+import type { EngineOrder, ResidentItem } from '@pulleystack/backend.interfaces'
 import type { WeightGate } from './WeightGate.js'
 
 /** What goes wrong with orders to one engine. */
--- a/platform/stand-ins/src/FakeService.ts
+++ b/emulator/stand-ins/src/FakeService.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
 import type { Clock } from '@pulleystack/core.clock'
-import { ATTEMPT_HEADER } from '@pulleystack/platform.http'
+import { ATTEMPT_HEADER } from '@pulleystack/backend.http'
 import { listenLoopback, readWholeBody, type LoopbackServer } from './listenLoopback.js'
 
 /** A plain service: it echoes what it was sent and counts how often each piece of work ran. */
--- a/platform/stand-ins/src/MemoryObjectStore.ts
+++ b/emulator/stand-ins/src/MemoryObjectStore.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { ObjectStore, type ChangeBatch, type StoreChange, type StoredObject, type StoreListing } from '@pulleystack/platform.interfaces'
+import { ObjectStore, type ChangeBatch, type StoreChange, type StoredObject, type StoreListing } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 
 /** What goes wrong in the stand-in; fields may be changed at any time. */
--- a/platform/stand-ins/src/WeightGate.ts
+++ b/emulator/stand-ins/src/WeightGate.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
-import { Paths } from '@pulleystack/platform.http'
-import type { WeightStoreLimits } from '@pulleystack/platform.interfaces'
+import { Paths } from '@pulleystack/backend.http'
+import type { WeightStoreLimits } from '@pulleystack/backend.interfaces'
 import { answerJson, listenLoopback, type LoopbackServer } from './listenLoopback.js'
 
 /** Lets engines load weights at the store's pace: so many starts a second, so many at once. */
--- a/platform/stand-ins/src/instanceList.ts
+++ b/emulator/stand-ins/src/instanceList.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { Paths } from '@pulleystack/platform.http'
-import { InstanceList, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { Paths } from '@pulleystack/backend.http'
+import { InstanceList, type ListedInstance } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { answerJson, listenLoopback, readWholeBody, type LoopbackServer } from './listenLoopback.js'
 
--- a/platform/stand-ins/src/serveObjectStore.ts
+++ b/emulator/stand-ins/src/serveObjectStore.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
 import type { PulleystackError } from '@pulleystack/core.errors'
-import { Paths, VERSION_HEADER } from '@pulleystack/platform.http'
+import { Paths, VERSION_HEADER } from '@pulleystack/backend.http'
 import type { Result } from 'neverthrow'
 import { answerJson, listenLoopback, readWholeBody, type LoopbackServer } from './listenLoopback.js'
 import type { MemoryObjectStore } from './MemoryObjectStore.js'
--- a/gateway/admin/src/ConfigWriter.ts
+++ b/gateway/admin/src/ConfigWriter.ts
@@ -3,7 +3,7 @@
 import { buildObjectKey, type ConfigObject, type Kind } from '@pulleystack/config.objects'
 import type { ConfigReplica } from '@pulleystack/config.replica'
 import { PulleystackError } from '@pulleystack/core.errors'
-import type { ObjectStore, StoredObject } from '@pulleystack/platform.interfaces'
+import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
 import { EventKinds, type EventRing } from '@pulleystack/timeline.events'
 
 export interface ConfigWriterOptions {
--- a/gateway/callers/src/handleCompletion.ts
+++ b/gateway/callers/src/handleCompletion.ts
@@ -1,7 +1,7 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { Headers, parseJsonBody, readBody } from '@pulleystack/gateway.http'
 import type { DemandMeter } from '@pulleystack/placement.demand'
-import type { GenerateEnd, TokenSink } from '@pulleystack/platform.interfaces'
+import type { GenerateEnd, TokenSink } from '@pulleystack/backend.interfaces'
 import type { KeptOutcome } from '@pulleystack/routing.claims'
 import type { GenerationDispatcher, GenerationWork } from '@pulleystack/routing.dispatch'
 import { createChunkRenderer, parseCompletion, renderEnd, renderWhole, type CompletionFrame, type CompletionKind, type CompletionRequest } from './openaiFormat.js'
--- a/membership/view/src/ListCopy.ts
+++ b/membership/view/src/ListCopy.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from '@pulleystack/platform.interfaces'
+import type { ListedInstance } from '@pulleystack/backend.interfaces'
 import equal from 'fast-deep-equal'
 
 /** What changed in the platform's list between two readings. */
--- a/membership/view/src/MembershipView.ts
+++ b/membership/view/src/MembershipView.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import type { PeerIdentity } from '@pulleystack/membership.peers'
-import { InstanceRoles, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance } from '@pulleystack/backend.interfaces'
 import equal from 'fast-deep-equal'
 import { Subject, type Observable } from 'rxjs'
 
--- a/membership/view/src/startMembership.ts
+++ b/membership/view/src/startMembership.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { listRanked } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
-import type { InstanceList } from '@pulleystack/platform.interfaces'
+import type { InstanceList } from '@pulleystack/backend.interfaces'
 import { EventKinds, type EventRing } from '@pulleystack/timeline.events'
 import { ListCopy, type ListChanges } from './ListCopy.js'
 import { listNeighbours } from './listNeighbours.js'
--- a/membership/view/test/MembershipView.test.ts
+++ b/membership/view/test/MembershipView.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ManualClock } from '@pulleystack/core.clock'
-import { InstanceRoles, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance } from '@pulleystack/backend.interfaces'
 import { createView } from '@pulleystack/tools.testing'
 import { listNeighbours } from '../src/index.js'
 
--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import type { ObjectStore } from '@pulleystack/platform.interfaces'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { createShardRecord, type ShardRecord } from './shardRecord.js'
 
--- a/placement/ledger/src/shardMap.ts
+++ b/placement/ledger/src/shardMap.ts
@@ -1,5 +1,5 @@
 import { findOwner } from '@pulleystack/core.hashing'
-import type { ObjectStore } from '@pulleystack/platform.interfaces'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 
 /** How many shards each region's accelerators form. Kept in the object API, so that all instances use one number. */
 export interface ShardMap {
--- a/placement/ledger/test/ledger.test.ts
+++ b/placement/ledger/test/ledger.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { ManualClock } from '@pulleystack/core.clock'
-import { MemoryObjectStore } from '@pulleystack/platform.stand-ins'
+import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import { checkProperty } from '@pulleystack/tools.testing'
 import fc from 'fast-check'
 import { chooseShard, computeCommitted, createShardRecord, EntryStates, listShards, readShardMap, removeEntry, reserveEntry, ShardLease } from '../src/index.js'
--- a/placement/mover/src/buildPlanInput.ts
+++ b/placement/mover/src/buildPlanInput.ts
@@ -4,7 +4,7 @@
 import { listRanked } from '@pulleystack/core.hashing'
 import { computeCommitted, EntryStates, type LedgerEntry, type ShardRecord } from '@pulleystack/placement.ledger'
 import type { PlanCopy, PlanGroup, PlanInput, PlanServer } from '@pulleystack/placement.planner'
-import type { ListedInstance } from '@pulleystack/platform.interfaces'
+import type { ListedInstance } from '@pulleystack/backend.interfaces'
 import { listWantedGroups, type WantedGroup } from './listWantedGroups.js'
 
 const DEFAULT_TOKENS_PER_SECOND = 400
--- a/placement/mover/src/reconcileServer.ts
+++ b/placement/mover/src/reconcileServer.ts
@@ -1,5 +1,5 @@
 import { EntryStates, type LedgerEntry, type ServerLedger } from '@pulleystack/placement.ledger'
-import type { EngineInventory } from '@pulleystack/platform.interfaces'
+import type { EngineInventory } from '@pulleystack/backend.interfaces'
 
 /** What an inventory shows about a ledger. */
 export interface Reconciliation {
--- a/program/cli/test/processes.test.ts
+++ b/program/cli/test/processes.test.ts
@@ -5,7 +5,7 @@
 import path from 'node:path'
 import { after, before, describe, it } from 'node:test'
 import { hashAccessKey } from '@pulleystack/membership.keys'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import { readExample, readStreamText, sendCall, startStandIns, type DemoAnswer, type StandIns } from '@pulleystack/program.demo'
 
 const MAIN = path.join(import.meta.dirname, '../src/main.ts')
--- a/program/demo/src/DemoSystem.ts
+++ b/program/demo/src/DemoSystem.ts
@@ -1,6 +1,6 @@
 import { parseSettings, type Settings } from '@pulleystack/config.settings'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import { connectPlatform, startInstance, type Instance } from '@pulleystack/program.instance'
 import { sendCall } from './DemoCaller.js'
 import { readExample, readExampleText } from './readExample.js'
--- a/program/demo/src/startStandIns.ts
+++ b/program/demo/src/startStandIns.ts
@@ -1,5 +1,5 @@
 import { SystemClock, type Clock } from '@pulleystack/core.clock'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import {
   FakeEngine,
   FakeService,
@@ -10,7 +10,7 @@
   serveWeightStore,
   WeightGate,
   type LoopbackServer,
-} from '@pulleystack/platform.stand-ins'
+} from '@pulleystack/emulator.stand-ins'
 
 /** A platform and backend servers on loopback. */
 export interface StandIns {
--- a/program/instance/src/connectPlatform.ts
+++ b/program/instance/src/connectPlatform.ts
@@ -1,5 +1,5 @@
 import type { Settings } from '@pulleystack/config.settings'
-import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, HttpWeightStore } from '@pulleystack/platform.http'
+import { HttpEngineClient, HttpInstanceList, HttpObjectStore, HttpServiceClient, HttpWeightStore } from '@pulleystack/backend.http'
 import type { InstanceDependencies } from './startInstance.js'
 
 /** The HTTP implementations of everything outside. */
--- a/program/instance/src/createGateways.ts
+++ b/program/instance/src/createGateways.ts
@@ -2,7 +2,7 @@
 import { CallerGateway } from '@pulleystack/gateway.callers'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { defineChannel } from '@pulleystack/membership.peers'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import { RateLimiter } from '@pulleystack/routing.limiter'
 import { collectTimeline } from '@pulleystack/timeline.merge'
 import type { Control } from './createControl.js'
--- a/program/instance/test/callers.test.ts
+++ b/program/instance/test/callers.test.ts
@@ -3,7 +3,7 @@
 import { after, before, describe, it } from 'node:test'
 import { RandomSource } from '@pulleystack/core.clock'
 import { DemoSystem, readStreamText, sendCall, type DemoAnswer } from '@pulleystack/program.demo'
-import type { FakeEngine } from '@pulleystack/platform.stand-ins'
+import type { FakeEngine } from '@pulleystack/emulator.stand-ins'
 
 const FIRM = 'demo-peritos-firm'
 const NOTARY = 'demo-peritos-notary'
--- a/routing/claims/src/ClaimClient.ts
+++ b/routing/claims/src/ClaimClient.ts
@@ -3,7 +3,7 @@
 import { hashText } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { MembershipView } from '@pulleystack/membership.view'
-import type { ObjectStore } from '@pulleystack/platform.interfaces'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import type { ClaimDecision, ClaimEntry, ClaimRequest, KeptOutcome } from './ClaimEntry.js'
 import { ClaimShard } from './ClaimShard.js'
 
--- a/routing/claims/src/ClaimLog.ts
+++ b/routing/claims/src/ClaimLog.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import type { ObjectStore, StoredObject } from '@pulleystack/platform.interfaces'
+import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { ClaimIndex } from './ClaimIndex.js'
 import type { ClaimEntry } from './ClaimEntry.js'
--- a/routing/claims/src/ClaimShard.ts
+++ b/routing/claims/src/ClaimShard.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import type { ObjectStore } from '@pulleystack/platform.interfaces'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import type { ClaimDecision, ClaimEntry, ClaimRequest } from './ClaimEntry.js'
 import { ClaimLog } from './ClaimLog.js'
 
--- a/routing/dispatch/src/EligibleRunners.ts
+++ b/routing/dispatch/src/EligibleRunners.ts
@@ -2,7 +2,7 @@
 import type { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
 import { matchLabels } from '@pulleystack/config.selectors'
 import type { MembershipView } from '@pulleystack/membership.view'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import type { Runner, RunnerTable } from '@pulleystack/routing.runners'
 
 /** The backend servers that each service's selectors allow; worked out anew when servers or configuration change. */
--- a/routing/dispatch/src/GenerationDispatcher.ts
+++ b/routing/dispatch/src/GenerationDispatcher.ts
@@ -1,6 +1,6 @@
 import { getWorkClass } from '@pulleystack/config.objects'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
-import type { EngineClient, GenerateCall, GeneratedToken, GenerateEnd, TokenSink } from '@pulleystack/platform.interfaces'
+import type { EngineClient, GenerateCall, GeneratedToken, GenerateEnd, TokenSink } from '@pulleystack/backend.interfaces'
 import { hashPrefixBlocks } from '@pulleystack/routing.runners'
 import { EventKinds } from '@pulleystack/timeline.events'
 import { allowRetry, createAttemptSignal, createProgress, explainFailure, noteFailure, type Progress } from './attempts.js'
--- a/routing/runners/src/PrefixIndex.ts
+++ b/routing/runners/src/PrefixIndex.ts
@@ -1,5 +1,5 @@
 import { hashText } from '@pulleystack/core.hashing'
-import type { CacheEvent } from '@pulleystack/platform.interfaces'
+import type { CacheEvent } from '@pulleystack/backend.interfaces'
 import { LRUCache } from 'lru-cache'
 
 /** Characters of a prompt in one block; engines publish hashes of the same blocks. */
--- a/routing/runners/src/Runner.ts
+++ b/routing/runners/src/Runner.ts
@@ -1,4 +1,4 @@
-import { InstanceRoles, type ListedInstance, type ResidentItem } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance, type ResidentItem } from '@pulleystack/backend.interfaces'
 import { AdaptiveLimiter, type ConcurrencyLimiter } from '@pulleystack/routing.limiter'
 import { OutlierDetector } from '@pulleystack/routing.retries'
 import { PrefixIndex } from './PrefixIndex.js'
--- a/routing/runners/src/RunnerTable.ts
+++ b/routing/runners/src/RunnerTable.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from '@pulleystack/platform.interfaces'
+import type { ListedInstance } from '@pulleystack/backend.interfaces'
 import { Subject, type Observable } from 'rxjs'
 import { Runner } from './Runner.js'
 import type { RunnerUpdate } from './RunnerUpdate.js'
--- a/routing/runners/src/RunnerUpdate.ts
+++ b/routing/runners/src/RunnerUpdate.ts
@@ -1,4 +1,4 @@
-import type { CacheEvent, ResidentItem } from '@pulleystack/platform.interfaces'
+import type { CacheEvent, ResidentItem } from '@pulleystack/backend.interfaces'
 
 /** A report as its collector passes it on; `items` is left out while nothing changed. */
 export interface RunnerUpdate {
--- a/routing/runners/src/packUpdate.ts
+++ b/routing/runners/src/packUpdate.ts
@@ -1,4 +1,4 @@
-import type { CacheEvent, ResidentItem } from '@pulleystack/platform.interfaces'
+import type { CacheEvent, ResidentItem } from '@pulleystack/backend.interfaces'
 import type { RunnerUpdate } from './RunnerUpdate.js'
 
 const CACHE_KINDS = ['stored', 'evicted', 'cleared'] as const
--- a/routing/runners/src/startCollector.ts
+++ b/routing/runners/src/startCollector.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { MembershipView } from '@pulleystack/membership.view'
-import { InstanceRoles, type EngineClient, type EngineReport, type ListedInstance, type ResidentItem } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type EngineClient, type EngineReport, type ListedInstance, type ResidentItem } from '@pulleystack/backend.interfaces'
 import equal from 'fast-deep-equal'
 import { packUpdate, unpackUpdate, type PackedUpdate } from './packUpdate.js'
 import type { RunnerTable } from './RunnerTable.js'
--- a/routing/runners/test/runners.test.ts
+++ b/routing/runners/test/runners.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { InstanceRoles, type CacheEvent } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type CacheEvent } from '@pulleystack/backend.interfaces'
 import { checkProperty } from '@pulleystack/tools.testing'
 import fc from 'fast-check'
 import { packUpdate, PrefixIndex, Runner, unpackUpdate, type RunnerUpdate } from '../src/index.js'
--- a/tools/bench/src/entry/worker.ts
+++ b/tools/bench/src/entry/worker.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { parseSettings } from '@pulleystack/config.settings'
-import { InstanceRoles } from '@pulleystack/platform.interfaces'
+import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import {
   FakeEngine,
   FakeService,
@@ -11,7 +11,7 @@
   serveObjectStore,
   serveWeightStore,
   WeightGate,
-} from '@pulleystack/platform.stand-ins'
+} from '@pulleystack/emulator.stand-ins'
 import { SystemClock } from '@pulleystack/core.clock'
 import { readExampleText } from '@pulleystack/program.demo'
 import { connectPlatform, startInstance } from '@pulleystack/program.instance'
--- a/tools/bench/src/fleet/MiniInstance.ts
+++ b/tools/bench/src/fleet/MiniInstance.ts
@@ -4,8 +4,8 @@
 import { createLogger } from '@pulleystack/core.logging'
 import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
 import { MembershipView, startMembership } from '@pulleystack/membership.view'
-import { InstanceRoles, type ObjectStore } from '@pulleystack/platform.interfaces'
-import type { MemoryInstanceList } from '@pulleystack/platform.stand-ins'
+import { InstanceRoles, type ObjectStore } from '@pulleystack/backend.interfaces'
+import type { MemoryInstanceList } from '@pulleystack/emulator.stand-ins'
 import { EventRing } from '@pulleystack/timeline.events'
 
 /** The control half of an instance, on real links: membership and configuration. */
--- a/tools/bench/src/fleet/runConvergence.ts
+++ b/tools/bench/src/fleet/runConvergence.ts
@@ -1,6 +1,6 @@
 import { buildObjectKey, Kinds } from '@pulleystack/config.objects'
 import { SystemClock } from '@pulleystack/core.clock'
-import { MemoryInstanceList, MemoryObjectStore } from '@pulleystack/platform.stand-ins'
+import { MemoryInstanceList, MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import { buildCaller } from '@pulleystack/tools.testing'
 import { readCpu } from '../Worker.js'
 import { computeQuantile, printReport, roundTo, type Row } from '../report.js'
--- a/tools/bench/src/routing/runClaims.ts
+++ b/tools/bench/src/routing/runClaims.ts
@@ -1,6 +1,6 @@
 import { RandomSource, SystemClock } from '@pulleystack/core.clock'
 import { FakeHub } from '@pulleystack/membership.fake-network'
-import { MemoryObjectStore } from '@pulleystack/platform.stand-ins'
+import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import { ClaimClient } from '@pulleystack/routing.claims'
 import { createView } from '@pulleystack/tools.testing'
 import { readCpu } from '../Worker.js'
--- a/tools/replay/src/TimedEngines.ts
+++ b/tools/replay/src/TimedEngines.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { EngineClient, type EngineInventory, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/platform.interfaces'
-import { BatchModel, hashPromptBlocks, type BatchOptions } from '@pulleystack/platform.stand-ins'
+import { EngineClient, type EngineInventory, type EngineReport, type GenerateCall, type GenerateEnd, type TokenSink } from '@pulleystack/backend.interfaces'
+import { BatchModel, hashPromptBlocks, type BatchOptions } from '@pulleystack/emulator.stand-ins'
 import { err, type Result } from 'neverthrow'
 
 /** One engine without a socket: the stand-ins' timing, and a switch for life, death and freezing. */
--- a/tools/scripts/check-workspace.mjs
+++ b/tools/scripts/check-workspace.mjs
@@ -3,7 +3,7 @@
 import fs from 'node:fs'
 import path from 'node:path'
 
-const DOMAINS = ['core', 'config', 'platform', 'membership', 'directory', 'routing', 'placement', 'timeline', 'gateway', 'program', 'tools']
+const DOMAINS = ['core', 'config', 'backend', 'emulator', 'platform', 'membership', 'directory', 'routing', 'placement', 'timeline', 'gateway', 'program', 'tools']
 const IMPORT = /^(?:import '|(?:import|export|\}).* from ')([^'.][^']*)'/gm
 const root = JSON.parse(fs.readFileSync('package.json', 'utf8'))
 const write = process.argv.includes('--write')
--- a/tools/testing/src/MemoryEngines.ts
+++ b/tools/testing/src/MemoryEngines.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateEnd } from '@pulleystack/platform.interfaces'
-import { EngineMemory } from '@pulleystack/platform.stand-ins'
+import { EngineClient, type EngineInventory, type EngineOrder, type EngineReport, type GenerateEnd } from '@pulleystack/backend.interfaces'
+import { EngineMemory } from '@pulleystack/emulator.stand-ins'
 import { err, ok, type Result } from 'neverthrow'
 
 /** Engines without sockets, for tests of placement: only memory and orders. */
--- a/tools/testing/src/MortalStore.ts
+++ b/tools/testing/src/MortalStore.ts
@@ -1,4 +1,4 @@
-import { ObjectStore } from '@pulleystack/platform.interfaces'
+import { ObjectStore } from '@pulleystack/backend.interfaces'
 
 type Answer<M extends keyof ObjectStore> = ReturnType<ObjectStore[M]>
 
--- a/tools/testing/src/createView.ts
+++ b/tools/testing/src/createView.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerIdentity } from '@pulleystack/membership.peers'
 import { MembershipView } from '@pulleystack/membership.view'
-import { InstanceRoles, type ListedInstance } from '@pulleystack/platform.interfaces'
+import { InstanceRoles, type ListedInstance } from '@pulleystack/backend.interfaces'
 
 /** A view of a system of instances by name, spread over three data halls. */
 export function createView (clock: Clock, self: string, names: readonly string[]): { view: MembershipView, identity: PeerIdentity } {
