--- a/backend/interfaces/src/watchObjects.ts
+++ b/backend/interfaces/src/watchObjects.ts
@@ -16,6 +16,12 @@
   prefix: string
   /** Milliseconds after which a listing mends what the watch may have left out. */
   getRelistMs: () => number
+  /** Milliseconds that one call may wait for a change. */
+  waitMs?: number
+  /** Longest pause between failed calls. */
+  maxBackoffMs?: number
+  /** Pause after a batch of changes, so that changes that come close together cost one call. */
+  settleMs?: number
 }
 
 /** Follows a prefix for ever: lists, waits for changes, lists again when the version was compacted, backs off with jitter on failure. */
@@ -39,7 +45,7 @@
     if (next === 'failed') {
       emit({ failed: true })
       await opts.clock.wait(backoff * (0.5 + opts.random.readFraction()), signal)
-      backoff = Math.min(MAX_BACKOFF_MS, backoff * 2)
+      backoff = Math.min(opts.maxBackoffMs ?? MAX_BACKOFF_MS, backoff * 2)
       continue
     }
     backoff = MIN_BACKOFF_MS
@@ -55,8 +61,9 @@
 }
 
 async function emitChanges (opts: WatchOptions, version: number, signal: AbortSignal, emit: (item: WatchItem) => void): Promise<number | undefined | 'failed'> {
-  const batch = await opts.store.waitForChanges(opts.prefix, version, WAIT_MS, signal)
+  const batch = await opts.store.waitForChanges(opts.prefix, version, opts.waitMs ?? WAIT_MS, signal)
   if (batch.isErr()) return batch.error.code === 'STORE_COMPACTED' ? undefined : 'failed'
   emit({ batch: batch.value })
+  if (opts.settleMs !== undefined && batch.value.changes.length > 0) await opts.clock.wait(opts.settleMs, signal)
   return Math.max(version, batch.value.version)
 }
--- /dev/null
+++ b/config/routes/src/RouteTable.ts
@@ -0,0 +1,46 @@
+import type { RandomSource } from '@pulleystack/core.clock'
+import type { Route, RoutedService, RoutingConfig } from './Route.js'
+
+/** The routes and services of one version of the configuration, ready to be looked up. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, Route[]>()
+  private readonly services = new Map<string, RoutedService>()
+
+  constructor (readonly config: RoutingConfig) {
+    for (const route of config.routes) {
+      const routes = this.routesByHost.get(route.host) ?? []
+      routes.push(route)
+      this.routesByHost.set(route.host, routes)
+    }
+    for (const routes of this.routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    for (const service of config.services) this.services.set(service.name, service)
+  }
+
+  /** The route whose prefix is the longest that begins the path; `host` may carry a port. */
+  findRoute (host: string, path: string): Route | undefined {
+    const routes = this.routesByHost.get(stripPort(host).toLowerCase())
+    return routes?.find((route) => path.startsWith(route.pathPrefix))
+  }
+
+  findService (name: string): RoutedService | undefined {
+    return this.services.get(name)
+  }
+}
+
+/** Chooses the service of one request by the weights of the route's targets. */
+export function chooseTarget (route: Route, random: RandomSource): string {
+  const [only] = route.targets
+  if (route.targets.length === 1 && only) return only.service
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0)
+  let rest = random.readFraction() * total
+  for (const target of route.targets) {
+    rest -= target.weight
+    if (rest < 0) return target.service
+  }
+  return route.targets.at(-1)?.service ?? ''
+}
+
+function stripPort (host: string): string {
+  const colon = host.lastIndexOf(':')
+  return colon > host.lastIndexOf(']') ? host.slice(0, colon) : host
+}
--- /dev/null
+++ b/config/routes/test/RouteTable.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { RandomSource } from '@pulleystack/core.clock'
+import { RepeatModes, RouteTable, chooseTarget, type Route } from '../src/index.js'
+
+function createRoute (changes: Partial<Route>): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    pathPrefix: '/',
+    targets: [{ service: 's', weight: 1 }],
+    repeat: RepeatModes.ONCE,
+    streams: false,
+    resumable: false,
+    timeoutMs: 1000,
+    targetLatencyMs: 100,
+    longestPauseMs: undefined,
+    priority: 0,
+    maxAttempts: 1,
+    ...changes,
+  }
+}
+
+function createTable (routes: Route[]): RouteTable {
+  return new RouteTable({ version: 1, routes, services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+}
+
+describe('a route table', () => {
+  const short = createRoute({ name: 'short', pathPrefix: '/a/' })
+  const long = createRoute({ name: 'long', pathPrefix: '/a/b/' })
+  const table = createTable([short, long])
+
+  it('gives the route with the longest prefix', () => {
+    assert.equal(table.findRoute('a.example', '/a/b/c')?.name, 'long')
+    assert.equal(table.findRoute('a.example', '/a/bc')?.name, 'short')
+  })
+
+  it('passes over the port and the case of the host', () => {
+    assert.equal(table.findRoute('A.Example:8080', '/a/x')?.name, 'short')
+  })
+
+  it('gives nothing for another host or path', () => {
+    assert.equal(table.findRoute('b.example', '/a/x'), undefined)
+    assert.equal(table.findRoute('a.example', '/ab'), undefined)
+  })
+
+  it('splits requests by weight', () => {
+    const route = createRoute({ targets: [{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }] })
+    const random = new RandomSource(1)
+    const chosen = Array.from({ length: 1000 }, () => chooseTarget(route, random))
+    const share = chosen.filter((service) => service === 'y').length / chosen.length
+    assert.ok(share > 0.07 && share < 0.13, `share ${share}`)
+  })
+})
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint'
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'node_modules/**', '.cache/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', '.cache/**'] },
   ...tseslint.configs.recommended,
   stylistic.configs.customize({ indent: 2, quotes: 'single', semi: false, braceStyle: '1tbs', arrowParens: true, commaDangle: 'always-multiline' }),
   {
--- /dev/null
+++ b/gateway/routed/src/ClientAnswer.ts
@@ -0,0 +1,87 @@
+import type http from 'node:http'
+import { once } from 'node:events'
+import type { PulleystackError } from '@pulleystack/core.errors'
+import { Ran } from '@pulleystack/core.errors'
+import type { ExchangeAnswer } from '@pulleystack/routing.forward'
+import { listEndToEnd } from './headers.js'
+
+const WITH_OWN_LENGTH = new Set(['content-length'])
+const DEFAULT_RETRY_SECONDS = 0.25
+
+export interface ClientAnswerOptions {
+  response: http.ServerResponse
+  ownHeaders: Record<string, string>
+  /** The connection is to close after this answer. */
+  mustClose: () => boolean
+}
+
+/** The answer to one client; it begins once, and never looks whole unless it is. */
+export class ClientAnswer {
+  constructor (private readonly opts: ClientAnswerOptions) {}
+
+  get hasBegun (): boolean {
+    return this.opts.response.headersSent
+  }
+
+  /** Passes a whole answer of a backend server on. */
+  sendWhole (answer: ExchangeAnswer, body: Buffer): void {
+    const headers = listEndToEnd(answer.rawHeaders, WITH_OWN_LENGTH)
+    if (answer.status !== 204 && answer.status !== 304) headers.push('Content-Length', String(body.length))
+    this.writeHead(answer, headers)
+    this.opts.response.end(body)
+  }
+
+  /** Begins to pass a stream on. */
+  beginStream (answer: ExchangeAnswer): void {
+    this.writeHead(answer, listEndToEnd(answer.rawHeaders, WITH_OWN_LENGTH))
+  }
+
+  /** Passes bytes on; resolves once the client's connection takes more. */
+  async write (bytes: Buffer, signal: AbortSignal): Promise<void> {
+    if (this.opts.response.write(bytes)) return
+    await once(this.opts.response, 'drain', { signal })
+  }
+
+  endStream (): void {
+    this.opts.response.end()
+  }
+
+  /** Ends the connection in the midst of the answer, so that nobody takes it for whole. */
+  breakOff (): void {
+    this.opts.response.destroy()
+  }
+
+  /** Answers with an error of the system's own, or breaks the answer off when it has begun. */
+  sendError (error: PulleystackError, requestId: string | undefined): void {
+    const { response } = this.opts
+    if (response.headersSent) {
+      this.breakOff()
+      return
+    }
+    const body = JSON.stringify(error.renderBody(requestId))
+    const headers: http.OutgoingHttpHeaders = { ...this.opts.ownHeaders, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+    const status = chooseStatus(error)
+    if (status === 503) headers['retry-after'] = formatSeconds(error.retryAfterSeconds ?? DEFAULT_RETRY_SECONDS)
+    // What is left of a body that was not read would be taken for the next request.
+    if (this.opts.mustClose() || !response.req.complete) headers['connection'] = 'close'
+    response.writeHead(status, headers)
+    response.end(body)
+  }
+
+  private writeHead (answer: ExchangeAnswer, headers: string[]): void {
+    if (this.opts.mustClose()) headers.push('Connection', 'close')
+    this.opts.response.writeHead(answer.status, answer.statusMessage, headers)
+  }
+}
+
+/** 503 is a promise that the request has not run and never will; 502 and 504 promise nothing. */
+export function chooseStatus (error: PulleystackError): number {
+  const { status } = error.row
+  if (status < 500) return status
+  if (error.ran === Ran.NO) return 503
+  return status === 504 ? 504 : 502
+}
+
+function formatSeconds (seconds: number): string {
+  return String(Math.max(0, Math.round(seconds * 1000) / 1000))
+}
--- /dev/null
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -0,0 +1,164 @@
+import type http from 'node:http'
+import type { RoutedProtocol, RoutedRequestFacts } from '@pulleystack/backend.interfaces'
+import { chooseTarget, type Route, type RouteTable } from '@pulleystack/config.routes'
+import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
+import { readBody } from '@pulleystack/gateway.http'
+import type { ResidencyClient } from '@pulleystack/placement.residency'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
+import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
+import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
+import { runRequest, type RunOptions } from './runRequest.js'
+
+const UNCONFIGURED_RETRY_SECONDS = 0.5
+const GONE_STATUS = 499
+
+/** A routed request that was answered or given up, for metrics. */
+export interface RoutedOutcome {
+  route: string
+  service: string
+  status: number
+  code: string
+  ms: number
+}
+
+export interface RoutedGatewayOptions extends RunOptions {
+  protocol: RoutedProtocol
+  residency: ResidencyClient
+  /** The routes in force; undefined until a configuration is known. */
+  readTable: () => RouteTable | undefined
+  /** Requests are refused because the process is about to end. */
+  mustRefuse: () => boolean
+  /** Connections are to close after their current answer. */
+  mustClose: () => boolean
+  onOutcome: (outcome: RoutedOutcome) => void
+}
+
+/** A request whose head has come and whose route is known. */
+interface ArrivedRequest {
+  table: RouteTable
+  route: Route
+  facts: RoutedRequestFacts
+  request: http.IncomingMessage
+  arrivedAt: number
+  signal: AbortSignal
+}
+
+/** Serves routed requests. */
+export class RoutedGateway {
+  private active = 0
+
+  constructor (private readonly opts: RoutedGatewayOptions) {}
+
+  /** Requests that have not been answered whole. */
+  get inFlight (): number {
+    return this.active
+  }
+
+  /** Serves one request to its end; never rejects. */
+  async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const arrivedAt = this.opts.clock.readTime()
+    this.active++
+    const facts = this.opts.protocol.readRequest(request.headers)
+    const client = new ClientAnswer({ response, ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId), mustClose: this.opts.mustClose })
+    const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
+    const end = createRequestEnd(response)
+    try {
+      const table = this.findTable()
+      const route = findRoute(table, request)
+      outcome.route = route.name
+      const work = await this.readWork({ table, route, facts, request, arrivedAt, signal: end.signal })
+      outcome.service = work.service.name
+      const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
+      this.noteDemand(work)
+      await runRequest(this.opts, work, client).finally(cancel)
+    } catch (thrown) {
+      const error = end.explain(convertToError(thrown))
+      outcome.code = error.code
+      outcome.status = error.code === 'CALLER_GONE' ? GONE_STATUS : chooseStatus(error)
+      client.sendError(error, facts.requestId)
+    } finally {
+      end.release()
+      this.active--
+      this.noteEnd(outcome, facts, response, arrivedAt)
+    }
+  }
+
+  private findTable (): RouteTable {
+    const table = this.opts.readTable()
+    if (this.opts.mustRefuse()) throw new PulleystackError('INSTANCE_STOPPING', 'This instance is about to end', { retryAfterSeconds: 0 })
+    if (!table) throw new PulleystackError('NO_RUNNER', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
+    return table
+  }
+
+  private async readWork (it: ArrivedRequest): Promise<RoutedWork> {
+    const { table, route, facts, request } = it
+    const name = chooseTarget(route, this.opts.random)
+    const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
+    const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
+    const body = hasBody ? await readBody(request, table.config.limits.bodyBytes) : undefined
+    return {
+      requestId: facts.requestId ?? '',
+      facts,
+      route,
+      service,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      rawHeaders: request.rawHeaders,
+      body,
+      arrivedAt: it.arrivedAt,
+      deadline: it.arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity),
+      generation: service.serving ? estimateGeneration(facts) : undefined,
+      excluded: new Set(),
+      signal: it.signal,
+    }
+  }
+
+  private noteDemand (work: RoutedWork): void {
+    this.opts.findBudget(work.service.name).noteRequest()
+    const { generation } = work
+    if (generation) this.opts.residency.noteDemand({ service: work.service.name, ...generation })
+  }
+
+  private noteEnd (outcome: RoutedOutcome, facts: RoutedRequestFacts, response: http.ServerResponse, arrivedAt: number): void {
+    outcome.ms = this.opts.clock.readTime() - arrivedAt
+    if (outcome.status === 0) outcome.status = response.statusCode
+    const { route, service, status, code } = outcome
+    this.opts.log.record(DecisionKinds.REQUEST_ENDED, { request: facts.requestId, route, service, status, code, ms: Math.round(outcome.ms) })
+    this.opts.onOutcome(outcome)
+  }
+}
+
+function findRoute (table: RouteTable, request: http.IncomingMessage): Route {
+  const path = (request.url ?? '/').split('?', 1)[0] as string
+  const route = table.findRoute(request.headers.host ?? '', path)
+  if (!route) throw new PulleystackError('NOT_FOUND', 'No route takes this host and path')
+  return route
+}
+
+interface RequestEnd {
+  signal: AbortSignal
+  /** The request's time is over. */
+  expire: () => void
+  /** The reason for which the request ended, or what went wrong by itself. */
+  explain: (error: PulleystackError) => PulleystackError
+  release: () => void
+}
+
+/** Ends a request when its client goes or its time is over. */
+function createRequestEnd (response: http.ServerResponse): RequestEnd {
+  const abort = new AbortController()
+  const leave = (): void => {
+    if (!response.writableFinished) abort.abort(new PulleystackError('CALLER_GONE', 'The client went away'))
+  }
+  response.once('close', leave)
+  return {
+    signal: abort.signal,
+    expire: () => abort.abort(new PulleystackError('DEADLINE_UNKNOWN', 'The time of the request is over')),
+    explain: (error) => {
+      const reason: unknown = abort.signal.reason
+      if (!(reason instanceof PulleystackError)) return error
+      return new PulleystackError(reason.code, reason.message, { cause: error, ran: error.ran === Ran.NO ? Ran.NO : Ran.UNKNOWN })
+    },
+    release: () => response.off('close', leave),
+  }
+}
--- /dev/null
+++ b/gateway/routed/src/RoutedWork.ts
@@ -0,0 +1,41 @@
+import type { RoutedRequestFacts } from '@pulleystack/backend.interfaces'
+import type { Route, RoutedService } from '@pulleystack/config.routes'
+import type { GenerationDemand } from '@pulleystack/routing.fleet'
+
+const UNHINTED_SHARE = 0.35
+const HINT_MARGIN = 1.4
+
+/** One routed request, from its head to its answer. */
+export interface RoutedWork {
+  requestId: string
+  facts: RoutedRequestFacts
+  route: Route
+  service: RoutedService
+  method: string
+  /** Path and query as the client sent them. */
+  path: string
+  rawHeaders: readonly string[]
+  body: Buffer | undefined
+  /** Monotone times. */
+  arrivedAt: number
+  deadline: number
+  generation: GenerationDemand | undefined
+  /** Servers that failed this request. */
+  excluded: Set<string>
+  /** Ends with the client or at the deadline. */
+  signal: AbortSignal
+}
+
+/** What a request's generation will likely take. */
+export function estimateGeneration (facts: RoutedRequestFacts): GenerationDemand | undefined {
+  const asked = facts.generation
+  if (!asked) return undefined
+  const guess = asked.outputHint === undefined ? asked.maxOutputTokens * UNHINTED_SHARE : asked.outputHint * HINT_MARGIN
+  return {
+    model: asked.model,
+    adapter: asked.adapter,
+    promptTokens: asked.promptTokens,
+    outputTokens: Math.min(asked.maxOutputTokens, Math.ceil(guess)),
+    parts: asked.parts,
+  }
+}
--- /dev/null
+++ b/gateway/routed/src/index.ts
@@ -0,0 +1,6 @@
+export { RoutedGateway } from './RoutedGateway.js'
+export type { RoutedGatewayOptions, RoutedOutcome } from './RoutedGateway.js'
+export { BackendPlace, BackendQueue } from './BackendQueue.js'
+export type { BackendQueueOptions } from './BackendQueue.js'
+export { runRequest } from './runRequest.js'
+export type { RunOptions } from './runRequest.js'
--- /dev/null
+++ b/gateway/routed/src/runRequest.ts
@@ -0,0 +1,227 @@
+import { RepeatModes } from '@pulleystack/config.routes'
+import type { RoutedProtocol } from '@pulleystack/backend.interfaces'
+import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
+import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
+import { openExchange } from '@pulleystack/routing.forward'
+import type { WindowBudget } from '@pulleystack/routing.retries'
+import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import type { BackendPlace, BackendQueue } from './BackendQueue.js'
+import type { ClientAnswer } from './ClientAnswer.js'
+import { relayStream, type StreamProgress } from './relayStream.js'
+import type { RoutedWork } from './RoutedWork.js'
+
+const CONNECT_MS = 300
+const MAX_BODY_BYTES = 32 << 20
+/** Sends of one request, those included that its servers refused. */
+const MAX_SENDS = 4
+/** A repeatable request goes elsewhere when nothing has come for this many times its latency target. */
+const SILENCE_TARGETS = 2.5
+const MIN_SILENCE_MS = 250
+
+/** What the attempts of all requests share. */
+export interface RunOptions {
+  clock: Clock
+  random: RandomSource
+  agent: BackendAgent
+  protocol: RoutedProtocol
+  queue: BackendQueue
+  log: DecisionLog
+  findBudget: (service: string) => WindowBudget
+}
+
+/** What has become of one request over its attempts. */
+interface RunProgress {
+  sends: number
+  /** Attempts that may have run. */
+  runs: number
+  stream: StreamProgress
+  /** A server's own failure, passed on when no other attempt does better. */
+  failure: { answer: ExchangeAnswer, body: Buffer } | undefined
+}
+
+/** Runs one request to its answer; rejects with the error that the client gets when no server's answer can be passed on. */
+export async function runRequest (opts: RunOptions, work: RoutedWork, client: ClientAnswer): Promise<void> {
+  const progress: RunProgress = { sends: 0, runs: 0, stream: { lastEventId: work.facts.lastEventId, events: 0 }, failure: undefined }
+  for (;;) {
+    const place = await acquirePlace(opts, work, progress)
+    if (!place) break
+    const error = await runAttempt(opts, work, progress, place, client)
+    if (!error) return
+    if (mayRetry(opts, work, progress, error)) continue
+    if (!progress.failure || client.hasBegun) throw createFinalError(progress, error)
+    break
+  }
+  if (progress.failure) client.sendWhole(progress.failure.answer, progress.failure.body)
+}
+
+/** A place for the next attempt; undefined when a server's failure is all there is to pass on. */
+async function acquirePlace (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<BackendPlace | undefined> {
+  try {
+    return await opts.queue.acquire(work)
+  } catch (thrown) {
+    if (progress.failure) return undefined
+    const error = convertToError(thrown)
+    throw createFinalError(progress, error)
+  }
+}
+
+/** Sends the request once; gives the error when the answer was not passed on whole. */
+async function runAttempt (
+  opts: RunOptions,
+  work: RoutedWork,
+  progress: RunProgress,
+  place: BackendPlace,
+  client: ClientAnswer,
+): Promise<PulleystackError | undefined> {
+  const { clock, log } = opts
+  const sentAt = clock.readTime()
+  const attempt = createAttemptSignal(opts, work)
+  progress.sends++
+  const facts = { request: work.requestId, backend: place.backend.id, send: progress.sends }
+  log.record(DecisionKinds.ATTEMPT_SENT, {
+    ...facts,
+    running: place.backend.readLoad().running,
+    prefillTokens: place.backend.readLoad().prefillTokens,
+    keptTokens: place.choice.keptTokens,
+    leftMs: Math.round(work.deadline - sentAt),
+  })
+  try {
+    const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
+    progress.runs++
+    const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.stopWatch })
+    if (failed) return noteServerFailure(opts, work, place, failed, facts)
+    place.backend.outlier.noteSuccess()
+    return undefined
+  } catch (thrown) {
+    const error = attempt.signal.aborted && attempt.signal.reason instanceof PulleystackError ? withRan(attempt.signal.reason, thrown) : convertToError(thrown)
+    if (error.ran !== Ran.NO && progress.runs < progress.sends) progress.runs++
+    return noteServerFailure(opts, work, place, error, facts)
+  } finally {
+    attempt.release()
+    place.end()
+  }
+}
+
+/** Passes an answer on; gives an error for a server's own failure that another attempt may mend. */
+async function passOn (opts: RunOptions, it: {
+  work: RoutedWork
+  progress: RunProgress
+  place: BackendPlace
+  client: ClientAnswer
+  answer: ExchangeAnswer
+  noteBytes: () => void
+}): Promise<PulleystackError | undefined> {
+  const { work, progress, answer, client } = it
+  if (work.route.streams && answer.status === 200) {
+    await relayStream({ answer, client, progress: progress.stream, signal: work.signal, onFirstEvent: () => {
+      it.noteBytes()
+      it.place.notePrefilled()
+    } })
+    return undefined
+  }
+  const body = await answer.readWhole(MAX_BODY_BYTES)
+  it.noteBytes()
+  if (client.hasBegun) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server answered ${answer.status} where a stream was to go on`)
+  if (answer.status < 500) {
+    client.sendWhole(answer, body)
+    return undefined
+  }
+  progress.failure = { answer, body }
+  if (!mayRepeat(work)) {
+    client.sendWhole(answer, body)
+    return undefined
+  }
+  return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server answered ${answer.status}`)
+}
+
+function buildExchange (opts: RunOptions, work: RoutedWork, progress: RunProgress, place: BackendPlace): Omit<Parameters<typeof openExchange>[0], 'signal'> {
+  const headers = opts.protocol.buildForwardHeaders(work.rawHeaders, {
+    backendId: place.backend.id,
+    waitMs: Math.max(1, Math.floor(work.deadline - opts.clock.readTime())),
+    priority: work.route.priority,
+    lastEventId: progress.stream.lastEventId,
+    bodyBytes: work.body?.length,
+  })
+  return {
+    agent: opts.agent,
+    protocol: opts.protocol,
+    clock: opts.clock,
+    address: place.backend.entry.address,
+    method: work.method,
+    path: work.path,
+    headers,
+    body: work.body,
+    requestId: work.requestId,
+    connectMs: CONNECT_MS,
+  }
+}
+
+/** Ends with the request, or when a repeatable request's server says nothing for too long. */
+function createAttemptSignal (opts: RunOptions, work: RoutedWork): { signal: AbortSignal, stopWatch: () => void, release: () => void } {
+  const abort = new AbortController()
+  const leave = (): void => abort.abort(work.signal.reason)
+  if (work.signal.aborted) leave()
+  work.signal.addEventListener('abort', leave, { once: true })
+  const silenceMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_TARGETS)
+  const stopWatch = mayRepeat(work) && work.excluded.size + 1 < work.route.maxAttempts
+    ? opts.clock.setTimer(silenceMs, () => abort.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${Math.round(silenceMs)} ms`)))
+    : () => undefined
+  return {
+    signal: abort.signal,
+    stopWatch,
+    release: () => {
+      stopWatch()
+      work.signal.removeEventListener('abort', leave)
+    },
+  }
+}
+
+function noteServerFailure (
+  opts: RunOptions,
+  work: RoutedWork,
+  place: BackendPlace,
+  error: PulleystackError,
+  facts: { request: string, backend: string, send: number },
+): PulleystackError {
+  const { backend } = place
+  work.excluded.add(backend.id)
+  opts.log.record(DecisionKinds.ATTEMPT_FAILED, { ...facts, code: error.code, ran: error.ran, reason: error.message })
+  const isOwnFault = error.code === 'CALLER_GONE' || error.code === 'BACKEND_REFUSED' || work.signal.aborted
+  if (!isOwnFault && backend.outlier.noteFailure(opts.clock.readTime(), opts.random.readFraction())) {
+    opts.log.record(DecisionKinds.BACKEND_EJECTED, { backend: backend.id, address: backend.entry.address })
+  }
+  return error
+}
+
+/** Whether another attempt may be made; takes what it costs from the budget. */
+function mayRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
+  if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
+  if (progress.runs > 0 && !mayRepeat(work)) return false
+  if (progress.runs >= work.route.maxAttempts) return false
+  // A server that could not be connected to has seen nothing, so that this costs no budget.
+  const mustPay = error.code !== 'ATTEMPT_FAILED_NOT_RUN'
+  if (mustPay && !opts.findBudget(work.service.name).take()) return false
+  if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
+  return true
+}
+
+function mayRepeat (work: RoutedWork): boolean {
+  return work.route.repeat === RepeatModes.REPEATABLE
+}
+
+/** The error that says no more and no less than is known about whether the request ran. */
+function createFinalError (progress: RunProgress, cause: PulleystackError): PulleystackError {
+  return progress.runs === 0 ? cause : createUncertain(cause)
+}
+
+function createUncertain (cause: PulleystackError): PulleystackError {
+  if (cause.ran !== Ran.NO) return cause
+  return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', cause.message, { cause })
+}
+
+// The reason says why the attempt ended; whether it may have run is what the exchange knows.
+function withRan (reason: PulleystackError, thrown: unknown): PulleystackError {
+  const { ran } = convertToError(thrown)
+  return new PulleystackError(reason.code, reason.message, { cause: thrown, ran: ran === Ran.NO ? Ran.NO : Ran.UNKNOWN })
+}
--- /dev/null
+++ b/membership/mesh/src/index.ts
@@ -0,0 +1,2 @@
+export { InstanceMesh } from './InstanceMesh.js'
+export type { InstanceMeshOptions } from './InstanceMesh.js'
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -33,8 +33,10 @@
   port: number
   heartbeatMs: number
   suspectAfterMs: number
-  /** Secret that all peers share; without it only loopback is served. */
+  /** Secret that all peers share; without it only loopback is served, or a network that is said to be private. */
   secret?: string
+  /** Nobody but peers can reach the listener. */
+  privateNetwork?: boolean
   tls?: { ca: string, cert: string, key: string }
 }
 
@@ -142,6 +144,16 @@
     for (const link of this.links.values()) link.sendIdentity()
   }
 
+  /** Opens a link to whoever listens at an address, as to a seed whose name is not known; undefined when nobody does. */
+  async connect (address: string): Promise<PeerIdentity | undefined> {
+    const link = await this.dial(address)
+    return link?.identity
+  }
+
+  private get isProtected (): boolean {
+    return this.opts.secret !== undefined || this.opts.tls !== undefined || this.opts.privateNetwork === true
+  }
+
   private startDialling (instance: string): void {
     const abort = new AbortController()
     this.dialling.set(instance, abort)
@@ -174,7 +186,11 @@
 
   private open (instance: string): Promise<PeerLink | undefined> {
     const address = this.opts.findAddress(instance)
-    if (!address || this.stopped.signal.aborted) return Promise.resolve(undefined)
+    return address === undefined ? Promise.resolve(undefined) : this.dial(address)
+  }
+
+  private dial (address: string): Promise<PeerLink | undefined> {
+    if (address === '' || this.stopped.signal.aborted) return Promise.resolve(undefined)
     return new Promise((resolve) => {
       const { tls } = this.opts
       const socket = new WebSocket(`${tls ? 'wss' : 'ws'}://${address}`, {
@@ -197,7 +213,7 @@
 
   private accept (socket: WebSocket, request: http.IncomingMessage): void {
     const remote = request.socket.remoteAddress ?? ''
-    if (this.opts.secret === undefined && !this.opts.tls && !LOOPBACK.test(remote)) socket.terminate()
+    if (!this.isProtected && !LOOPBACK.test(remote)) socket.terminate()
     else this.createLink(socket, false)
   }
 
--- /dev/null
+++ b/placement/residency/src/ResidencyClient.ts
@@ -0,0 +1,21 @@
+/** Weights that a request needs and no usable server holds. */
+export interface WeightsNeed {
+  service: string
+  model: string
+  adapter: string | undefined
+  /** Milliseconds that the asker would wait. */
+  waitMs: number
+}
+
+/** What the one that places models says to a need. */
+export type NeedAnswer =
+  | { coming: true, /** Milliseconds until a server will likely hold it. */ expectedMs: number }
+  | { coming: false, reason: string }
+
+/** How the request path reaches the one that places models. */
+export abstract class ResidencyClient {
+  /** Asks for weights; answers at once or soon that they won't come when nobody who could load them is known to be well. */
+  abstract requestWeights (need: WeightsNeed): Promise<NeedAnswer>
+  /** Counts one request's demand. */
+  abstract noteDemand (demand: { service: string, model: string, adapter: string | undefined, promptTokens: number, outputTokens: number }): void
+}
--- /dev/null
+++ b/placement/residency/src/ServerOrders.ts
@@ -0,0 +1,95 @@
+import { OrderAnswers, type OrderAnswer, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
+import type { Clock } from '@pulleystack/core.clock'
+import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+
+/** Reports lag by some hundred milliseconds; one read sooner after an order may not show it. */
+const REPORT_LAG_MS = 160
+const POLL_MS = 60
+const SETTLE_EXTRA_MS = 3_000
+
+/** The right to order, as of now. */
+export interface OrderRight {
+  holder: string
+  fence: number
+}
+
+export interface ServerOrdersOptions {
+  clock: Clock
+  weights: WeightsClient
+  log: DecisionLog
+  backendId: string
+  address: string
+  /** Undefined while this instance may not order. */
+  readRight: () => OrderRight | undefined
+}
+
+/**
+ * Orders to one server, one after the other. Each names the sequence that the server must still have, so that an order
+ * carried out late, after another, is refused by the server itself and memory can't be promised twice.
+ */
+export class ServerOrders {
+  private sequence: number | undefined
+  private orderedAt = -Infinity
+  private queue: Promise<unknown> = Promise.resolve()
+  private pending = 0
+
+  constructor (private readonly opts: ServerOrdersOptions) {}
+
+  /** An order is under way or waits. */
+  get isBusy (): boolean {
+    return this.pending > 0
+  }
+
+  /** Runs a task when all earlier ones have ended. */
+  enqueue<T> (task: () => Promise<T>): Promise<T> {
+    this.pending++
+    const running = this.queue.then(task).finally(() => {
+      this.pending--
+    })
+    this.queue = running.catch(() => undefined)
+    return running
+  }
+
+  /** The server's state with every order of this instance in it; undefined when it can't be read. */
+  async readSettled (): Promise<WeightsState | undefined> {
+    const sinceOrder = this.opts.clock.readTime() - this.orderedAt
+    if (sinceOrder < REPORT_LAG_MS) await this.opts.clock.wait(REPORT_LAG_MS - sinceOrder)
+    const read = await this.opts.weights.readState({ address: this.opts.address, backendId: this.opts.backendId })
+    if (read.isErr()) return undefined
+    this.sequence = read.value.sequence
+    return read.value
+  }
+
+  /** Sends one order at the sequence last known; undefined when it was not answered or the right to order has gone. */
+  async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<OrderAnswer | undefined> {
+    const right = this.opts.readRight()
+    if (!right || this.sequence === undefined) return undefined
+    const { clock, weights, log, backendId, address } = this.opts
+    const order = { action, model, adapter, expectedSequence: this.sequence, ...right }
+    this.orderedAt = clock.readTime()
+    log.record(DecisionKinds.ORDER_SENT, { backend: backendId, action, model, adapter, sequence: this.sequence, fence: right.fence })
+    const answer = await weights.sendOrder({ address, backendId }, order)
+    if (answer.isOk()) {
+      // An adapter that goes at once is answered like one that was never there, though it counts as an order.
+      if (answer.value === OrderAnswers.TAKEN) this.sequence++
+      else this.sequence = undefined
+    } else {
+      this.sequence = undefined
+    }
+    log.record(DecisionKinds.ORDER_SETTLED, { backend: backendId, action, model, adapter, answer: answer.isOk() ? answer.value : answer.error.code })
+    return answer.isOk() ? answer.value : undefined
+  }
+
+  /** Waits until the server's state is as asked; undefined when it does not become so in time. */
+  async waitFor (isReached: (state: WeightsState) => boolean, expectedMs: number): Promise<WeightsState | undefined> {
+    const { clock } = this.opts
+    const until = clock.readTime() + expectedMs + SETTLE_EXTRA_MS
+    await clock.wait(expectedMs)
+    while (clock.readTime() < until) {
+      const state = await this.readSettled()
+      if (state && !state.busy && isReached(state)) return state
+      await clock.wait(POLL_MS)
+    }
+    return undefined
+  }
+}
--- /dev/null
+++ b/program/entry/src/EntrySettings.ts
@@ -0,0 +1,30 @@
+/** Bounds that every entry instance keeps. */
+export interface EntryBounds {
+  /** Further attempts for each request and beside those, in one window, over all instances. */
+  retryRatio: number
+  retryExtra: number
+  retryWindowMs: number
+  /** Life of the placement lease. */
+  leaseMs: number
+  /** Window in which loads from the weight store are counted, and how far they may go over the rate. */
+  loadWindowMs: number
+  loadOver: number
+  /** Time between the request to stop and the end of the process. */
+  graceMs: number
+}
+
+/** What one entry instance is told at its start. */
+export interface EntrySettings {
+  instance: string
+  region: string
+  zone: string
+  /** host:port where clients connect. */
+  clientAddress: string
+  /** host:port where other instances connect. */
+  peerAddress: string
+  /** Peer addresses of some instances. */
+  seeds: readonly string[]
+  /** Milliseconds for which clients may keep the list of addresses. */
+  directoryLifetimeMs: number
+  bounds: EntryBounds
+}
--- /dev/null
+++ b/program/entry/src/index.ts
@@ -0,0 +1,8 @@
+export { EntryPhases, startEntry } from './startEntry.js'
+export type { Entry, EntryPhase } from './startEntry.js'
+export type { EntryBounds, EntrySettings } from './EntrySettings.js'
+export type { EntryDependencies, EntrySources } from './EntrySources.js'
+export { listAddresses } from './listAddresses.js'
+export { listenForClients } from './listenForClients.js'
+export type { ClientListener } from './listenForClients.js'
+export { stopEntry } from './stopEntry.js'
--- /dev/null
+++ b/program/entry/src/listenForClients.ts
@@ -0,0 +1,48 @@
+import http from 'node:http'
+import { parseAddress } from '@pulleystack/core.addresses'
+import type { Entry } from './startEntry.js'
+
+const HEADER_BYTES = 32 << 10
+const DEFAULT_IDLE_MS = 60_000
+const DEFAULT_HEADER_MS = 10_000
+const LIMITS_MS = 500
+
+/** The listener for routed requests. */
+export interface ClientListener {
+  /** Ends connections on which no request is under way. */
+  closeIdle: () => void
+  /** Takes no new connections. */
+  close: () => void
+}
+
+/** Serves routed requests at the instance's client address. */
+export async function listenForClients (entry: Entry): Promise<ClientListener> {
+  const options: http.ServerOptions = { maxHeaderSize: HEADER_BYTES, requestTimeout: 0, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_MS }
+  const server = http.createServer(options, (request, response) => {
+    // Parts of a request that was refused may still come; they must not end the process.
+    request.on('error', () => undefined)
+    response.on('error', () => undefined)
+    void entry.gateway.handle(request, response)
+  })
+  server.on('clientError', (_, socket) => {
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    else socket.destroy()
+  })
+  const { host, port } = parseAddress(entry.settings.clientAddress)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  void keepLimits(entry, server)
+  return { closeIdle: () => server.closeIdleConnections(), close: () => server.close() }
+}
+
+/** Takes limits on clients' connections from the configuration in force. */
+async function keepLimits (entry: Entry, server: http.Server): Promise<void> {
+  while (!entry.ended.signal.aborted) {
+    const limits = entry.readTable()?.config.limits
+    server.keepAliveTimeout = limits?.idleTimeoutMs ?? DEFAULT_IDLE_MS
+    server.headersTimeout = limits?.headerTimeoutMs ?? DEFAULT_HEADER_MS
+    await entry.clock.wait(LIMITS_MS, entry.ended.signal)
+  }
+}
--- /dev/null
+++ b/program/entry/src/startEntry.ts
@@ -0,0 +1,205 @@
+import { randomUUID } from 'node:crypto'
+import type { RouteTable } from '@pulleystack/config.routes'
+import { parseAddress } from '@pulleystack/core.addresses'
+import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
+import { createLogger } from '@pulleystack/core.logging'
+import { BackendQueue, RoutedGateway } from '@pulleystack/gateway.routed'
+import { InstanceMesh } from '@pulleystack/membership.mesh'
+import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
+import { ShardLease } from '@pulleystack/placement.ledger'
+import { ResidencyHolder, ResidencyService } from '@pulleystack/placement.residency'
+import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
+import { BackendAgent } from '@pulleystack/routing.forward'
+import { WindowBudget } from '@pulleystack/routing.retries'
+import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { EntryMetrics } from './EntryMetrics.js'
+import type { EntrySettings } from './EntrySettings.js'
+import type { EntryDependencies } from './EntrySources.js'
+import { watchSources } from './watchSources.js'
+
+const HEARTBEAT_MS = 500
+const SUSPECT_AFTER_MS = 1_600
+const ORDER_DELAY_MS = 1_000
+const SHARD = 'residency'
+
+/** Where an instance stands between its start and its end. */
+export const EntryPhases = {
+  /** Knows no configuration or no servers yet. */
+  STARTING: 'starting',
+  READY: 'ready',
+  /** Serves what comes, but clients are told to go elsewhere. */
+  LEAVING: 'leaving',
+  /** Only finishes what it has in hand. */
+  ENDING: 'ending',
+} as const
+export type EntryPhase = typeof EntryPhases[keyof typeof EntryPhases]
+
+/** One running entry instance for routed requests. */
+export interface Entry {
+  settings: EntrySettings
+  clock: Clock
+  log: DecisionLog
+  gateway: RoutedGateway
+  mesh: InstanceMesh
+  network: WebSocketNetwork
+  residency: ResidencyService
+  metrics: EntryMetrics
+  fleet: BackendFleet
+  readTable: () => RouteTable | undefined
+  readPhase: () => EntryPhase
+  setPhase: (phase: EntryPhase) => void
+  ended: AbortController
+}
+
+/** Starts everything but the listeners for clients. */
+export async function startEntry (
+  settings: EntrySettings,
+  deps: EntryDependencies,
+  it: { log: DecisionLog, clock?: Clock, random?: RandomSource },
+): Promise<Entry> {
+  const clock = it.clock ?? new SystemClock()
+  const random = it.random ?? new RandomSource()
+  const { log } = it
+  const ended = new AbortController()
+  const state: { table: RouteTable | undefined, phase: EntryPhase } = { table: undefined, phase: EntryPhases.STARTING }
+  const fleet = new BackendFleet()
+  const { network, mesh } = createMesh({ settings, deps, clock, random, log })
+  const residency = createResidency({ settings, deps, clock, log, fleet, network, mesh, readTable: () => state.table, onChange: () => queue.pump() })
+  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.zone })
+  const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
+  const gateway = new RoutedGateway({
+    clock,
+    random,
+    log,
+    agent: new BackendAgent(clock),
+    protocol: deps.protocol,
+    queue,
+    residency,
+    findBudget: createBudgets(settings, clock, mesh),
+    readTable: () => state.table,
+    mustRefuse: () => state.phase === EntryPhases.ENDING,
+    mustClose: () => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING,
+    onOutcome: (outcome) => metrics.countOutcome(outcome),
+  })
+  const setPhase = (phase: EntryPhase): void => {
+    state.phase = phase
+    mesh.announce({ leaving: phase !== EntryPhases.READY })
+  }
+  await network.start()
+  mesh.start(ended.signal)
+  shareLoads({ clock, network, fleet, onChange: () => queue.pump() }, ended.signal)
+  residency.start(ended.signal)
+  const noteReady = (): void => {
+    if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
+  }
+  fleet.changes.subscribe(noteReady)
+  watchSources({
+    clock,
+    random,
+    store: deps.store,
+    sources: deps.sources,
+    fleet,
+    log,
+    signal: ended.signal,
+    onTable: (table) => {
+      state.table = table
+      noteReady()
+      queue.pump()
+    },
+  })
+  log.record(DecisionKinds.STARTED, { instance: settings.instance, zone: settings.zone, address: settings.clientAddress })
+  const readTable = (): RouteTable | undefined => state.table
+  return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, ended }
+}
+
+interface Parts {
+  settings: EntrySettings
+  deps: EntryDependencies
+  clock: Clock
+  log: DecisionLog
+}
+
+function createMesh (parts: Parts & { random: RandomSource }): { network: WebSocketNetwork, mesh: InstanceMesh } {
+  const { settings, deps, clock, random, log } = parts
+  const self: PeerIdentity = {
+    instance: settings.instance,
+    // Wall time makes a restarted instance outrank what is still told about its former life.
+    incarnation: Math.floor(clock.readWallTime()),
+    address: settings.clientAddress,
+    peerAddress: settings.peerAddress,
+    region: settings.region,
+    dataHall: settings.zone,
+    leaving: true,
+  }
+  const { host, port } = parseAddress(settings.peerAddress)
+  const network = new WebSocketNetwork({
+    clock,
+    random,
+    logger: createLogger({ name: settings.instance, level: 'error' }),
+    host,
+    port,
+    readIdentity: () => self,
+    findAddress: (instance) => mesh.findAddress(instance),
+    heartbeatMs: HEARTBEAT_MS,
+    suspectAfterMs: SUSPECT_AFTER_MS,
+    privateNetwork: true,
+  })
+  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds })
+  return { network, mesh }
+}
+
+interface ResidencyParts extends Parts {
+  fleet: BackendFleet
+  network: WebSocketNetwork
+  mesh: InstanceMesh
+  readTable: () => RouteTable | undefined
+  onChange: () => void
+}
+
+function createResidency (parts: ResidencyParts): ResidencyService {
+  const { settings, deps, clock, log, fleet, network, mesh } = parts
+  const life = `${settings.instance}@${mesh.self.incarnation}`
+  const lease = new ShardLease({
+    clock,
+    store: deps.store,
+    shard: SHARD,
+    holder: life,
+    leaseMs: settings.bounds.leaseMs,
+    orderDelayMs: ORDER_DELAY_MS,
+    createOperation: randomUUID,
+  })
+  const holder = new ResidencyHolder({
+    clock,
+    fleet,
+    weights: deps.weights,
+    log,
+    readTable: parts.readTable,
+    readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
+    onAdapter: (change) => residency.spreadAdapter(change),
+  })
+  const residency: ResidencyService = new ResidencyService({
+    clock,
+    network,
+    fleet,
+    log,
+    instance: settings.instance,
+    lease,
+    holder,
+    listCandidates: () => [mesh.self, ...mesh.listLive()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
+    onChange: parts.onChange,
+  })
+  return residency
+}
+
+function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
+  const budgets = new Map<string, WindowBudget>()
+  const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
+  return (service) => {
+    const present = budgets.get(service)
+    if (present) return present
+    const countInstances = (): number => Math.max(mesh.listKnown().length, mesh.listLive().length) + 1
+    const created = new WindowBudget({ clock, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs, countInstances })
+    budgets.set(service, created)
+    return created
+  }
+}
--- /dev/null
+++ b/routing/fleet/src/Backend.ts
@@ -0,0 +1,51 @@
+import { OutlierDetector } from '@pulleystack/routing.retries'
+import { holdsWeights, type BackendEntry } from './BackendEntry.js'
+import { NO_LOAD, sumTallies, type LoadTally } from './LoadTally.js'
+import { PrefixMemory } from './PrefixMemory.js'
+
+const DEFAULT_CACHE_TOKENS = 200_000
+
+/** One backend server as this instance sees it. */
+export class Backend {
+  /** What this instance has in hand there. */
+  readonly own: LoadTally = { ...NO_LOAD }
+  /** What other instances said they have in hand there, by instance. */
+  readonly others = new Map<string, LoadTally>()
+  readonly outlier = new OutlierDetector()
+  readonly prefixes = new PrefixMemory(DEFAULT_CACHE_TOKENS)
+  /** Adapters that were loaded or dropped since the entry was written, by model. */
+  private readonly adapterChanges = new Map<string, Map<string, boolean>>()
+
+  constructor (public entry: BackendEntry) {}
+
+  get id (): string {
+    return this.entry.id
+  }
+
+  /** What all instances together have in hand there. */
+  readLoad (): LoadTally {
+    return sumTallies([this.own, ...this.others.values()])
+  }
+
+  /** Whether it has the model, and the adapter if one is named. */
+  holds (model: string, adapter?: string): boolean {
+    if (!holdsWeights(this.entry, model)) return false
+    if (adapter === undefined) return true
+    return this.adapterChanges.get(model)?.get(adapter) ?? holdsWeights(this.entry, model, adapter)
+  }
+
+  /** Notes an adapter loaded or dropped before the server's entry tells it. */
+  noteAdapter (model: string, adapter: string, present: boolean): void {
+    const changes = this.adapterChanges.get(model) ?? new Map<string, boolean>()
+    changes.set(adapter, present)
+    this.adapterChanges.set(model, changes)
+  }
+
+  /** Takes a newer entry. A model that went has taken its adapters along. */
+  update (entry: BackendEntry): void {
+    for (const model of this.adapterChanges.keys()) {
+      if (!holdsWeights(entry, model)) this.adapterChanges.delete(model)
+    }
+    this.entry = entry
+  }
+}
--- /dev/null
+++ b/routing/fleet/src/BackendEntry.ts
@@ -0,0 +1,35 @@
+/** A model in a server's accelerator memory. */
+export interface ResidentModel {
+  name: string
+  adapters: readonly string[]
+}
+
+/** What a backend server says of itself. */
+export interface BackendEntry {
+  /** One start of one server; a restart has another. */
+  id: string
+  service: string
+  /** host:port; may be given to another server after this one has ended. */
+  address: string
+  zone: string
+  /** Requests that it works on at a time. */
+  slots: number
+  /** It leaves and takes no new requests. */
+  draining: boolean
+  /** Models in accelerator memory; undefined for servers without models. */
+  models: readonly ResidentModel[] | undefined
+  /** Models of which copies lie in host memory or on disk. */
+  inMemory: readonly string[]
+  onDisk: readonly string[]
+}
+
+/** The name of a model or, with an adapter, of the pair. */
+export function nameWeights (model: string, adapter: string | undefined): string {
+  return adapter === undefined ? model : `${model}/${adapter}`
+}
+
+/** Whether a server has a model, and the adapter if one is named. */
+export function holdsWeights (entry: BackendEntry, model: string, adapter?: string): boolean {
+  const held = entry.models?.find((it) => it.name === model)
+  return held !== undefined && (adapter === undefined || held.adapters.includes(adapter))
+}
--- /dev/null
+++ b/routing/fleet/src/BackendFleet.ts
@@ -0,0 +1,78 @@
+import { Subject, type Observable } from 'rxjs'
+import { Backend } from './Backend.js'
+import type { BackendEntry } from './BackendEntry.js'
+import type { LoadTally } from './LoadTally.js'
+
+/** What changed in the fleet. */
+export interface FleetChange {
+  kind: 'added' | 'updated' | 'removed'
+  backend: Backend
+}
+
+/** All backend servers, as the directory of servers and the other instances tell. */
+export class BackendFleet {
+  private readonly backends = new Map<string, Backend>()
+  private readonly byService = new Map<string, Backend[]>()
+  private readonly subject = new Subject<FleetChange>()
+
+  get changes (): Observable<FleetChange> {
+    return this.subject
+  }
+
+  find (id: string): Backend | undefined {
+    return this.backends.get(id)
+  }
+
+  /** Servers of a service, also those that leave. */
+  list (service: string): readonly Backend[] {
+    return this.byService.get(service) ?? []
+  }
+
+  listAll (): Backend[] {
+    return [...this.backends.values()]
+  }
+
+  /** Takes the whole directory; servers that it leaves out are gone. */
+  replaceAll (entries: readonly BackendEntry[]): void {
+    const present = new Set(entries.map((entry) => entry.id))
+    for (const id of [...this.backends.keys()]) {
+      if (!present.has(id)) this.remove(id)
+    }
+    for (const entry of entries) this.put(entry)
+  }
+
+  /** Takes one new or changed entry. */
+  put (entry: BackendEntry): void {
+    const present = this.backends.get(entry.id)
+    if (present) {
+      present.update(entry)
+      this.subject.next({ kind: 'updated', backend: present })
+      return
+    }
+    const backend = new Backend(entry)
+    this.backends.set(entry.id, backend)
+    this.rebuildService(entry.service)
+    this.subject.next({ kind: 'added', backend })
+  }
+
+  remove (id: string): void {
+    const backend = this.backends.get(id)
+    if (!backend) return
+    this.backends.delete(id)
+    this.rebuildService(backend.entry.service)
+    this.subject.next({ kind: 'removed', backend })
+  }
+
+  /** Takes what another instance has in hand; servers that it doesn't name have nothing from it. */
+  applyPeerLoads (instance: string, loads: ReadonlyMap<string, LoadTally>): void {
+    for (const backend of this.backends.values()) {
+      const tally = loads.get(backend.id)
+      if (tally) backend.others.set(instance, tally)
+      else backend.others.delete(instance)
+    }
+  }
+
+  private rebuildService (service: string): void {
+    this.byService.set(service, [...this.backends.values()].filter((backend) => backend.entry.service === service))
+  }
+}
--- /dev/null
+++ b/routing/fleet/src/chooseBackend.ts
@@ -0,0 +1,100 @@
+import type { RandomSource } from '@pulleystack/core.clock'
+import { listUsable } from '@pulleystack/routing.retries'
+import type { Backend } from './Backend.js'
+import { nameWeights } from './BackendEntry.js'
+import type { PromptPart } from './PrefixMemory.js'
+
+/** Generation that a request asks for. */
+export interface GenerationDemand {
+  model: string
+  adapter: string | undefined
+  promptTokens: number
+  /** Tokens that will likely come out. */
+  outputTokens: number
+  parts: readonly PromptPart[]
+}
+
+/** What a backend server is wanted for. */
+export interface BackendDemand {
+  zone: string
+  /** Servers that failed this request already. */
+  excluded: ReadonlySet<string>
+  generation: GenerationDemand | undefined
+  /** Most requests at a time over the server's own slots that this request puts up with. */
+  queueShare: number
+}
+
+/** Why no backend server was chosen. */
+export const ChoiceFailures = {
+  /** No server of the service is known, in use and not leaving. */
+  NO_BACKEND: 'no-backend',
+  /** No server holds the model or adapter. */
+  NOT_RESIDENT: 'not-resident',
+  /** All that hold it are full. */
+  FULL: 'full',
+} as const
+export type ChoiceFailure = typeof ChoiceFailures[keyof typeof ChoiceFailures]
+
+/** A chosen backend server. */
+export interface BackendChoice {
+  backend: Backend
+  /** Tokens of the prompt that it has likely read before. */
+  keptTokens: number
+}
+
+/** Figures of a service's model servers that the choice uses. */
+export interface ServingFigures {
+  cacheTokens: number
+  batchSlots: number
+}
+
+const PREFILL_TOKENS_PER_MS = 30
+// Each further request in the batch makes every token of the others a little later.
+const BATCH_MS_PER_REQUEST = 4
+const OTHER_ZONE_MS = 4
+const CACHE_SHARE = 0.92
+
+/** Chooses the backend server that will likely answer first. */
+export function chooseBackend (opts: {
+  backends: readonly Backend[]
+  demand: BackendDemand
+  figures: ServingFigures | undefined
+  random: RandomSource
+  now: number
+}): BackendChoice | ChoiceFailure {
+  const { demand, now } = opts
+  const present = opts.backends.filter((backend) => !backend.entry.draining)
+  if (present.length === 0) return ChoiceFailures.NO_BACKEND
+  const { generation } = demand
+  const holding = generation ? present.filter((backend) => backend.holds(generation.model, generation.adapter)) : present
+  if (holding.length === 0) return ChoiceFailures.NOT_RESIDENT
+  const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
+  const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
+  if (fresh.length === 0) return ChoiceFailures.NO_BACKEND
+  const rated = fresh.flatMap((backend) => rateBackend(backend, opts) ?? [])
+  if (rated.length === 0) return ChoiceFailures.FULL
+  return rated.reduce((best, it) => it.cost < best.cost ? it : best)
+}
+
+interface RatedBackend extends BackendChoice {
+  cost: number
+}
+
+function rateBackend (backend: Backend, opts: { demand: BackendDemand, figures: ServingFigures | undefined, random: RandomSource }): RatedBackend | undefined {
+  const { demand, figures } = opts
+  const load = backend.readLoad()
+  const zoneMs = backend.entry.zone === demand.zone ? 0 : OTHER_ZONE_MS
+  // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
+  const jitter = opts.random.readFraction()
+  if (!demand.generation || !figures) {
+    if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return undefined
+    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + zoneMs + jitter }
+  }
+  const { generation } = demand
+  const keptTokens = backend.prefixes.countKept(nameWeights(generation.model, generation.adapter), generation.parts)
+  if (load.running >= figures.batchSlots) return undefined
+  const needed = generation.promptTokens + generation.outputTokens
+  if (load.running > 0 && load.cacheTokens + needed > figures.cacheTokens * CACHE_SHARE) return undefined
+  const prefillMs = (load.prefillTokens + generation.promptTokens - keptTokens) / PREFILL_TOKENS_PER_MS
+  return { backend, keptTokens, cost: prefillMs + load.running * BATCH_MS_PER_REQUEST + zoneMs + jitter }
+}
--- /dev/null
+++ b/routing/forward/src/index.ts
@@ -0,0 +1,6 @@
+export { BackendAgent } from './BackendAgent.js'
+export { EventSplitter } from './EventSplitter.js'
+export type { StreamEvent } from './EventSplitter.js'
+export { ExchangeAnswer } from './ExchangeAnswer.js'
+export { openExchange } from './openExchange.js'
+export type { ExchangeOptions } from './openExchange.js'
--- /dev/null
+++ b/routing/retries/src/WindowBudget.ts
@@ -0,0 +1,63 @@
+import type { Clock } from '@pulleystack/core.clock'
+
+const BUCKETS = 10
+
+export interface WindowBudgetOptions {
+  clock: Clock
+  /** Further attempts for each request. */
+  ratio: number
+  /** Further attempts beside those, in one window, over all instances. */
+  extra: number
+  windowMs: number
+  /** Instances that draw on the same budget. */
+  countInstances: () => number
+}
+
+/**
+ * Further attempts that one instance may cause at a service in any window of time, so that all instances together stay
+ * within a common bound: a share of its own requests and its part of the fixed extra.
+ */
+export class WindowBudget {
+  private readonly requests = new Array<number>(BUCKETS).fill(0)
+  private readonly attempts = new Array<number>(BUCKETS).fill(0)
+  private newest = 0
+
+  constructor (private readonly opts: WindowBudgetOptions) {}
+
+  /** Counts a request of a client. */
+  noteRequest (): void {
+    const bucket = this.turn()
+    this.requests[bucket] = (this.requests[bucket] ?? 0) + 1
+  }
+
+  /** Takes the right to one further attempt; false when there is none. */
+  take (): boolean {
+    const bucket = this.turn()
+    if (this.left < 1) return false
+    this.attempts[bucket] = (this.attempts[bucket] ?? 0) + 1
+    return true
+  }
+
+  /** Further attempts that could be taken now. */
+  get left (): number {
+    this.turn()
+    const { ratio, extra, countInstances } = this.opts
+    const part = Math.floor(extra / Math.max(1, countInstances()))
+    return ratio * sum(this.requests) + part - sum(this.attempts)
+  }
+
+  /** Empties the buckets whose time has passed; gives the one of now. */
+  private turn (): number {
+    const now = Math.floor(this.opts.clock.readTime() / (this.opts.windowMs / BUCKETS))
+    for (let at = Math.max(this.newest + 1, now - BUCKETS + 1); at <= now; at++) {
+      this.requests[at % BUCKETS] = 0
+      this.attempts[at % BUCKETS] = 0
+    }
+    this.newest = Math.max(this.newest, now)
+    return now % BUCKETS
+  }
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
--- a/routing/retries/src/index.ts
+++ b/routing/retries/src/index.ts
@@ -1,4 +1,6 @@
 export { RetryBudget } from './RetryBudget.js'
+export { WindowBudget } from './WindowBudget.js'
+export type { WindowBudgetOptions } from './WindowBudget.js'
 export { OutlierDetector, listUsable } from './OutlierDetector.js'
 export type { Ejectable } from './OutlierDetector.js'
 export { computeBackoff } from './computeBackoff.js'
--- /dev/null
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -0,0 +1,46 @@
+/** Every kind of decision that is logged; docs/OPERATIONS.md explains them. */
+export const DecisionKinds = {
+  /** Life of the process. */
+  STARTED: 'started',
+  STOPPING: 'stopping',
+  STOPPED: 'stopped',
+  RELOADED: 'reloaded',
+  DEPENDENCY_LOST: 'dependency-lost',
+  DEPENDENCY_REGAINED: 'dependency-regained',
+  /** What the process believes. */
+  CONFIG_APPLIED: 'config-applied',
+  BACKEND_ADDED: 'backend-added',
+  BACKEND_CHANGED: 'backend-changed',
+  BACKEND_REMOVED: 'backend-removed',
+  BACKEND_EJECTED: 'backend-ejected',
+  PEER_JOINED: 'peer-joined',
+  PEER_LOST: 'peer-lost',
+  HOLDER_CHANGED: 'holder-changed',
+  LEASE_TAKEN: 'lease-taken',
+  LEASE_LOST: 'lease-lost',
+  /** One request. */
+  REQUEST_WAITING: 'request-waiting',
+  ATTEMPT_SENT: 'attempt-sent',
+  ATTEMPT_FAILED: 'attempt-failed',
+  STREAM_RESUMED: 'stream-resumed',
+  REQUEST_ENDED: 'request-ended',
+  /** Placement. */
+  ORDER_SENT: 'order-sent',
+  ORDER_SETTLED: 'order-settled',
+} as const
+export type DecisionKind = typeof DecisionKinds[keyof typeof DecisionKinds]
+
+/** Facts of one line: plain JSON, times in milliseconds. */
+export type DecisionFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
+
+/** Takes the lines; never fails and never holds its caller up. */
+export abstract class DecisionLog {
+  abstract record (kind: DecisionKind, fields: DecisionFields): void
+}
+
+/** Takes lines and does nothing with them. */
+export class SilentDecisionLog extends DecisionLog {
+  record (): void {
+    // Nothing is kept.
+  }
+}
