--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -16,13 +16,14 @@
   private prefilling: number
   private ended = false
 
-  constructor (readonly choice: BackendChoice, private readonly work: RoutedWork, private readonly release: () => void) {
+  constructor (readonly choice: BackendChoice, private readonly work: RoutedWork, private readonly onChange: (isOver: boolean) => void) {
     this.prefilling = Math.max(0, (work.generation?.promptTokens ?? 0) - choice.keptTokens)
     const { own } = choice.backend
     own.running++
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
     const { generation } = work
+    onChange(false)
     if (generation) choice.backend.prefixes.note(nameWeights(generation.model, generation.adapter), generation.parts)
   }
 
@@ -32,8 +33,10 @@
 
   /** The server has read the prompt. */
   notePrefilled (): void {
+    if (this.prefilling === 0) return
     this.backend.own.prefillTokens -= this.prefilling
     this.prefilling = 0
+    this.onChange(false)
   }
 
   end (): void {
@@ -42,7 +45,7 @@
     this.notePrefilled()
     this.backend.own.running--
     this.backend.own.cacheTokens -= this.cacheTokens
-    this.release()
+    this.onChange(true)
   }
 
   private get cacheTokens (): number {
@@ -112,7 +115,11 @@
       random: this.opts.random,
       now: this.opts.clock.readTime(),
     })
-    return typeof choice === 'string' ? choice : new BackendPlace(choice, work, () => this.pump())
+    if (typeof choice === 'string') return choice
+    return new BackendPlace(choice, work, (isOver) => {
+      this.opts.fleet.noteLoadChange()
+      if (isOver) this.pump()
+    })
   }
 
   private wait (work: RoutedWork): Promise<BackendPlace> {
--- a/gateway/routed/src/ClientAnswer.ts
+++ b/gateway/routed/src/ClientAnswer.ts
@@ -1,5 +1,4 @@
 import type http from 'node:http'
-import { once } from 'node:events'
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { Ran } from '@pulleystack/core.errors'
 import type { ExchangeAnswer } from '@pulleystack/routing.forward'
@@ -36,10 +35,14 @@
     this.writeHead(answer, listEndToEnd(answer.rawHeaders, WITH_OWN_LENGTH))
   }
 
-  /** Passes bytes on; resolves once the client's connection takes more. */
-  async write (bytes: Buffer, signal: AbortSignal): Promise<void> {
-    if (this.opts.response.write(bytes)) return
-    await once(this.opts.response, 'drain', { signal })
+  /** Passes bytes on; false when the client should be waited for with `onDrain`. */
+  write (bytes: Buffer): boolean {
+    return this.opts.response.write(bytes)
+  }
+
+  /** Calls once the client's connection takes more. */
+  onDrain (resume: () => void): void {
+    this.opts.response.once('drain', resume)
   }
 
   endStream (): void {
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,5 +1,6 @@
 import { EventSplitter, type ExchangeAnswer } from '@pulleystack/routing.forward'
 import type { ClientAnswer } from './ClientAnswer.js'
+import type { StreamPace } from './StreamPace.js'
 
 /** How far a stream has come, over all attempts. */
 export interface StreamProgress {
@@ -8,34 +9,58 @@
   events: number
 }
 
-/**
- * Passes a stream on event by event, so that one that breaks off can be taken up behind the last whole event. The head of
- * the first answer stays when later ones go on. Rejects when the stream breaks off.
- */
-export async function relayStream (opts: {
+export interface RelayOptions {
   answer: ExchangeAnswer
   client: ClientAnswer
   progress: StreamProgress
-  signal: AbortSignal
+  pace: StreamPace
   onFirstEvent: () => void
-}): Promise<void> {
-  const { answer, client, progress, signal } = opts
+}
+
+/**
+ * Passes a stream on event by event, so that one that breaks off can be taken up behind the last whole event. The head of
+ * the first answer stays when later ones go on. Rejects when the stream breaks off.
+ */
+export async function relayStream (opts: RelayOptions): Promise<void> {
+  const { answer, client, pace } = opts
   const splitter = new EventSplitter()
+  let gathered: Buffer[] = []
   let isFirst = true
-  for await (const chunk of answer.readChunks()) {
-    const events = splitter.push(chunk)
-    if (events.length === 0) continue
-    if (isFirst) opts.onFirstEvent()
-    isFirst = false
-    if (!client.hasBegun) client.beginStream(answer)
-    for (const event of events) {
-      progress.lastEventId = event.id ?? progress.lastEventId
-      progress.events++
-    }
-    await client.write(Buffer.concat(events.map((event) => event.bytes)), signal)
+  const flush = (): void => {
+    if (gathered.length === 0) return
+    const bytes = gathered.length === 1 ? gathered[0] as Buffer : Buffer.concat(gathered)
+    gathered = []
+    if (client.write(bytes)) return
+    answer.pause()
+    client.onDrain(() => answer.resume())
+  }
+  try {
+    await answer.read((chunk) => {
+      for (const event of splitter.push(chunk)) {
+        noteEvent(opts.progress, event.id)
+        gathered.push(event.bytes)
+      }
+      if (gathered.length === 0) return
+      if (!isFirst) {
+        pace.schedule(flush)
+        return
+      }
+      isFirst = false
+      opts.onFirstEvent()
+      if (!client.hasBegun) client.beginStream(answer)
+      flush()
+    })
+  } finally {
+    // Whole events that have come are the client's, also when the stream breaks off behind them.
+    flush()
   }
   if (!client.hasBegun) client.beginStream(answer)
   const rest = splitter.takeRest()
-  if (rest.length > 0) await client.write(rest, signal)
+  if (rest.length > 0) client.write(rest)
   client.endStream()
 }
+
+function noteEvent (progress: StreamProgress, id: string | undefined): void {
+  progress.lastEventId = id ?? progress.lastEventId
+  progress.events++
+}
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -10,6 +10,7 @@
 import type { ClientAnswer } from './ClientAnswer.js'
 import { relayStream, type StreamProgress } from './relayStream.js'
 import type { RoutedWork } from './RoutedWork.js'
+import type { StreamPace } from './StreamPace.js'
 
 const CONNECT_MS = 300
 const MAX_BODY_BYTES = 32 << 20
@@ -26,6 +27,8 @@
   agent: BackendAgent
   protocol: RoutedProtocol
   queue: BackendQueue
+  /** When events that came close together are written. */
+  pace: StreamPace
   log: DecisionLog
   findBudget: (service: string) => WindowBudget
 }
@@ -114,7 +117,7 @@
 }): Promise<PulleystackError | undefined> {
   const { work, progress, answer, client } = it
   if (work.route.streams && answer.status === 200) {
-    await relayStream({ answer, client, progress: progress.stream, signal: work.signal, onFirstEvent: () => {
+    await relayStream({ answer, client, progress: progress.stream, pace: opts.pace, onFirstEvent: () => {
       it.noteBytes()
       it.place.notePrefilled()
     } })
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -10,16 +10,20 @@
 import { ResidencyClient } from './ResidencyClient.js'
 import type { ResidencyHolder } from './ResidencyHolder.js'
 
-const TICK_MS = 200
-const RENEW_MS = 800
-const BEAT_MS = 400
-const PLAN_MS = 1_000
-const DEMAND_MS = 400
-/** A holder that was not heard for this long is not known to be well. */
-const HOLDER_SILENT_MS = 1_300
+/** Times as shares of the lease's life. */
+const Shares = {
+  HOLDER_TICK: 1 / 15,
+  OTHER_TICK: 1 / 6,
+  RENEW: 0.27,
+  BEAT: 0.13,
+  PLAN: 1 / 3,
+  DEMAND: 0.15,
+  /** A holder that was not heard for this long is not known to be well. */
+  HOLDER_SILENT: 0.45,
+  TAKE: 1 / 6,
+  QUIET_BEFORE_RELEASE: 0.7,
+} as const
 const CALL_MS = 500
-const TAKE_MS = 500
-const QUIET_BEFORE_RELEASE_MS = 1_200
 
 export interface ResidencyServiceOptions {
   clock: Clock
@@ -28,6 +32,7 @@
   log: DecisionLog
   instance: string
   lease: ShardLease
+  leaseMs: number
   holder: ResidencyHolder
   /** Live instances that could hold the lease, this one among them while it can. */
   listCandidates: () => readonly string[]
@@ -35,6 +40,8 @@
   onChange: () => void
 }
 
+type Task = 'RENEW' | 'BEAT' | 'PLAN' | 'DEMAND' | 'TAKE'
+
 /** Keeps exactly one instance ordering: takes the lease when it is this one's turn, and reaches the holder otherwise. */
 export class ResidencyService extends ResidencyClient {
   private readonly counts = new Map<string, DemandCount>()
@@ -42,7 +49,7 @@
   private wasHeld = false
   private stopping = false
   private renewing = false
-  private readonly lastDone = { renew: -Infinity, beat: -Infinity, plan: -Infinity, demand: -Infinity, take: -Infinity }
+  private readonly lastDone: Record<Task, number> = { RENEW: -Infinity, BEAT: -Infinity, PLAN: -Infinity, DEMAND: -Infinity, TAKE: -Infinity }
 
   constructor (private readonly opts: ResidencyServiceOptions) {
     super()
@@ -72,7 +79,7 @@
     this.stopping = true
     if (!this.opts.lease.isHeld) return
     this.opts.network.broadcast(HOLDER_BEAT, { fence: this.opts.lease.fence, stopping: true })
-    await this.opts.clock.wait(QUIET_BEFORE_RELEASE_MS)
+    await this.opts.clock.wait(this.readShare('QUIET_BEFORE_RELEASE'))
     await this.opts.lease.release()
   }
 
@@ -99,7 +106,7 @@
   }
 
   private findHolder (): string | undefined {
-    if (!this.heard || this.opts.clock.readTime() - this.heard.at > HOLDER_SILENT_MS) return undefined
+    if (!this.heard || this.opts.clock.readTime() - this.heard.at > this.readShare('HOLDER_SILENT')) return undefined
     return this.heard.instance
   }
 
@@ -122,19 +129,19 @@
       if (this.opts.lease.isHeld) await this.act()
       else await this.tryTake()
       this.noteHolding()
-      if (this.isDue('demand', DEMAND_MS)) this.sendDemand()
-      await this.opts.clock.wait(TICK_MS, signal)
+      if (this.isDue('DEMAND')) this.sendDemand()
+      await this.opts.clock.wait(this.readShare(this.opts.lease.isHeld ? 'HOLDER_TICK' : 'OTHER_TICK'), signal)
     }
   }
 
   private async act (): Promise<void> {
     const { lease, holder, network } = this.opts
     if (this.stopping) return
-    if (!this.renewing && this.isDue('renew', RENEW_MS)) void this.renew()
+    if (!this.renewing && this.isDue('RENEW')) void this.renew()
     if (!this.mayOrder) return
-    if (this.isDue('beat', BEAT_MS)) network.broadcast(HOLDER_BEAT, { fence: lease.fence, stopping: false })
+    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence, stopping: false })
     holder.serveNeeds()
-    if (this.isDue('plan', PLAN_MS)) holder.plan()
+    if (this.isDue('PLAN')) holder.plan()
   }
 
   // Two renewals at once would conflict with each other.
@@ -149,7 +156,7 @@
     const { lease, instance } = this.opts
     if (this.stopping || this.findHolder() !== undefined) return
     if (findOwner('residency', this.opts.listCandidates()) !== instance) return
-    if (this.isDue('take', TAKE_MS)) await lease.tryTake()
+    if (this.isDue('TAKE')) await lease.tryTake()
   }
 
   private noteHolding (): void {
@@ -169,9 +176,13 @@
     this.counts.clear()
   }
 
-  private isDue (task: keyof typeof this.lastDone, everyMs: number): boolean {
+  private readShare (name: keyof typeof Shares): number {
+    return Shares[name] * this.opts.leaseMs
+  }
+
+  private isDue (task: Task): boolean {
     const now = this.opts.clock.readTime()
-    if (now - this.lastDone[task] < everyMs) return false
+    if (now - this.lastDone[task] < this.readShare(task)) return false
     this.lastDone[task] = now
     return true
   }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,11 +1,12 @@
 import http from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
 import type { Entry } from './startEntry.js'
 
 const HEADER_BYTES = 32 << 10
 const DEFAULT_IDLE_MS = 60_000
 const DEFAULT_HEADER_MS = 10_000
-const LIMITS_MS = 500
+const LIMITS_MS = 1_000
 
 /** The listener for routed requests. */
 export interface ClientListener {
@@ -33,6 +34,7 @@
     server.once('error', reject)
     server.listen(port, host, resolve)
   })
+  entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
   void keepLimits(entry, server)
   return { closeIdle: () => server.closeIdleConnections(), close: () => server.close() }
 }
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -3,7 +3,7 @@
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
 import { createLogger } from '@pulleystack/core.logging'
-import { BackendQueue, RoutedGateway } from '@pulleystack/gateway.routed'
+import { BackendQueue, RoutedGateway, StreamPace } from '@pulleystack/gateway.routed'
 import { InstanceMesh } from '@pulleystack/membership.mesh'
 import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
 import { ShardLease } from '@pulleystack/placement.ledger'
@@ -17,8 +17,8 @@
 import type { EntryDependencies } from './EntrySources.js'
 import { watchSources } from './watchSources.js'
 
-const HEARTBEAT_MS = 500
-const SUSPECT_AFTER_MS = 1_600
+const HEARTBEAT_MS = 1_000
+const SUSPECT_AFTER_MS = 2_400
 const ORDER_DELAY_MS = 1_000
 const SHARD = 'residency'
 
@@ -51,11 +51,20 @@
   ended: AbortController
 }
 
+/** What a start takes beside settings and dependencies; tests choose more of it. */
+export interface StartOptions {
+  log: DecisionLog
+  clock?: Clock
+  random?: RandomSource
+  /** Longest time that an order takes to reach a server. */
+  orderDelayMs?: number
+}
+
 /** Starts everything but the listeners for clients. */
 export async function startEntry (
   settings: EntrySettings,
   deps: EntryDependencies,
-  it: { log: DecisionLog, clock?: Clock, random?: RandomSource },
+  it: StartOptions,
 ): Promise<Entry> {
   const clock = it.clock ?? new SystemClock()
   const random = it.random ?? new RandomSource()
@@ -64,7 +73,7 @@
   const state: { table: RouteTable | undefined, phase: EntryPhase } = { table: undefined, phase: EntryPhases.STARTING }
   const fleet = new BackendFleet()
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
-  const residency = createResidency({ settings, deps, clock, log, fleet, network, mesh, readTable: () => state.table, onChange: () => queue.pump() })
+  const residency = createResidency({ settings, deps, clock, log, fleet, network, mesh, orderDelayMs: it.orderDelayMs ?? ORDER_DELAY_MS, readTable: () => state.table, onChange: () => queue.pump() })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.zone })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
   const gateway = new RoutedGateway({
@@ -74,6 +83,7 @@
     agent: new BackendAgent(clock),
     protocol: deps.protocol,
     queue,
+    pace: new StreamPace(clock),
     residency,
     findBudget: createBudgets(settings, clock, mesh),
     readTable: () => state.table,
@@ -85,7 +95,8 @@
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
   }
-  await network.start()
+  const peerPort = await network.start()
+  mesh.self.peerAddress = `${parseAddress(settings.peerAddress).host}:${peerPort}`
   mesh.start(ended.signal)
   shareLoads({ clock, network, fleet, onChange: () => queue.pump() }, ended.signal)
   residency.start(ended.signal)
@@ -152,6 +163,7 @@
   fleet: BackendFleet
   network: WebSocketNetwork
   mesh: InstanceMesh
+  orderDelayMs: number
   readTable: () => RouteTable | undefined
   onChange: () => void
 }
@@ -165,7 +177,7 @@
     shard: SHARD,
     holder: life,
     leaseMs: settings.bounds.leaseMs,
-    orderDelayMs: ORDER_DELAY_MS,
+    orderDelayMs: parts.orderDelayMs,
     createOperation: randomUUID,
   })
   const holder = new ResidencyHolder({
@@ -184,6 +196,7 @@
     log,
     instance: settings.instance,
     lease,
+    leaseMs: settings.bounds.leaseMs,
     holder,
     listCandidates: () => [mesh.self, ...mesh.listLive()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
     onChange: parts.onChange,
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -14,11 +14,22 @@
   private readonly backends = new Map<string, Backend>()
   private readonly byService = new Map<string, Backend[]>()
   private readonly subject = new Subject<FleetChange>()
+  private readonly loadSubject = new Subject<void>()
 
   get changes (): Observable<FleetChange> {
     return this.subject
   }
 
+  /** Tells that this instance has more or less in hand somewhere. */
+  get loadChanges (): Observable<void> {
+    return this.loadSubject
+  }
+
+  /** To be called whenever a server's own tally changed. */
+  noteLoadChange (): void {
+    this.loadSubject.next()
+  }
+
   find (id: string): Backend | undefined {
     return this.backends.get(id)
   }
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -11,35 +11,46 @@
 const LOADS = defineChannel<SharedLoads>('fleet.loads')
 const SHARE_MS = 100
 
-/** Tells the other instances what this one has in hand, when it changed, and takes what they tell. */
-export function shareLoads (opts: { clock: Clock, network: PeerNetwork, fleet: BackendFleet, onChange: () => void }, signal: AbortSignal): void {
+export interface ShareLoadsOptions {
+  clock: Clock
+  network: PeerNetwork
+  fleet: BackendFleet
+  /** Another instance told something new. */
+  onChange: () => void
+}
+
+/** Tells the other instances what this one has in hand, soon after it changed, and takes what they tell. */
+export function shareLoads (opts: ShareLoadsOptions, signal: AbortSignal): void {
   const { network, fleet } = opts
+  const told = new Set<string>()
+  let cancel: (() => void) | undefined
+  const tell = (): void => {
+    cancel = undefined
+    network.broadcast(LOADS, buildLoads(fleet))
+  }
+  const schedule = (): void => {
+    cancel ??= opts.clock.setTimer(SHARE_MS, tell)
+  }
   const subscriptions = [
+    fleet.loadChanges.subscribe(schedule),
     network.receive(LOADS).subscribe(({ from, body }) => {
       fleet.applyPeerLoads(from, readTallies(body))
       opts.onChange()
     }),
     network.peerEvents.subscribe((event) => {
-      if (event.kind === 'silent') fleet.applyPeerLoads(event.instance, new Map())
+      if (event.kind === 'silent') {
+        told.delete(event.instance)
+        fleet.applyPeerLoads(event.instance, new Map())
+      } else if (!told.has(event.identity.instance)) {
+        told.add(event.identity.instance)
+        schedule()
+      }
     }),
   ]
-  signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-  void keepSharing(opts, signal)
-}
-
-async function keepSharing (opts: { clock: Clock, network: PeerNetwork, fleet: BackendFleet }, signal: AbortSignal): Promise<void> {
-  let told = ''
-  let toldTo = 0
-  while (!signal.aborted) {
-    await opts.clock.wait(SHARE_MS, signal)
-    const shared = buildLoads(opts.fleet)
-    const text = JSON.stringify(shared.loads)
-    const peers = opts.network.listLinked().length
-    if (text === told && peers === toldTo) continue
-    told = text
-    toldTo = peers
-    opts.network.broadcast(LOADS, shared)
-  }
+  signal.addEventListener('abort', () => {
+    cancel?.()
+    subscriptions.forEach((it) => it.unsubscribe())
+  }, { once: true })
 }
 
 function readTallies (shared: SharedLoads): Map<string, LoadTally> {
--- a/routing/forward/src/ExchangeAnswer.ts
+++ b/routing/forward/src/ExchangeAnswer.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import type { Socket } from 'node:net'
 import type { AnswerFacts } from '@pulleystack/backend.interfaces'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
@@ -18,6 +19,17 @@
     opts.request.on('error', (cause) => {
       if (!this.message.complete) this.failure = cause
     })
+    if (!isFramed(opts.message)) this.watchEnd(opts.message.socket)
+  }
+
+  /**
+   * When a reset arrives together with bytes, libuv reports the end of the stream and not the reset; the connection then
+   * has no peer any more, which one that was closed in good order still has.
+   */
+  private watchEnd (socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      if (socket.remoteAddress === undefined) this.failure = new Error('The connection was reset')
+    })
   }
 
   get status (): number {
@@ -37,25 +49,46 @@
   async readWhole (maxBytes: number): Promise<Buffer> {
     const chunks: Buffer[] = []
     let size = 0
-    for await (const chunk of this.readChunks()) {
+    await this.read((chunk) => {
       size += chunk.length
-      if (size > maxBytes) {
-        this.cut()
-        throw createBroken(`The answer is larger than ${maxBytes} bytes`)
-      }
+      if (size > maxBytes) throw createBroken(`The answer is larger than ${maxBytes} bytes`)
       chunks.push(chunk)
-    }
+    })
     return Buffer.concat(chunks)
   }
 
-  /** The body as it comes; rejects with ATTEMPT_FAILED_UNKNOWN when it breaks off. */
-  async* readChunks (): AsyncGenerator<Buffer> {
-    try {
-      for await (const chunk of this.message as AsyncIterable<Buffer>) yield chunk
-    } catch (cause) {
-      throw createBroken('The answer broke off', cause)
-    }
-    if (this.failure || !this.message.complete) throw createBroken('The answer broke off', this.failure)
+  /**
+   * Gives the body's bytes as they come, and resolves at its end; rejects with ATTEMPT_FAILED_UNKNOWN when it breaks off.
+   * What `take` throws ends the connection and rejects.
+   */
+  read (take: (chunk: Buffer) => void): Promise<void> {
+    const { message } = this
+    return new Promise((resolve, reject) => {
+      const fail = (cause: unknown): void => reject(cause instanceof PulleystackError ? cause : createBroken('The answer broke off', cause))
+      message.on('data', (chunk: Buffer) => {
+        try {
+          take(chunk)
+        } catch (thrown) {
+          this.cut()
+          fail(thrown)
+        }
+      })
+      message.on('error', fail)
+      message.on('close', () => fail(undefined))
+      message.on('end', () => {
+        if (this.failure || !message.complete) fail(this.failure)
+        else resolve()
+      })
+    })
+  }
+
+  /** Holds the server back until `resume`. */
+  pause (): void {
+    this.message.pause()
+  }
+
+  resume (): void {
+    this.message.resume()
   }
 
   /** Lets the rest of the body pass unread, so that the connection can be used again. */
@@ -72,6 +105,11 @@
   }
 }
 
+/** Whether the answer's end is told by its head and not by its connection. */
+function isFramed (message: http.IncomingMessage): boolean {
+  return message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
+}
+
 function createBroken (message: string, cause?: unknown): PulleystackError {
   return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', message, { cause, ran: Ran.UNKNOWN })
 }
