--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -103,7 +103,8 @@
       if (place instanceof BackendPlace) item.settle(place)
       else item.lastFailure = place
       if (place === ChoiceFailures.NO_BACKEND) item.fail(createRefusal(place))
-      if (place === ChoiceFailures.NOT_RESIDENT) this.askForWeights(item)
+      if (place === ChoiceFailures.NOT_RESIDENT) this.askForWeights(item, false)
+      if (place === ChoiceFailures.FULL) this.askForWeights(item, true)
     }
   }
 
@@ -148,24 +149,32 @@
       const cancel = clock.setTimer(findWaitMs(work, clock.readTime()), () => item.fail(createRefusal(item.lastFailure)))
       work.signal.addEventListener('abort', abandon, { once: true })
       this.insert(item)
-      this.opts.log.record(DecisionKinds.REQUEST_WAITING, { request: work.requestId, service: work.service.name, waiting: this.waiting.length })
       if (work.signal.aborted) abandon()
       else this.pump()
+      this.noteWaiting(item)
     })
   }
 
+  private noteWaiting (item: Waiting): void {
+    const { generation, requestId, service } = item.work
+    const weights = generation && nameWeights(generation.model, generation.adapter)
+    const facts = { request: requestId, service: service.name, weights, reason: item.lastFailure, waiting: this.waiting.length }
+    this.opts.log.record(DecisionKinds.REQUEST_WAITING, facts)
+  }
+
   private insert (item: Waiting): void {
     const at = this.waiting.findIndex((other) => compareUrgency(item.work, other.work) < 0)
     this.waiting.splice(at < 0 ? this.waiting.length : at, 0, item)
   }
 
-  private askForWeights (item: Waiting): void {
+  private askForWeights (item: Waiting, isMore: boolean): void {
     if (item.askedAt !== undefined || !item.work.generation) return
     const { clock, residency } = this.opts
     item.askedAt = clock.readTime()
     const { model, adapter } = item.work.generation
     const waitMs = findWaitMs(item.work, clock.readTime())
-    void residency.requestWeights({ service: item.work.service.name, model, adapter, waitMs }).then((answer) => {
+    void residency.requestWeights({ service: item.work.service.name, model, adapter, isMore, waitMs }).then((answer) => {
+      if (isMore) return
       if (!answer.coming) item.fail(new PulleystackError('NO_RUNNER', `Nobody loads ${nameWeights(model, adapter)}: ${answer.reason}`, { retryAfterSeconds: RETRY_AFTER_SECONDS }))
       else if (answer.expectedMs > waitMs) item.fail(new PulleystackError('NO_RUNNER', 'The model will be there too late', { retryAfterSeconds: answer.expectedMs / 1000 }))
       else this.pump()
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -6,6 +6,7 @@
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
+import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
 import { runRequest, type RunOptions } from './runRequest.js'
 
@@ -18,6 +19,8 @@
   service: string
   status: number
   code: string
+  /** Why it was not served; undefined when it was. */
+  reason?: string
   ms: number
 }
 
@@ -43,6 +46,16 @@
   signal: AbortSignal
 }
 
+/** A request that was answered or given up. */
+interface EndedRequest {
+  outcome: RoutedOutcome
+  facts: RoutedRequestFacts
+  response: http.ServerResponse
+  arrivedAt: number
+  /** Undefined for plain answers. */
+  stream: StreamProgress | undefined
+}
+
 /** Serves routed requests. */
 export class RoutedGateway {
   private active = 0
@@ -60,6 +73,7 @@
     this.active++
     const facts = this.opts.protocol.readRequest(request.headers)
     const client = new ClientAnswer({ response, ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId), mustClose: this.opts.mustClose })
+    let stream: StreamProgress | undefined
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const end = createRequestEnd(response)
     try {
@@ -68,18 +82,20 @@
       outcome.route = route.name
       const work = await this.readWork({ table, route, facts, request, arrivedAt, signal: end.signal })
       outcome.service = work.service.name
+      if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
       this.noteDemand(work)
       await runRequest(this.opts, work, client).finally(cancel)
     } catch (thrown) {
       const error = end.explain(convertToError(thrown))
       outcome.code = error.code
+      outcome.reason = error.message
       outcome.status = error.code === 'CALLER_GONE' ? GONE_STATUS : chooseStatus(error)
       client.sendError(error, facts.requestId)
     } finally {
       end.release()
       this.active--
-      this.noteEnd(outcome, facts, response, arrivedAt)
+      this.noteEnd({ outcome, facts, response, arrivedAt, stream })
     }
   }
 
@@ -109,6 +125,7 @@
       deadline: it.arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity),
       generation: service.serving ? estimateGeneration(facts) : undefined,
       excluded: new Set(),
+      stream: createStreamProgress(facts.lastEventId),
       signal: it.signal,
     }
   }
@@ -119,11 +136,16 @@
     if (generation) this.opts.residency.noteDemand({ service: work.service.name, ...generation })
   }
 
-  private noteEnd (outcome: RoutedOutcome, facts: RoutedRequestFacts, response: http.ServerResponse, arrivedAt: number): void {
+  private noteEnd (it: EndedRequest): void {
+    const { outcome, facts, response, arrivedAt, stream } = it
     outcome.ms = this.opts.clock.readTime() - arrivedAt
     if (outcome.status === 0) outcome.status = response.statusCode
-    const { route, service, status, code } = outcome
-    this.opts.log.record(DecisionKinds.REQUEST_ENDED, { request: facts.requestId, route, service, status, code, ms: Math.round(outcome.ms) })
+    const { route, service, status, code, reason } = outcome
+    const streamed = stream?.firstAt === undefined
+      ? {}
+      : { events: stream.events, firstMs: Math.round(stream.firstAt - arrivedAt), longestPauseMs: Math.round(stream.longestPauseMs) }
+    const ended = { request: facts.requestId, route, service, status, code, reason, ms: Math.round(outcome.ms) }
+    this.opts.log.record(DecisionKinds.REQUEST_ENDED, { ...ended, ...streamed })
     this.opts.onOutcome(outcome)
   }
 }
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -1,6 +1,7 @@
 import type { RoutedRequestFacts } from '@pulleystack/backend.interfaces'
 import type { Route, RoutedService } from '@pulleystack/config.routes'
 import type { GenerationDemand } from '@pulleystack/routing.fleet'
+import type { StreamProgress } from './relayStream.js'
 
 const UNHINTED_SHARE = 0.35
 const HINT_MARGIN = 1.4
@@ -22,6 +23,8 @@
   generation: GenerationDemand | undefined
   /** Servers that failed this request. */
   excluded: Set<string>
+  /** How far its stream has come. */
+  stream: StreamProgress
   /** Ends with the client or at the deadline. */
   signal: AbortSignal
 }
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@pulleystack/core.clock'
 import { EventSplitter, type ExchangeAnswer } from '@pulleystack/routing.forward'
 import type { ClientAnswer } from './ClientAnswer.js'
 import type { StreamPace } from './StreamPace.js'
@@ -7,9 +8,15 @@
   /** Newest event that the client has. */
   lastEventId: string | undefined
   events: number
+  /** Monotone times of the first and the newest event; undefined before the first. */
+  firstAt: number | undefined
+  newestAt: number | undefined
+  /** Longest pause between two events so far, in milliseconds. */
+  longestPauseMs: number
 }
 
 export interface RelayOptions {
+  clock: Clock
   answer: ExchangeAnswer
   client: ClientAnswer
   progress: StreamProgress
@@ -36,8 +43,9 @@
   }
   try {
     await answer.read((chunk) => {
+      const now = opts.clock.readTime()
       for (const event of splitter.push(chunk)) {
-        noteEvent(opts.progress, event.id)
+        noteEvent(opts.progress, event.id, now)
         gathered.push(event.bytes)
       }
       if (gathered.length === 0) return
@@ -60,7 +68,15 @@
   client.endStream()
 }
 
-function noteEvent (progress: StreamProgress, id: string | undefined): void {
+/** A stream of which nothing has come. */
+export function createStreamProgress (lastEventId: string | undefined): StreamProgress {
+  return { lastEventId, events: 0, firstAt: undefined, newestAt: undefined, longestPauseMs: 0 }
+}
+
+function noteEvent (progress: StreamProgress, id: string | undefined, now: number): void {
+  progress.firstAt ??= now
+  progress.longestPauseMs = Math.max(progress.longestPauseMs, now - (progress.newestAt ?? now))
+  progress.newestAt = now
   progress.lastEventId = id ?? progress.lastEventId
   progress.events++
 }
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -45,7 +45,7 @@
 
 /** Runs one request to its answer; rejects with the error that the client gets when no server's answer can be passed on. */
 export async function runRequest (opts: RunOptions, work: RoutedWork, client: ClientAnswer): Promise<void> {
-  const progress: RunProgress = { sends: 0, runs: 0, stream: { lastEventId: work.facts.lastEventId, events: 0 }, failure: undefined }
+  const progress: RunProgress = { sends: 0, runs: 0, stream: work.stream, failure: undefined }
   for (;;) {
     const place = await acquirePlace(opts, work, progress)
     if (!place) break
@@ -92,6 +92,7 @@
   try {
     const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
     progress.runs++
+    place.backend.noteReached(clock.readTime())
     const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.stopWatch })
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
     place.backend.outlier.noteSuccess()
@@ -117,7 +118,7 @@
 }): Promise<PulleystackError | undefined> {
   const { work, progress, answer, client } = it
   if (work.route.streams && answer.status === 200) {
-    await relayStream({ answer, client, progress: progress.stream, pace: opts.pace, onFirstEvent: () => {
+    await relayStream({ clock: opts.clock, answer, client, progress: progress.stream, pace: opts.pace, onFirstEvent: () => {
       it.noteBytes()
       it.place.notePrefilled()
     } })
@@ -190,7 +191,8 @@
   const { backend } = place
   work.excluded.add(backend.id)
   opts.log.record(DecisionKinds.ATTEMPT_FAILED, { ...facts, code: error.code, ran: error.ran, reason: error.message })
-  const isOwnFault = error.code === 'CALLER_GONE' || error.code === 'BACKEND_REFUSED' || work.signal.aborted
+  if (error.code === 'ATTEMPT_FAILED_NOT_RUN') backend.noteUnreachable(opts.clock.readTime())
+  const isOwnFault = error.code === 'CALLER_GONE' || error.code === 'BACKEND_REFUSED' || error.code === 'ATTEMPT_FAILED_NOT_RUN' || work.signal.aborted
   if (!isOwnFault && backend.outlier.noteFailure(opts.clock.readTime(), opts.random.readFraction())) {
     opts.log.record(DecisionKinds.BACKEND_EJECTED, { backend: backend.id, address: backend.entry.address })
   }
--- a/placement/residency/src/ResidencyClient.ts
+++ b/placement/residency/src/ResidencyClient.ts
@@ -3,6 +3,8 @@
   service: string
   model: string
   adapter: string | undefined
+  /** Servers that hold them are full; another one is wanted. */
+  isMore: boolean
   /** Milliseconds that the asker would wait. */
   waitMs: number
 }
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -6,14 +6,15 @@
 import { loadAdapter } from './AdapterKeeper.js'
 import { DemandTracker, type DemandCount } from './DemandTracker.js'
 import { LoadBucket } from './LoadBucket.js'
-import { computeWantedCopies, listLacking, planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
+import { computeCopyTargets, listLacking, planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ServerOrders, type OrderRight } from './ServerOrders.js'
 
 const ADAPTER_MS = 220
 const UNLOAD_MS = 150
 const UNLOAD_WAIT_MS = 60
-const MAX_PLANNED_AT_ONCE = 3
+const MAX_PLANNED_AT_ONCE = 8
+const FRESH_MS = 5_000
 const MAX_NEED_AGE_MS = 12_000
 
 export interface ResidencyHolderOptions {
@@ -44,6 +45,8 @@
   private readonly buckets = new Map<string, LoadBucket>()
   /** Loads under way, by server. */
   private readonly loads = new Map<string, PlannedLoad>()
+  /** When each server's models were loaded, by server and model. */
+  private readonly loadedAt = new Map<string, Map<string, number>>()
   private readonly needs = new Map<string, OpenNeed>()
 
   constructor (private readonly opts: ResidencyHolderOptions) {
@@ -51,6 +54,7 @@
       if (kind !== 'removed') return
       this.orders.delete(backend.id)
       this.loads.delete(backend.id)
+      this.loadedAt.delete(backend.id)
     })
   }
 
@@ -75,7 +79,7 @@
     if (!this.opts.readRight()) return { coming: false, reason: 'the lease is not held' }
     if (!this.findServing(need.service)) return { coming: false, reason: 'the service has no models' }
     const now = this.opts.clock.readTime()
-    const name = `${need.service}|${nameWeights(need.model, need.adapter)}`
+    const name = `${need.service}|${nameWeights(need.model, need.adapter)}|${need.isMore}`
     const present = this.needs.get(name)
     if (present) return { coming: true, expectedMs: Math.max(0, present.readyAt - now) }
     const open: OpenNeed = { need, askedAt: now, readyAt: Infinity, started: false }
@@ -102,10 +106,10 @@
     for (const { name, serving } of table.config.services) {
       if (!serving) continue
       const input = this.buildInput(name, serving)
-      const wanted = computeWantedCopies(input)
-      for (const model of listLacking(input, wanted)) {
+      const targets = computeCopyTargets(input)
+      for (const model of listLacking(input, targets)) {
         if (this.loads.size >= MAX_PLANNED_AT_ONCE) return
-        const load = planLoad(this.buildInput(name, serving), model, wanted)
+        const load = planLoad(this.buildInput(name, serving), model, targets)
         if (load && this.mayBegin(name, load)) void this.runLoad(serving, load)
       }
     }
@@ -115,7 +119,7 @@
     const { need } = open
     const serving = this.findServing(need.service)
     if (!serving) return
-    const holding = this.listHolding(need)
+    const holding = this.listHolding(need).filter((backend) => !need.isMore || !backend.holds(need.model, need.adapter))
     if (holding.length > 0) {
       open.started = true
       open.readyAt = this.opts.clock.readTime() + ADAPTER_MS
@@ -129,15 +133,15 @@
   private serveModelNeed (name: string, open: OpenNeed, serving: ModelServing): void {
     const { need } = open
     const now = this.opts.clock.readTime()
-    const running = [...this.loads.values()].find((load) => load.model === need.model)
+    const running = need.isMore ? undefined : [...this.loads.values()].find((load) => load.model === need.model)
     if (running) {
       open.readyAt = Math.min(open.readyAt, now + running.loadMs)
       return
     }
     const input = this.buildInput(need.service, serving)
-    const wanted = computeWantedCopies(input)
-    const load = planLoad(input, need.model, wanted)
-    if (!load) return
+    const load = planLoad(input, need.model, computeCopyTargets(input))
+    // A further copy must not be one too many, and is worth no load from the weight store.
+    if (!load || (need.isMore && load.fromStore)) return
     const extraMs = load.victims.length * UNLOAD_MS + (need.adapter === undefined ? 0 : ADAPTER_MS)
     open.readyAt = now + load.loadMs + extraMs + (load.fromStore ? this.findBucket(need.service).waitMs : 0)
     if (!this.mayBegin(need.service, load)) return
@@ -177,6 +181,7 @@
     const answer = await orders.send('load', load.model, undefined)
     if (answer !== OrderAnswers.TAKEN) return
     await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
+    this.noteLoaded(load.server, load.model)
   }
 
   private async bringAdapter (serving: ModelServing, holding: readonly Backend[], model: string, adapter: string): Promise<void> {
@@ -199,8 +204,13 @@
   }
 
   private listHolding (need: WeightsNeed): Backend[] {
-    const staying = this.opts.fleet.list(need.service).filter((backend) => !backend.entry.draining)
-    return staying.filter((backend) => backend.holds(need.model) && !this.isLeavingServer(backend, need.model))
+    return this.listUsable(need.service).filter((backend) => backend.holds(need.model) && !this.isLeavingServer(backend, need.model))
+  }
+
+  private listUsable (service: string): Backend[] {
+    const now = this.opts.clock.readTime()
+    const staying = this.opts.fleet.list(service).filter((backend) => !backend.entry.draining && backend.isReachable(now))
+    return staying.filter((backend) => !backend.outlier.isEjected(now))
   }
 
   private isLeavingServer (backend: Backend, model: string): boolean {
@@ -209,7 +219,7 @@
 
   private buildInput (service: string, serving: ModelServing): PlanInput {
     const demand = this.findDemand(service)
-    const usable = this.opts.fleet.list(service).filter((backend) => !backend.entry.draining && !backend.outlier.isEjected(this.opts.clock.readTime()))
+    const usable = this.listUsable(service)
     return {
       serving,
       servers: usable.map((backend) => {
@@ -221,6 +231,7 @@
           inMemory: backend.entry.inMemory,
           onDisk: backend.entry.onDisk,
           busy: load !== undefined,
+          fresh: this.listFresh(backend.id),
           running: backend.readLoad().running,
         }
       }),
@@ -228,6 +239,17 @@
     }
   }
 
+  private listFresh (backend: string): string[] {
+    const since = this.opts.clock.readTime() - FRESH_MS
+    return [...this.loadedAt.get(backend) ?? []].filter(([, at]) => at > since).map(([model]) => model)
+  }
+
+  private noteLoaded (backend: string, model: string): void {
+    const models = this.loadedAt.get(backend) ?? new Map<string, number>()
+    models.set(model, this.opts.clock.readTime())
+    this.loadedAt.set(backend, models)
+  }
+
   private findServing (service: string): ModelServing | undefined {
     return this.opts.readTable()?.findService(service)?.serving
   }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -15,13 +15,13 @@
   HOLDER_TICK: 1 / 15,
   OTHER_TICK: 1 / 6,
   RENEW: 0.27,
-  BEAT: 0.13,
+  BEAT: 0.2,
   PLAN: 1 / 3,
   DEMAND: 0.15,
   /** A holder that was not heard for this long is not known to be well. */
-  HOLDER_SILENT: 0.45,
+  HOLDER_SILENT: 0.65,
   TAKE: 1 / 6,
-  QUIET_BEFORE_RELEASE: 0.7,
+  QUIET_BEFORE_RELEASE: 1,
 } as const
 const CALL_MS = 500
 
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -1,4 +1,6 @@
 import { OrderAnswers, type OrderAnswer, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
+import type { PulleystackError } from '@pulleystack/core.errors'
+import type { Result } from 'neverthrow'
 import type { Clock } from '@pulleystack/core.clock'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 
@@ -6,6 +8,7 @@
 const REPORT_LAG_MS = 160
 const POLL_MS = 60
 const SETTLE_EXTRA_MS = 3_000
+const MAX_SENDS = 3
 
 /** The right to order, as of now. */
 export interface OrderRight {
@@ -64,11 +67,10 @@
   async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<OrderAnswer | undefined> {
     const right = this.opts.readRight()
     if (!right || this.sequence === undefined) return undefined
-    const { clock, weights, log, backendId, address } = this.opts
+    const { log, backendId } = this.opts
     const order = { action, model, adapter, expectedSequence: this.sequence, ...right }
-    this.orderedAt = clock.readTime()
     log.record(DecisionKinds.ORDER_SENT, { backend: backendId, action, model, adapter, sequence: this.sequence, fence: right.fence })
-    const answer = await weights.sendOrder({ address, backendId }, order)
+    const answer = await this.sendUntilAnswered(order)
     if (answer.isOk()) {
       // An adapter that goes at once is answered like one that was never there, though it counts as an order.
       if (answer.value === OrderAnswers.TAKEN) this.sequence++
@@ -80,6 +82,16 @@
     return answer.isOk() ? answer.value : undefined
   }
 
+  // An order whose answer was lost may still be taken, now or late; sent again with the same sequence it is taken once at most.
+  private async sendUntilAnswered (order: WeightsOrder): Promise<Result<OrderAnswer, PulleystackError>> {
+    const { clock, weights, backendId, address } = this.opts
+    for (let tries = 1; ; tries++) {
+      this.orderedAt = clock.readTime()
+      const answer = await weights.sendOrder({ address, backendId }, order)
+      if (answer.isOk() || tries >= MAX_SENDS || !this.opts.readRight()) return answer
+    }
+  }
+
   /** Waits until the server's state is as asked; undefined when it does not become so in time. */
   async waitFor (isReached: (state: WeightsState) => boolean, expectedMs: number): Promise<WeightsState | undefined> {
     const { clock } = this.opts
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -9,6 +9,8 @@
   onDisk: readonly string[]
   /** An order is under way, or what an earlier one did is not known yet. */
   busy: boolean
+  /** Models that came so lately that they are not to go again yet. */
+  fresh: readonly string[]
   /** Requests that it runs. */
   running: number
 }
@@ -38,46 +40,63 @@
   fromStore: boolean
 }
 
-/** Copies that models have and that they should have. */
+/** Copies that models have and from which on one may go. */
 interface CopyCounts {
   copies: ReadonlyMap<string, number>
-  wanted: ReadonlyMap<string, number>
+  kept: ReadonlyMap<string, number>
 }
 
-/** Share of a server's time that its demand should fill at most. */
-const TARGET_BUSY = 0.55
-const FORGOTTEN_MS = 20_000
+/** Share of a server's time that the demand for one model may fill before another copy is loaded. */
+const ADD_BUSY = 0.5
+/** Share up to which one copy fewer would still do; the difference keeps copies from coming and going by turns. */
+const KEEP_BUSY = 0.8
+/** What a model's first copy is worth against relief for busy copies of others. */
+const FIRST_COPY_WEIGHT = 3
+const FIRST_COPY_VALUE = 0.02
+const FORGOTTEN_MS = 30_000
 const MS_PER_VICTIM_IDLE_SECOND = 30
 const MAX_IDLE_SECONDS = 60
 const MS_PER_SERVER_RATE = 1_500
 const UNLOAD_MS = 150
 
-/** Copies that each model should have: as its demand needs, in all no more than there is room for. */
-export function computeWantedCopies (input: PlanInput): Map<string, number> {
-  const room = input.servers.length * countPlaces(input.serving)
-  const wanted = new Map<string, number>()
-  for (const { name } of input.serving.models) {
-    const demand = input.readDemand(name)
-    if (demand.idleMs > FORGOTTEN_MS) continue
-    wanted.set(name, Math.min(input.servers.length, Math.max(1, Math.ceil(demand.rate / TARGET_BUSY))))
-  }
-  for (let over = sumValues(wanted) - room; over > 0; over--) {
-    const [largest] = [...wanted].sort(([, a], [, b]) => b - a)
-    if (!largest || largest[1] <= 1) break
-    wanted.set(largest[0], largest[1] - 1)
+/** Copies that models should have at least, and the number from which on one is too many. */
+export interface CopyTargets {
+  wanted: ReadonlyMap<string, number>
+  kept: ReadonlyMap<string, number>
+}
+
+/** Deals the places out: to whatever gains most by one more copy, until places or gains run out. */
+export function computeCopyTargets (input: PlanInput): CopyTargets {
+  return { wanted: dealPlaces(input, ADD_BUSY), kept: dealPlaces(input, KEEP_BUSY) }
+}
+
+function dealPlaces (input: PlanInput, busy: number): Map<string, number> {
+  const asked = input.serving.models.flatMap(({ name }) => {
+    const { rate, idleMs } = input.readDemand(name)
+    return idleMs > FORGOTTEN_MS ? [] : [{ name, rate, copies: 0 }]
+  })
+  for (let places = input.servers.length * countPlaces(input.serving); places > 0; places--) {
+    const [best] = [...asked].sort((first, second) => rateGain(second, input, busy) - rateGain(first, input, busy))
+    if (!best || rateGain(best, input, busy) <= 0) break
+    best.copies++
   }
-  return wanted
+  return new Map(asked.map(({ name, copies }) => [name, copies]))
+}
+
+function rateGain (it: { rate: number, copies: number }, input: PlanInput, busy: number): number {
+  if (it.copies === 0) return FIRST_COPY_VALUE + it.rate * FIRST_COPY_WEIGHT
+  return it.copies >= input.servers.length ? 0 : it.rate / it.copies - busy
 }
 
 /** The best server for one more copy of a model; undefined when no server can make room for it. */
-export function planLoad (input: PlanInput, model: string, wanted: ReadonlyMap<string, number>): PlannedLoad | undefined {
+export function planLoad (input: PlanInput, model: string, targets: CopyTargets): PlannedLoad | undefined {
   const served = findServed(input.serving, model)
   if (!served) return undefined
   const copies = countCopies(input.servers)
   let best: { load: PlannedLoad, cost: number } | undefined
   for (const server of input.servers) {
     if (server.busy || server.models.includes(model)) continue
-    const victims = chooseVictims(input, server, served, { copies, wanted })
+    const victims = chooseVictims(input, server, served, { copies, kept: targets.kept })
     if (!victims) continue
     const tier = chooseTier(server, served)
     const cost = tier.loadMs + victims.length * UNLOAD_MS + victims.reduce((sum, victim) => sum + rateVictim(input, victim), 0)
@@ -87,12 +106,12 @@
   return best?.load
 }
 
-/** Models that have fewer copies than they should, those with the greatest lack first. */
-export function listLacking (input: PlanInput, wanted: ReadonlyMap<string, number>): string[] {
+/** Models that have fewer copies than they should, those whose copies are the busiest first. */
+export function listLacking (input: PlanInput, targets: CopyTargets): string[] {
   const copies = countCopies(input.servers)
-  const lacking = [...wanted].map(([model, count]) => ({ model, lack: count - (copies.get(model) ?? 0), count })).filter(({ lack }) => lack > 0)
-  lacking.sort((a, b) => b.lack / b.count - a.lack / a.count)
-  return lacking.map(({ model }) => model)
+  const lacking = [...targets.wanted].filter(([model, count]) => count > (copies.get(model) ?? 0)).map(([model]) => model)
+  const rateBusy = (model: string): number => input.readDemand(model).rate / Math.max(0.5, copies.get(model) ?? 0)
+  return lacking.sort((a, b) => rateBusy(b) - rateBusy(a))
 }
 
 function chooseVictims (input: PlanInput, server: PlannedServer, served: ServedModel, it: CopyCounts): string[] | undefined {
@@ -104,16 +123,16 @@
   const order = [...server.models].sort((a, b) => rateSurplus(b, it) - rateSurplus(a, it) || input.readDemand(b).idleMs - input.readDemand(a).idleMs)
   for (const name of order) {
     if (free >= needed) break
-    if (rateSurplus(name, it) <= 0) continue
+    if (rateSurplus(name, it) <= 0 || server.fresh.includes(name)) continue
     victims.push(name)
     free += findServed(input.serving, name)?.weightsMb ?? 0
   }
   return free >= needed ? victims : undefined
 }
 
-/** Copies beyond what is wanted; the last copy of a model that somebody asks for is never surplus. */
+/** Copies beyond those that are kept. */
 function rateSurplus (model: string, it: CopyCounts): number {
-  return (it.copies.get(model) ?? 0) - (it.wanted.get(model) ?? 0)
+  return (it.copies.get(model) ?? 0) - (it.kept.get(model) ?? 0)
 }
 
 function rateVictim (input: PlanInput, victim: string): number {
@@ -144,7 +163,3 @@
 function findServed (serving: ModelServing, name: string): ServedModel | undefined {
   return serving.models.find((model) => model.name === name)
 }
-
-function sumValues (values: ReadonlyMap<string, number>): number {
-  return [...values.values()].reduce((sum, value) => sum + value, 0)
-}
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -19,7 +19,6 @@
 
 const HEARTBEAT_MS = 1_000
 const SUSPECT_AFTER_MS = 2_400
-const ORDER_DELAY_MS = 1_000
 const SHARD = 'residency'
 
 /** Where an instance stands between its start and its end. */
@@ -72,8 +71,10 @@
   const ended = new AbortController()
   const state: { table: RouteTable | undefined, phase: EntryPhase } = { table: undefined, phase: EntryPhases.STARTING }
   const fleet = new BackendFleet()
+  const readTable = (): RouteTable | undefined => state.table
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
-  const residency = createResidency({ settings, deps, clock, log, fleet, network, mesh, orderDelayMs: it.orderDelayMs ?? ORDER_DELAY_MS, readTable: () => state.table, onChange: () => queue.pump() })
+  const parts = { settings, deps, clock, log, fleet, network, mesh, readTable }
+  const residency = createResidency({ ...parts, orderDelayMs: it.orderDelayMs, onChange: () => queue.pump() })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.zone })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
   const gateway = new RoutedGateway({
@@ -86,7 +87,7 @@
     pace: new StreamPace(clock),
     residency,
     findBudget: createBudgets(settings, clock, mesh),
-    readTable: () => state.table,
+    readTable,
     mustRefuse: () => state.phase === EntryPhases.ENDING,
     mustClose: () => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING,
     onOutcome: (outcome) => metrics.countOutcome(outcome),
@@ -119,7 +120,6 @@
     },
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, zone: settings.zone, address: settings.clientAddress })
-  const readTable = (): RouteTable | undefined => state.table
   return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, ended }
 }
 
@@ -163,7 +163,7 @@
   fleet: BackendFleet
   network: WebSocketNetwork
   mesh: InstanceMesh
-  orderDelayMs: number
+  orderDelayMs: number | undefined
   readTable: () => RouteTable | undefined
   onChange: () => void
 }
@@ -171,13 +171,17 @@
 function createResidency (parts: ResidencyParts): ResidencyService {
   const { settings, deps, clock, log, fleet, network, mesh } = parts
   const life = `${settings.instance}@${mesh.self.incarnation}`
+  // A successor's first order must come a whole bound after the last one of its predecessor, who orders until
+  // (life - delay) after a renewal; the successor waits for life + 2 delays, so that a third of the bound each is enough.
+  const delayMs = parts.orderDelayMs ?? settings.bounds.leaseMs / 3
+  const leaseMs = settings.bounds.leaseMs * 2 / 3
   const lease = new ShardLease({
     clock,
     store: deps.store,
     shard: SHARD,
     holder: life,
-    leaseMs: settings.bounds.leaseMs,
-    orderDelayMs: parts.orderDelayMs,
+    leaseMs,
+    orderDelayMs: delayMs,
     createOperation: randomUUID,
   })
   const holder = new ResidencyHolder({
@@ -196,7 +200,7 @@
     log,
     instance: settings.instance,
     lease,
-    leaseMs: settings.bounds.leaseMs,
+    leaseMs,
     holder,
     listCandidates: () => [mesh.self, ...mesh.listLive()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
     onChange: parts.onChange,
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -4,6 +4,10 @@
 import { PrefixMemory } from './PrefixMemory.js'
 
 const DEFAULT_CACHE_TOKENS = 200_000
+const FIRST_DOWN_MS = 400
+const MAX_DOWN_MS = 3_000
+/** What others say of a server counts for nothing while this instance itself has just reached it. */
+const OWN_WORD_MS = 2_000
 
 /** One backend server as this instance sees it. */
 export class Backend {
@@ -16,8 +20,36 @@
   /** Adapters that were loaded or dropped since the entry was written, by model. */
   private readonly adapterChanges = new Map<string, Map<string, boolean>>()
 
+  private connectFailures = 0
+  private downUntil = -Infinity
+  private reachedAt = -Infinity
+
   constructor (public entry: BackendEntry) {}
 
+  /** Whether a connection would likely come up. */
+  isReachable (now: number): boolean {
+    return now >= this.downUntil
+  }
+
+  /** No connection came up; the server is left out for a while, each time longer. */
+  noteUnreachable (now: number): void {
+    if (now < this.downUntil) return
+    this.downUntil = now + Math.min(MAX_DOWN_MS, FIRST_DOWN_MS * 2 ** this.connectFailures)
+    this.connectFailures++
+  }
+
+  /** Another instance could not connect. */
+  noteReportedDown (now: number): void {
+    if (now - this.reachedAt > OWN_WORD_MS) this.noteUnreachable(now)
+  }
+
+  /** The server answered. */
+  noteReached (now: number): void {
+    this.connectFailures = 0
+    this.downUntil = -Infinity
+    this.reachedAt = now
+  }
+
   get id (): string {
     return this.entry.id
   }
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -63,14 +63,14 @@
   now: number
 }): BackendChoice | ChoiceFailure {
   const { demand, now } = opts
-  const present = opts.backends.filter((backend) => !backend.entry.draining)
+  const present = opts.backends.filter((backend) => !backend.entry.draining && backend.isReachable(now))
   if (present.length === 0) return ChoiceFailures.NO_BACKEND
   const { generation } = demand
   const holding = generation ? present.filter((backend) => backend.holds(generation.model, generation.adapter)) : present
   if (holding.length === 0) return ChoiceFailures.NOT_RESIDENT
   const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
   const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
-  if (fresh.length === 0) return ChoiceFailures.NO_BACKEND
+  if (fresh.length === 0) return generation ? ChoiceFailures.NOT_RESIDENT : ChoiceFailures.NO_BACKEND
   const rated = fresh.flatMap((backend) => rateBackend(backend, opts) ?? [])
   if (rated.length === 0) return ChoiceFailures.FULL
   return rated.reduce((best, it) => it.cost < best.cost ? it : best)
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -6,6 +6,8 @@
 /** What one instance has in hand at each server where it has something. */
 export interface SharedLoads {
   loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number][]
+  /** Servers to which no connection comes up. */
+  down: string[]
 }
 
 const LOADS = defineChannel<SharedLoads>('fleet.loads')
@@ -26,7 +28,7 @@
   let cancel: (() => void) | undefined
   const tell = (): void => {
     cancel = undefined
-    network.broadcast(LOADS, buildLoads(fleet))
+    network.broadcast(LOADS, buildLoads(fleet, opts.clock.readTime()))
   }
   const schedule = (): void => {
     cancel ??= opts.clock.setTimer(SHARE_MS, tell)
@@ -35,6 +37,7 @@
     fleet.loadChanges.subscribe(schedule),
     network.receive(LOADS).subscribe(({ from, body }) => {
       fleet.applyPeerLoads(from, readTallies(body))
+      for (const backend of body.down) fleet.find(backend)?.noteReportedDown(opts.clock.readTime())
       opts.onChange()
     }),
     network.peerEvents.subscribe((event) => {
@@ -57,7 +60,8 @@
   return new Map(shared.loads.map(([backend, running, prefillTokens, cacheTokens]) => [backend, { running, prefillTokens, cacheTokens }]))
 }
 
-function buildLoads (fleet: BackendFleet): SharedLoads {
+function buildLoads (fleet: BackendFleet, now: number): SharedLoads {
   const busy = fleet.listAll().filter((backend) => backend.own.running > 0)
-  return { loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]) }
+  const down = fleet.listAll().filter((backend) => !backend.isReachable(now))
+  return { loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]), down: down.map(({ id }) => id) }
 }
