--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -22,9 +22,7 @@
     own.running++
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
-    const { generation } = work
     onChange(false)
-    if (generation) choice.backend.prefixes.note(nameWeights(generation.model, generation.adapter), generation.parts)
   }
 
   get backend (): Backend {
@@ -117,6 +115,8 @@
       now: this.opts.clock.readTime(),
     })
     if (typeof choice === 'string') return choice
+    const { generation } = work
+    if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
     return new BackendPlace(choice, work, (isOver) => {
       this.opts.fleet.noteLoadChange()
       if (isOver) this.pump()
--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -16,6 +16,10 @@
   createOperation: () => string
 }
 
+/** How a lease came free. */
+export const LeaseOrigins = { EXPIRED: 'expired', RELEASED: 'released', HANDED_OVER: 'handed-over' } as const
+export type LeaseOrigin = typeof LeaseOrigins[keyof typeof LeaseOrigins]
+
 // The lease counts from before the write that renewed it, and clocks of two machines run this much apart at most.
 const CLOCK_DRIFT = 0.05
 
@@ -26,6 +30,8 @@
  * order, and so never overlaps with orders of the former one.
  */
 export class ShardLease {
+  /** How this instance came to the lease. */
+  takenFrom: LeaseOrigin = LeaseOrigins.EXPIRED
   private record: ShardRecord | undefined
   private version = 0
   private validUntil = -Infinity
@@ -59,19 +65,24 @@
     return this.isHeld ? this.record : undefined
   }
 
-  /** Tries to become the holder; false while another's lease may run or the object API does not answer. */
-  async tryTake (): Promise<boolean> {
+  /**
+   * Tries to become the holder; false while another's lease may run or the object API does not answer. A holder that said
+   * itself that it orders no more need not be waited for; whoever takes from it must know its newest orders.
+   */
+  async tryTake (handedOver?: { holder: string, fence: number }): Promise<boolean> {
     const read = await this.opts.store.readObject(this.key)
     if (read.isErr()) return false
     const standing = read.value?.value as ShardRecord | undefined
     this.version = read.value?.version ?? 0
-    if (standing && !this.isFree(standing)) return false
+    const isHandedOver = standing !== undefined && standing.holder === handedOver?.holder && standing.fence === handedOver.fence
+    if (standing && !isHandedOver && !this.isFree(standing)) return false
     const next: ShardRecord = { ...standing ?? createShardRecord(this.opts.shard), holder: this.opts.holder, leaseMs: this.opts.leaseMs, released: false }
     next.fence++
     this.record = undefined
     const written = await this.write(next)
     if (written.isErr()) return false
-    this.ordersFrom = this.opts.clock.readTime() + this.opts.orderDelayMs
+    this.ordersFrom = this.opts.clock.readTime() + (isHandedOver ? 0 : this.opts.orderDelayMs)
+    this.takenFrom = isHandedOver ? LeaseOrigins.HANDED_OVER : standing?.released ? LeaseOrigins.RELEASED : LeaseOrigins.EXPIRED
     return true
   }
 
@@ -96,6 +107,11 @@
     this.drop()
   }
 
+  /** Forgets the lease without a word to the object API, as when that can't be reached. */
+  abandon (): void {
+    this.drop()
+  }
+
   private drop (): void {
     this.record = undefined
     this.validUntil = -Infinity
--- a/placement/ledger/src/index.ts
+++ b/placement/ledger/src/index.ts
@@ -1,6 +1,6 @@
 export { EntryStates, computeCommitted, computeFree, createShardRecord, findEntry, reserveEntry, removeEntry, setEntryState, findEntryHolders } from './shardRecord.js'
 export type { EntryState, LedgerEntry, ServerLedger, ShardRecord } from './shardRecord.js'
-export { ShardLease } from './ShardLease.js'
-export type { ShardLeaseOptions } from './ShardLease.js'
+export { LeaseOrigins, ShardLease } from './ShardLease.js'
+export type { LeaseOrigin, ShardLeaseOptions } from './ShardLease.js'
 export { chooseShard, listShards, readShardMap } from './shardMap.js'
 export type { ShardMap } from './shardMap.js'
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -29,6 +29,12 @@
   onAdapter: (change: { backend: string, model: string, adapter: string, present: boolean }) => void
 }
 
+/** Monotone times before which servers are not ordered, since an earlier holder has ordered them. */
+export interface HoldOff {
+  notBefore: number
+  byBackend: ReadonlyMap<string, number>
+}
+
 /** A model or adapter that somebody waits for. */
 interface OpenNeed {
   need: WeightsNeed
@@ -47,6 +53,7 @@
   private readonly loads = new Map<string, PlannedLoad>()
   /** When each server's models were loaded, by server and model. */
   private readonly loadedAt = new Map<string, Map<string, number>>()
+  private holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
   private readonly needs = new Map<string, OpenNeed>()
 
   constructor (private readonly opts: ResidencyHolderOptions) {
@@ -59,12 +66,20 @@
   }
 
   /** Begins to order; what an earlier holder loaded is not known, so that loads begin slowly. */
-  begin (): void {
+  begin (holdOff: HoldOff): void {
+    this.holdOff = holdOff
     for (const bucket of this.buckets.values()) bucket.drain()
     this.orders.clear()
     this.needs.clear()
   }
 
+  /** Servers ordered within a while, with the milliseconds since. */
+  listOrdered (withinMs: number): [backend: string, agoMs: number][] {
+    const now = this.opts.clock.readTime()
+    const ordered = [...this.orders].map(([backend, orders]): [string, number] => [backend, now - orders.newestOrderAt])
+    return ordered.filter(([, agoMs]) => agoMs < withinMs)
+  }
+
   /** Takes what an instance was asked for. */
   noteDemand (counts: readonly DemandCount[]): void {
     for (const { service, model, adapter, workMs } of counts) {
@@ -232,6 +247,7 @@
           onDisk: backend.entry.onDisk,
           busy: load !== undefined,
           fresh: this.listFresh(backend.id),
+          heldMs: Math.max(0, this.readHoldOff(backend.id) - this.opts.clock.readTime()),
           running: backend.readLoad().running,
         }
       }),
@@ -258,11 +274,16 @@
     const present = this.orders.get(backend.id)
     if (present) return present
     const { clock, weights, log, readRight } = this.opts
-    const created = new ServerOrders({ clock, weights, log, readRight, backendId: backend.id, address: backend.entry.address })
+    const notBefore = this.readHoldOff(backend.id)
+    const created = new ServerOrders({ clock, weights, log, readRight, notBefore, backendId: backend.id, address: backend.entry.address })
     this.orders.set(backend.id, created)
     return created
   }
 
+  private readHoldOff (backend: string): number {
+    return this.holdOff.byBackend.get(backend) ?? this.holdOff.notBefore
+  }
+
   private findDemand (service: string): DemandTracker {
     const present = this.demands.get(service)
     if (present) return present
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -1,14 +1,14 @@
-import type { ShardLease } from '@pulleystack/placement.ledger'
+import { LeaseOrigins, type ShardLease } from '@pulleystack/placement.ledger'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { nameWeights, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { ADAPTERS, DEMAND, HOLDER_BEAT, NEED } from './channels.js'
+import { ADAPTERS, DEMAND, HANDOVER, HOLDER_BEAT, NEED, type Handover } from './channels.js'
 import { estimateWork, type DemandCount } from './DemandTracker.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
-import type { ResidencyHolder } from './ResidencyHolder.js'
+import type { HoldOff, ResidencyHolder } from './ResidencyHolder.js'
 
 /** Times as shares of the lease's life. */
 const Shares = {
@@ -21,9 +21,12 @@
   /** A holder that was not heard for this long is not known to be well. */
   HOLDER_SILENT: 0.65,
   TAKE: 1 / 6,
-  QUIET_BEFORE_RELEASE: 1,
+  /** An instance that handed over leaves the lease to others for this long. */
+  STAND_BACK: 2.5,
 } as const
 const CALL_MS = 500
+/** Orders that were under way when the right to order ended are answered or given up by then. */
+const ORDERS_END_MS = 400
 
 export interface ResidencyServiceOptions {
   clock: Clock
@@ -33,6 +36,10 @@
   instance: string
   lease: ShardLease
   leaseMs: number
+  /** The holder's name in the lease. */
+  life: string
+  /** Least time between orders of two holders to one server. */
+  turnMs: number
   holder: ResidencyHolder
   /** Live instances that could hold the lease, this one among them while it can. */
   listCandidates: () => readonly string[]
@@ -49,6 +56,8 @@
   private wasHeld = false
   private stopping = false
   private renewing = false
+  private hasOrdered = false
+  private handover: (Handover & { from: string, at: number }) | undefined
   private readonly lastDone: Record<Task, number> = { RENEW: -Infinity, BEAT: -Infinity, PLAN: -Infinity, DEMAND: -Infinity, TAKE: -Infinity }
 
   constructor (private readonly opts: ResidencyServiceOptions) {
@@ -61,6 +70,7 @@
     network.handleCalls(NEED, (_, need) => holder.takeNeed(need))
     const subscriptions = [
       network.receive(DEMAND).subscribe(({ body }) => holder.noteDemand(body.counts)),
+      network.receive(HANDOVER).subscribe(({ from, body }) => this.noteHandover(from, body)),
       network.receive(HOLDER_BEAT).subscribe(({ from, body }) => this.noteBeat(from, body)),
       network.receive(ADAPTERS).subscribe(({ body }) => this.noteAdapter(body)),
     ]
@@ -74,12 +84,12 @@
     this.noteAdapter(change)
   }
 
-  /** Orders no more; gives the lease up once every order has long arrived. */
+  /** Orders no more, leaves the newest orders to the successor and gives the lease up. */
   async stop (): Promise<void> {
     this.stopping = true
     if (!this.opts.lease.isHeld) return
-    this.opts.network.broadcast(HOLDER_BEAT, { fence: this.opts.lease.fence, stopping: true })
-    await this.opts.clock.wait(this.readShare('QUIET_BEFORE_RELEASE'))
+    await this.opts.clock.wait(ORDERS_END_MS)
+    this.handOver()
     await this.opts.lease.release()
   }
 
@@ -110,11 +120,19 @@
     return this.heard.instance
   }
 
-  private noteBeat (from: string, beat: { fence: number, stopping: boolean }): void {
-    if (beat.stopping) {
-      this.heard = undefined
-      return
-    }
+  private handOver (): void {
+    const handover = { holder: this.opts.life, fence: this.opts.lease.fence, ordered: this.opts.holder.listOrdered(this.opts.turnMs) }
+    this.opts.log.record(DecisionKinds.LEASE_HANDED_OVER, { fence: handover.fence, ordered: handover.ordered.map(([backend]) => backend) })
+    this.opts.network.broadcast(HANDOVER, handover)
+    this.noteHandover(this.opts.instance, handover)
+  }
+
+  private noteHandover (from: string, handover: Handover): void {
+    this.handover = { ...handover, from, at: this.opts.clock.readTime() }
+    if (this.heard?.instance === from) this.heard = undefined
+  }
+
+  private noteBeat (from: string, beat: { fence: number }): void {
     if (this.heard?.instance !== from) this.opts.log.record(DecisionKinds.HOLDER_CHANGED, { holder: from, fence: beat.fence })
     this.heard = { instance: from, at: this.opts.clock.readTime() }
   }
@@ -138,12 +156,25 @@
     const { lease, holder, network } = this.opts
     if (this.stopping) return
     if (!this.renewing && this.isDue('RENEW')) void this.renew()
-    if (!this.mayOrder) return
-    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence, stopping: false })
+    if (!this.mayOrder) {
+      if (this.hasOrdered) await this.giveUp()
+      return
+    }
+    this.hasOrdered = true
+    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence })
     holder.serveNeeds()
     if (this.isDue('PLAN')) holder.plan()
   }
 
+  /** The store takes no renewals from this instance; another may reach it, and need not wait for the lease to run out. */
+  private async giveUp (): Promise<void> {
+    this.hasOrdered = false
+    await this.opts.clock.wait(ORDERS_END_MS)
+    if (this.mayOrder) return
+    this.handOver()
+    this.opts.lease.abandon()
+  }
+
   // Two renewals at once would conflict with each other.
   private async renew (): Promise<void> {
     this.renewing = true
@@ -155,8 +186,27 @@
   private async tryTake (): Promise<void> {
     const { lease, instance } = this.opts
     if (this.stopping || this.findHolder() !== undefined) return
-    if (findOwner('residency', this.opts.listCandidates()) !== instance) return
-    if (this.isDue('TAKE')) await lease.tryTake()
+    const standsBack = this.isStandingBack(this.handover)
+    const candidates = this.opts.listCandidates().filter((candidate) => !standsBack || candidate !== this.handover?.from)
+    if (findOwner('residency', candidates) !== instance) return
+    if (this.isDue('TAKE') && await lease.tryTake(this.handover)) this.begin()
+  }
+
+  private isStandingBack (handover: { at: number } | undefined): boolean {
+    return handover !== undefined && this.opts.clock.readTime() - handover.at < this.readShare('STAND_BACK')
+  }
+
+  private begin (): void {
+    const { lease, holder, turnMs, clock } = this.opts
+    const { handover } = this
+    const now = clock.readTime()
+    const holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
+    if (lease.takenFrom === LeaseOrigins.HANDED_OVER && handover) {
+      holdOff.byBackend = new Map(handover.ordered.map(([backend, agoMs]) => [backend, handover.at - agoMs + turnMs]))
+    } else if (lease.takenFrom === LeaseOrigins.RELEASED) {
+      holdOff.notBefore = now + turnMs
+    }
+    holder.begin(holdOff)
   }
 
   private noteHolding (): void {
@@ -164,7 +214,7 @@
     if (lease.isHeld === this.wasHeld) return
     this.wasHeld = lease.isHeld
     log.record(this.wasHeld ? DecisionKinds.LEASE_TAKEN : DecisionKinds.LEASE_LOST, { fence: lease.fence })
-    if (this.wasHeld) this.opts.holder.begin()
+    if (this.wasHeld) this.hasOrdered = false
   }
 
   private sendDemand (): void {
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -24,6 +24,8 @@
   address: string
   /** Undefined while this instance may not order. */
   readRight: () => OrderRight | undefined
+  /** Monotone time before which an earlier holder's orders are too recent for one of this instance. */
+  notBefore: number
 }
 
 /**
@@ -38,6 +40,11 @@
 
   constructor (private readonly opts: ServerOrdersOptions) {}
 
+  /** Monotone time of the newest order. */
+  get newestOrderAt (): number {
+    return this.orderedAt
+  }
+
   /** An order is under way or waits. */
   get isBusy (): boolean {
     return this.pending > 0
@@ -65,6 +72,8 @@
 
   /** Sends one order at the sequence last known; undefined when it was not answered or the right to order has gone. */
   async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<OrderAnswer | undefined> {
+    const heldMs = this.opts.notBefore - this.opts.clock.readTime()
+    if (heldMs > 0) await this.opts.clock.wait(heldMs)
     const right = this.opts.readRight()
     if (!right || this.sequence === undefined) return undefined
     const { log, backendId } = this.opts
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -11,6 +11,8 @@
   busy: boolean
   /** Models that came so lately that they are not to go again yet. */
   fresh: readonly string[]
+  /** Milliseconds until it may be ordered. */
+  heldMs: number
   /** Requests that it runs. */
   running: number
 }
@@ -99,7 +101,7 @@
     const victims = chooseVictims(input, server, served, { copies, kept: targets.kept })
     if (!victims) continue
     const tier = chooseTier(server, served)
-    const cost = tier.loadMs + victims.length * UNLOAD_MS + victims.reduce((sum, victim) => sum + rateVictim(input, victim), 0)
+    const cost = server.heldMs + tier.loadMs + victims.length * UNLOAD_MS + victims.reduce((sum, victim) => sum + rateVictim(input, victim), 0)
       + rateServer(input, server, copies) * MS_PER_SERVER_RATE
     if (!best || cost < best.cost) best = { cost, load: { server: server.id, model, victims, ...tier } }
   }
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -201,6 +201,8 @@
     instance: settings.instance,
     lease,
     leaseMs,
+    life,
+    turnMs: settings.bounds.leaseMs,
     holder,
     listCandidates: () => [mesh.self, ...mesh.listLive()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
     onChange: parts.onChange,
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -2,6 +2,7 @@
 import { Backend } from './Backend.js'
 import type { BackendEntry } from './BackendEntry.js'
 import type { LoadTally } from './LoadTally.js'
+import type { PromptPart } from './PrefixMemory.js'
 
 /** What changed in the fleet. */
 export interface FleetChange {
@@ -9,11 +10,21 @@
   backend: Backend
 }
 
+/** The shared beginning of a prompt that one server has read. */
+export interface SharedPrefix {
+  backend: string
+  weights: string
+  parts: readonly PromptPart[]
+}
+
+const MAX_UNTOLD = 64
+
 /** All backend servers, as the directory of servers and the other instances tell. */
 export class BackendFleet {
   private readonly backends = new Map<string, Backend>()
   private readonly byService = new Map<string, Backend[]>()
   private readonly subject = new Subject<FleetChange>()
+  private readonly untold: SharedPrefix[] = []
   private readonly loadSubject = new Subject<void>()
 
   get changes (): Observable<FleetChange> {
@@ -25,6 +36,21 @@
     return this.loadSubject
   }
 
+  /** Notes that a server reads these parts of a prompt, and remembers what is new in it for the other instances. */
+  notePrefix (backend: Backend, weights: string, parts: readonly PromptPart[]): void {
+    // The last part belongs to one request or session, so that nobody else has a use for it.
+    const shared = parts.slice(0, -1)
+    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0)
+    const isNew = shared.length > 0 && backend.prefixes.countKept(weights, shared) < sharedTokens
+    backend.prefixes.note(weights, parts)
+    if (isNew && this.untold.length < MAX_UNTOLD) this.untold.push({ backend: backend.id, weights, parts: shared })
+  }
+
+  /** Prefixes that the other instances have not been told yet. */
+  takeUntold (): SharedPrefix[] {
+    return this.untold.splice(0)
+  }
+
   /** To be called whenever a server's own tally changed. */
   noteLoadChange (): void {
     this.loadSubject.next()
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -51,6 +51,8 @@
 const PREFILL_TOKENS_PER_MS = 30
 // Each further request in the batch makes every token of the others a little later.
 const BATCH_MS_PER_REQUEST = 4
+// Reading a prompt holds up every stream that runs beside it; each such stream counts this share of the reading time.
+const HOLD_UP_SHARE = 0.04
 const OTHER_ZONE_MS = 4
 const CACHE_SHARE = 0.92
 
@@ -95,6 +97,8 @@
   if (load.running >= figures.batchSlots) return undefined
   const needed = generation.promptTokens + generation.outputTokens
   if (load.running > 0 && load.cacheTokens + needed > figures.cacheTokens * CACHE_SHARE) return undefined
-  const prefillMs = (load.prefillTokens + generation.promptTokens - keptTokens) / PREFILL_TOKENS_PER_MS
-  return { backend, keptTokens, cost: prefillMs + load.running * BATCH_MS_PER_REQUEST + zoneMs + jitter }
+  const ownMs = (generation.promptTokens - keptTokens) / PREFILL_TOKENS_PER_MS
+  const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
+  const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
+  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + zoneMs + jitter }
 }
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -8,6 +8,8 @@
   loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number][]
   /** Servers to which no connection comes up. */
   down: string[]
+  /** Shared beginnings of prompts that servers have read since the last message. */
+  prefixes: [backend: string, weights: string, parts: [id: string, tokens: number][]][]
 }
 
 const LOADS = defineChannel<SharedLoads>('fleet.loads')
@@ -37,6 +39,7 @@
     fleet.loadChanges.subscribe(schedule),
     network.receive(LOADS).subscribe(({ from, body }) => {
       fleet.applyPeerLoads(from, readTallies(body))
+      for (const [backend, weights, parts] of body.prefixes) fleet.find(backend)?.prefixes.note(weights, parts.map(([id, tokens]) => ({ id, tokens })))
       for (const backend of body.down) fleet.find(backend)?.noteReportedDown(opts.clock.readTime())
       opts.onChange()
     }),
@@ -63,5 +66,9 @@
 function buildLoads (fleet: BackendFleet, now: number): SharedLoads {
   const busy = fleet.listAll().filter((backend) => backend.own.running > 0)
   const down = fleet.listAll().filter((backend) => !backend.isReachable(now))
-  return { loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]), down: down.map(({ id }) => id) }
+  return {
+    loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]),
+    down: down.map(({ id }) => id),
+    prefixes: fleet.takeUntold().map(({ backend, weights, parts }) => [backend, weights, parts.map(({ id, tokens }) => [id, tokens])]),
+  }
 }
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -18,6 +18,7 @@
   HOLDER_CHANGED: 'holder-changed',
   LEASE_TAKEN: 'lease-taken',
   LEASE_LOST: 'lease-lost',
+  LEASE_HANDED_OVER: 'lease-handed-over',
   /** One request. */
   REQUEST_WAITING: 'request-waiting',
   ATTEMPT_SENT: 'attempt-sent',
