--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -22,7 +22,7 @@
   weightsMb: 200,
   adapterSlots: 2,
   loadsPerSecond: 10,
-  models: ['a', 'b', 'c', 'd'].map((name) => ({ name, weightsMb: 60, adapterMb: 1, adapters: 4, loadSeconds: 1, diskSeconds: 0.2, memorySeconds: 0.1 })),
+  models: ['a', 'b', 'c', 'd'].map((name) => ({ name, weightsMb: 60, adapterMb: 1, adapters: 4, loadSeconds: 0.1, diskSeconds: 0.1, memorySeconds: 0.1 })),
 }
 
 interface ArrivedOrder {
