--- /dev/null
+++ b/config/feed/src/index.ts
@@ -0,0 +1,2 @@
+export { StoreFeed } from './StoreFeed.js'
+export type { StoreFeedOptions } from './StoreFeed.js'
--- a/placement/residency/src/AdapterKeeper.ts
+++ b/placement/residency/src/AdapterKeeper.ts
@@ -1,7 +1,7 @@
-import { OrderAnswers, type WeightsState } from '@pulleystack/backend.interfaces'
+import type { WeightsState } from '@pulleystack/backend.interfaces'
 import type { ModelServing } from '@pulleystack/config.routes'
 import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
-import type { ServerOrders } from './ServerOrders.js'
+import { SentOrders, type ServerOrders } from './ServerOrders.js'
 
 const FIRST_POLL_MS = 110
 const MAX_TRIES = 3
@@ -28,7 +28,7 @@
     }
     if (!state.comingAdapters.some((coming) => isSameAdapter(coming, name))) {
       if (!await makeRoom(opts, state)) continue
-      if (await opts.orders.send('load', model, adapter) !== OrderAnswers.TAKEN) continue
+      if (!await opts.orders.send('load', model, adapter)) continue
     }
     const reached = await opts.orders.waitFor((now) => listAdapters(now).includes(name), FIRST_POLL_MS)
     if (!reached) return false
@@ -48,8 +48,8 @@
     const [model, adapter] = name.split('/') as [string, string]
     // Nobody is sent to it any more from the moment that it is to go.
     opts.onChange(model, adapter, false)
-    const answer = await opts.orders.send('unload', model, adapter)
-    if (answer === OrderAnswers.HOLDS || answer === OrderAnswers.TAKEN) excess--
+    const sent = await opts.orders.send('unload', model, adapter)
+    if (sent === SentOrders.HOLDS || sent === SentOrders.TAKEN) excess--
     else opts.onChange(model, adapter, true)
     if (await opts.orders.readSettled() === undefined) return false
   }
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -1,4 +1,4 @@
-import { OrderAnswers, type WeightsClient } from '@pulleystack/backend.interfaces'
+import type { WeightsClient } from '@pulleystack/backend.interfaces'
 import type { ModelServing, RouteTable } from '@pulleystack/config.routes'
 import type { Clock } from '@pulleystack/core.clock'
 import { nameWeights, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
@@ -188,13 +188,12 @@
     if (!state || state.busy || state.models.some((held) => held.name === load.model)) return
     for (const victim of load.victims) {
       if (!state.models.some((held) => held.name === victim)) continue
-      if (await orders.send('unload', victim, undefined) !== OrderAnswers.TAKEN) return
+      if (!await orders.send('unload', victim, undefined)) return
       state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS)
       if (!state) return
     }
     if (!hasRoom(serving, state.models, load.model)) return
-    const answer = await orders.send('load', load.model, undefined)
-    if (answer !== OrderAnswers.TAKEN) return
+    if (!await orders.send('load', load.model, undefined)) return
     await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
     this.noteLoaded(load.server, load.model)
   }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -98,6 +98,11 @@
     return !this.stopping && this.opts.lease.mayOrder
   }
 
+  /** The instance that orders, as far as this one knows; undefined while none is known to be well. */
+  get orderer (): string | undefined {
+    return this.mayOrder ? this.opts.instance : this.findHolder()
+  }
+
   override async requestWeights (need: WeightsNeed): Promise<NeedAnswer> {
     if (this.mayOrder) return this.opts.holder.takeNeed(need)
     const holder = this.findHolder()
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -1,6 +1,4 @@
-import { OrderAnswers, type OrderAnswer, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
-import type { PulleystackError } from '@pulleystack/core.errors'
-import type { Result } from 'neverthrow'
+import { OrderAnswers, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 
@@ -10,6 +8,16 @@
 const SETTLE_EXTRA_MS = 3_000
 const MAX_SENDS = 3
 
+/** What became of an order that was not refused. */
+export const SentOrders = {
+  TAKEN: 'taken',
+  /** What it asked for was so already. */
+  HOLDS: 'holds',
+  /** It may have been taken; the server's own state tells. */
+  UNCERTAIN: 'uncertain',
+} as const
+export type SentOrder = typeof SentOrders[keyof typeof SentOrders]
+
 /** The right to order, as of now. */
 export interface OrderRight {
   holder: string
@@ -70,8 +78,8 @@
     return read.value
   }
 
-  /** Sends one order at the sequence last known; undefined when it was not answered or the right to order has gone. */
-  async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<OrderAnswer | undefined> {
+  /** Sends one order at the sequence last known; undefined when it was refused or the right to order has gone. */
+  async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<SentOrder | undefined> {
     const heldMs = this.opts.notBefore - this.opts.clock.readTime()
     if (heldMs > 0) await this.opts.clock.wait(heldMs)
     const right = this.opts.readRight()
@@ -79,25 +87,23 @@
     const { log, backendId } = this.opts
     const order = { action, model, adapter, expectedSequence: this.sequence, ...right }
     log.record(DecisionKinds.ORDER_SENT, { backend: backendId, action, model, adapter, sequence: this.sequence, fence: right.fence })
-    const answer = await this.sendUntilAnswered(order)
-    if (answer.isOk()) {
-      // An adapter that goes at once is answered like one that was never there, though it counts as an order.
-      if (answer.value === OrderAnswers.TAKEN) this.sequence++
-      else this.sequence = undefined
-    } else {
-      this.sequence = undefined
-    }
-    log.record(DecisionKinds.ORDER_SETTLED, { backend: backendId, action, model, adapter, answer: answer.isOk() ? answer.value : answer.error.code })
-    return answer.isOk() ? answer.value : undefined
+    const outcome = await this.sendUntilAnswered(order)
+    this.sequence = outcome === SentOrders.TAKEN ? this.sequence + 1 : undefined
+    log.record(DecisionKinds.ORDER_SETTLED, { backend: backendId, action, model, adapter, answer: outcome ?? 'refused' })
+    return outcome
   }
 
   // An order whose answer was lost may still be taken, now or late; sent again with the same sequence it is taken once at most.
-  private async sendUntilAnswered (order: WeightsOrder): Promise<Result<OrderAnswer, PulleystackError>> {
+  private async sendUntilAnswered (order: WeightsOrder): Promise<SentOrder | undefined> {
     const { clock, weights, backendId, address } = this.opts
     for (let tries = 1; ; tries++) {
       this.orderedAt = clock.readTime()
       const answer = await weights.sendOrder({ address, backendId }, order)
-      if (answer.isOk() || tries >= MAX_SENDS || !this.opts.readRight()) return answer
+      if (answer.isOk() && answer.value === OrderAnswers.TAKEN) return SentOrders.TAKEN
+      if (answer.isOk() && answer.value === OrderAnswers.HOLDS) return SentOrders.HOLDS
+      // A conflict on a repeated order most likely means that its first copy was taken.
+      if (answer.isOk()) return tries > 1 && answer.value === OrderAnswers.CONFLICT ? SentOrders.UNCERTAIN : undefined
+      if (tries >= MAX_SENDS || !this.opts.readRight()) return SentOrders.UNCERTAIN
     }
   }
 
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -1,20 +1,20 @@
-import { watchObjects, type ObjectStore, type StoreChange, type StoredObject, type WatchItem } from '@pulleystack/backend.interfaces'
+import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
+import { StoreFeed, type StoreFeedOptions } from '@pulleystack/config.feed'
 import { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { EntrySources } from './EntrySources.js'
 
-// A watch whose connection is cut in silence is noticed after this and a second more, well inside what bounds allow.
-const WAIT_MS = 1_200
-const MAX_BACKOFF_MS = 400
-const SETTLE_MS = 120
-const RELIST_MS = 3_600_000
-
 export interface WatchSourcesOptions {
   clock: Clock
   random: RandomSource
   store: ObjectStore
+  network: PeerNetwork
+  instance: string
+  /** Live instances that could watch the store, this one among them. */
+  listCandidates: () => readonly string[]
   sources: EntrySources
   fleet: BackendFleet
   log: DecisionLog
@@ -39,9 +39,8 @@
     opts.log.record(DecisionKinds.CONFIG_APPLIED, { version, revision: object.version, routes: config.routes.length })
     opts.onTable(new RouteTable(config))
   }
-  follow(opts, opts.sources.configPrefix, (item) => {
-    for (const object of listObjects(item)) take(object)
-  })
+  const { configPrefix } = opts.sources
+  follow(opts, configPrefix, { onListing: (objects) => objects.forEach(take), onChanges: (changes) => changes.forEach(take) })
 }
 
 function followBackends (opts: WatchSourcesOptions): void {
@@ -54,12 +53,9 @@
     else log.record(DecisionKinds.BACKEND_CHANGED, facts)
   })
   opts.signal.addEventListener('abort', () => noteChange.unsubscribe(), { once: true })
-  follow(opts, sources.backendPrefix, (item) => {
-    if ('listing' in item) {
-      fleet.replaceAll(item.listing.objects.flatMap((object) => sources.readBackend(object) ?? []))
-      return
-    }
-    for (const change of listChanges(item)) applyChange(opts, change)
+  follow(opts, sources.backendPrefix, {
+    onListing: (objects) => fleet.replaceAll(objects.flatMap((object) => sources.readBackend(object) ?? [])),
+    onChanges: (changes) => changes.forEach((change) => applyChange(opts, change)),
   })
 }
 
@@ -72,32 +68,7 @@
   if (entry) opts.fleet.put(entry)
 }
 
-/** Follows one prefix and logs when the store is lost and regained. */
-function follow (opts: WatchSourcesOptions, prefix: string, take: (item: WatchItem) => void): void {
-  let isLost = false
-  const items = watchObjects({
-    store: opts.store,
-    clock: opts.clock,
-    random: opts.random,
-    prefix,
-    getRelistMs: () => RELIST_MS,
-    waitMs: WAIT_MS,
-    maxBackoffMs: MAX_BACKOFF_MS,
-    settleMs: SETTLE_MS,
-  })
-  const subscription = items.subscribe((item) => {
-    const failed = 'failed' in item
-    if (failed !== isLost) opts.log.record(failed ? DecisionKinds.DEPENDENCY_LOST : DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix })
-    isLost = failed
-    take(item)
-  })
-  opts.signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
-}
-
-function listObjects (item: WatchItem): readonly StoredObject[] {
-  return 'listing' in item ? item.listing.objects : listChanges(item)
-}
-
-function listChanges (item: WatchItem): readonly StoreChange[] {
-  return 'batch' in item ? item.batch.changes : []
+function follow (opts: WatchSourcesOptions, prefix: string, take: Pick<StoreFeedOptions, 'onListing' | 'onChanges'>): void {
+  const { clock, random, store, network, log, instance, listCandidates } = opts
+  new StoreFeed({ clock, random, store, network, log, prefix, instance, listCandidates, ...take }).start(opts.signal)
 }
--- /dev/null
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict'
+import { beforeEach, describe, it } from 'node:test'
+import { RandomSource } from '@pulleystack/core.clock'
+import { BackendFleet, ChoiceFailures, chooseBackend, type BackendChoice, type BackendEntry, type ChoiceFailure, type GenerationDemand } from '../src/index.js'
+
+const FIGURES = { cacheTokens: 100_000, batchSlots: 8 }
+const DEMAND: GenerationDemand = { model: 'm', adapter: undefined, promptTokens: 3_000, outputTokens: 100, parts: [{ id: 'a', tokens: 2_000 }, { id: 'b', tokens: 1_000 }] }
+
+function createEntry (changes: Partial<BackendEntry>): BackendEntry {
+  return {
+    id: 'r1',
+    service: 's',
+    address: 'h:1',
+    zone: 'z1',
+    slots: 8,
+    draining: false,
+    models: [{ name: 'm', adapters: [] }],
+    inMemory: [],
+    onDisk: [],
+    ...changes,
+  }
+}
+
+describe('the choice of a backend server', () => {
+  let fleet: BackendFleet
+  const choose = (demand: Partial<GenerationDemand> = {}, excluded: string[] = [], now = 0): BackendChoice | ChoiceFailure => chooseBackend({
+    backends: fleet.list('s'),
+    demand: { zone: 'z1', excluded: new Set(excluded), generation: { ...DEMAND, ...demand }, queueShare: 1 },
+    figures: FIGURES,
+    random: new RandomSource(1),
+    now,
+  })
+  const chooseId = (...args: Parameters<typeof choose>): string => {
+    const choice = choose(...args)
+    return typeof choice === 'string' ? choice : choice.backend.id
+  }
+  const find = (id: string) => fleet.find(id) as NonNullable<ReturnType<BackendFleet['find']>>
+
+  beforeEach(() => {
+    fleet = new BackendFleet()
+    fleet.replaceAll([createEntry({ id: 'r1' }), createEntry({ id: 'r2', zone: 'z2' })])
+  })
+
+  it('takes the own zone when all else is alike', () => {
+    assert.equal(chooseId(), 'r1')
+  })
+
+  it('takes the server that has read the prompt, wherever it stands', () => {
+    find('r2').prefixes.note('m', DEMAND.parts)
+    assert.equal(chooseId(), 'r2')
+  })
+
+  it('passes over a server that leaves, from the moment that it is known', () => {
+    fleet.put(createEntry({ id: 'r1', draining: true }))
+    assert.equal(chooseId(), 'r2')
+    fleet.put(createEntry({ id: 'r2', draining: true }))
+    assert.equal(choose(), ChoiceFailures.NO_BACKEND)
+  })
+
+  it('passes over a server to which no connection came up, until its time is over', () => {
+    find('r1').noteUnreachable(0)
+    assert.equal(chooseId({}, [], 100), 'r2')
+    assert.equal(chooseId({}, [], 10_000), 'r1')
+  })
+
+  it('counts what other instances have in hand', () => {
+    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0 }]]))
+    assert.equal(chooseId(), 'r2')
+    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0 }], ['r2', { running: 8, prefillTokens: 0, cacheTokens: 0 }]]))
+    assert.equal(choose(), ChoiceFailures.FULL)
+    fleet.applyPeerLoads('e2', new Map())
+    assert.equal(chooseId(), 'r1')
+  })
+
+  it('never promises more of the KV cache than there is, but to a server that runs nothing', () => {
+    const large = { promptTokens: 95_000, parts: [] }
+    assert.equal(chooseId(large), 'r1')
+    for (const id of ['r1', 'r2']) find(id).own.running = 1
+    for (const id of ['r1', 'r2']) find(id).own.cacheTokens = 20_000
+    assert.equal(choose(large), ChoiceFailures.FULL)
+  })
+
+  it('tells a model or adapter that nobody holds from servers that are full', () => {
+    assert.equal(choose({ model: 'other' }), ChoiceFailures.NOT_RESIDENT)
+    assert.equal(choose({ adapter: 'a1' }), ChoiceFailures.NOT_RESIDENT)
+    find('r2').noteAdapter('m', 'a1', true)
+    assert.equal(chooseId({ adapter: 'a1' }), 'r2')
+  })
+
+  it('asks for another copy when every holder has failed the request', () => {
+    assert.equal(choose({}, ['r1', 'r2']), ChoiceFailures.NOT_RESIDENT)
+  })
+
+  it('keeps large prompts from servers that run many streams', () => {
+    find('r1').own.running = 5
+    assert.equal(chooseId({ promptTokens: 9_000, parts: [] }), 'r2')
+  })
+})
--- /dev/null
+++ b/routing/forward/test/EventSplitter.test.ts
@@ -0,0 +1,32 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { EventSplitter } from '../src/index.js'
+
+describe('a splitter of event streams', () => {
+  it('gives an event once its blank line has come, with its id', () => {
+    const splitter = new EventSplitter()
+    assert.deepEqual(splitter.push(Buffer.from('id: 7\ndata: a')), [])
+    const [event] = splitter.push(Buffer.from('\n\nid: 8\nda'))
+    assert.equal(event?.id, '7')
+    assert.equal(event?.bytes.toString(), 'id: 7\ndata: a\n\n')
+    assert.equal(splitter.pendingBytes, 'id: 8\nda'.length)
+  })
+
+  it('takes carriage returns and events without an id', () => {
+    const events = new EventSplitter().push(Buffer.from('data: a\r\n\r\nid:9\r\ndata: b\r\n\r\n'))
+    assert.deepEqual(events.map((event) => event.id), [undefined, '9'])
+  })
+
+  it('loses and adds no byte, however the stream is cut into chunks', () => {
+    const line = fc.constantFrom('id: 1', 'data: x', 'data: ', ': note', '')
+    fc.assert(fc.property(fc.array(line, { maxLength: 40 }), fc.array(fc.nat(200), { maxLength: 10 }), (lines, cuts) => {
+      const bytes = Buffer.from(lines.join('\n'))
+      const splitter = new EventSplitter()
+      const edges = [0, ...cuts.map((cut) => Math.min(cut, bytes.length)).sort((a, b) => a - b), bytes.length]
+      const parts = edges.slice(1).flatMap((edge, at) => splitter.push(bytes.subarray(edges[at], edge)).map((event) => event.bytes))
+      assert.equal(Buffer.concat([...parts, splitter.takeRest()]).toString(), bytes.toString())
+      for (const part of parts) assert.ok(part.toString().endsWith('\n\n'))
+    }), { numRuns: 200, seed: 2 })
+  })
+})
--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@pulleystack/core.clock'
 
 const BUCKETS = 10
+/** Attempts count for one bucket longer than requests, so that no window, wherever it begins, holds more than it may. */
+const KEPT = BUCKETS + 1
 
 export interface WindowBudgetOptions {
   clock: Clock
@@ -18,8 +20,8 @@
  * within a common bound: a share of its own requests and its part of the fixed extra.
  */
 export class WindowBudget {
-  private readonly requests = new Array<number>(BUCKETS).fill(0)
-  private readonly attempts = new Array<number>(BUCKETS).fill(0)
+  private readonly requests = new Array<number>(KEPT).fill(0)
+  private readonly attempts = new Array<number>(KEPT).fill(0)
   private newest = 0
 
   constructor (private readonly opts: WindowBudgetOptions) {}
@@ -40,21 +42,21 @@
 
   /** Further attempts that could be taken now. */
   get left (): number {
-    this.turn()
+    const oldest = (this.turn() + 1) % KEPT
     const { ratio, extra, countInstances } = this.opts
     const part = Math.floor(extra / Math.max(1, countInstances()))
-    return ratio * sum(this.requests) + part - sum(this.attempts)
+    return ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + part - sum(this.attempts)
   }
 
   /** Empties the buckets whose time has passed; gives the one of now. */
   private turn (): number {
     const now = Math.floor(this.opts.clock.readTime() / (this.opts.windowMs / BUCKETS))
-    for (let at = Math.max(this.newest + 1, now - BUCKETS + 1); at <= now; at++) {
-      this.requests[at % BUCKETS] = 0
-      this.attempts[at % BUCKETS] = 0
+    for (let at = Math.max(this.newest + 1, now - KEPT + 1); at <= now; at++) {
+      this.requests[at % KEPT] = 0
+      this.attempts[at % KEPT] = 0
     }
     this.newest = Math.max(this.newest, now)
-    return now % BUCKETS
+    return now % KEPT
   }
 }
 
--- /dev/null
+++ b/routing/retries/test/WindowBudget.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import fc from 'fast-check'
+import { ManualClock } from '@pulleystack/core.clock'
+import { WindowBudget } from '../src/index.js'
+
+const OPTS = { ratio: 0.2, extra: 54, windowMs: 10_000 }
+
+function countTakes (budget: WindowBudget): number {
+  let takes = 0
+  while (budget.take()) takes++
+  return takes
+}
+
+describe('a budget for further attempts in a window', () => {
+  it('gives an instance its part of the extra, rounded down', () => {
+    const budget = new WindowBudget({ ...OPTS, clock: new ManualClock(), countInstances: () => 7 })
+    assert.equal(countTakes(budget), 7)
+  })
+
+  it('grows with the requests and is given back only when its window has passed', async () => {
+    const clock = new ManualClock()
+    const budget = new WindowBudget({ ...OPTS, clock, countInstances: () => 54 })
+    for (let i = 0; i < 50; i++) budget.noteRequest()
+    assert.equal(countTakes(budget), 11)
+    await clock.advance(8_000)
+    assert.equal(countTakes(budget), 0)
+    await clock.advance(4_000)
+    assert.equal(countTakes(budget), 1)
+  })
+
+  it('shrinks when instances join', () => {
+    let instances = 1
+    const budget = new WindowBudget({ ...OPTS, clock: new ManualClock(), countInstances: () => instances })
+    for (let i = 0; i < 20; i++) assert.ok(budget.take())
+    instances = 7
+    assert.equal(budget.take(), false)
+  })
+
+  it('keeps all instances together within the bound in every window, whatever comes', async () => {
+    const step = fc.record({ instance: fc.nat(2), requests: fc.nat(5), tries: fc.nat(20), ms: fc.nat(1_500) })
+    await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 60 }), async (steps) => {
+      const clock = new ManualClock()
+      const budgets = [0, 1, 2].map(() => new WindowBudget({ ...OPTS, clock, countInstances: () => 3 }))
+      const requests: number[] = []
+      const attempts: number[] = []
+      for (const { instance, requests: count, tries, ms } of steps) {
+        const budget = budgets[instance] as WindowBudget
+        for (let i = 0; i < count; i++) {
+          budget.noteRequest()
+          requests.push(clock.readTime())
+        }
+        for (let i = 0; i < tries; i++) if (budget.take()) attempts.push(clock.readTime())
+        await clock.advance(ms)
+      }
+      for (const end of attempts) {
+        const inWindow = (at: number): boolean => at <= end && at > end - OPTS.windowMs
+        const allowed = OPTS.ratio * requests.filter((at) => at <= end && at > end - OPTS.windowMs).length + OPTS.extra
+        assert.ok(attempts.filter(inWindow).length <= allowed + 1e-9)
+      }
+    }), { numRuns: 60, seed: 5 })
+  })
+})
