--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -21,6 +21,8 @@
   client: ClientAnswer
   progress: StreamProgress
   pace: StreamPace
+  /** Whole events have come. */
+  onEvents: () => void
   onFirstEvent: () => void
 }
 
@@ -49,6 +51,7 @@
         gathered.push(event.bytes)
       }
       if (gathered.length === 0) return
+      opts.onEvents()
       if (!isFirst) {
         pace.schedule(flush)
         return
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -17,8 +17,11 @@
 /** Sends of one request, those included that its servers refused. */
 const MAX_SENDS = 4
 /** A repeatable request goes elsewhere when nothing has come for this many times its latency target. */
-const SILENCE_TARGETS = 2.5
+const SILENCE_TARGETS = 2
 const MIN_SILENCE_MS = 250
+/** A stream that may be resumed goes elsewhere after so many of the longest pauses that its route allows. */
+const STALL_PAUSES = 3
+const DEFAULT_PAUSE_MS = 400
 
 /** What the attempts of all requests share. */
 export interface RunOptions {
@@ -79,7 +82,7 @@
 ): Promise<PulleystackError | undefined> {
   const { clock, log } = opts
   const sentAt = clock.readTime()
-  const attempt = createAttemptSignal(opts, work)
+  const attempt = createAttemptSignal(opts, work, progress)
   progress.sends++
   const facts = { request: work.requestId, backend: place.backend.id, send: progress.sends }
   log.record(DecisionKinds.ATTEMPT_SENT, {
@@ -93,7 +96,7 @@
     const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
     progress.runs++
     place.backend.noteReached(clock.readTime())
-    const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.stopWatch })
+    const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.noteBytes })
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
     place.backend.outlier.noteSuccess()
     return undefined
@@ -118,10 +121,15 @@
 }): Promise<PulleystackError | undefined> {
   const { work, progress, answer, client } = it
   if (work.route.streams && answer.status === 200) {
-    await relayStream({ clock: opts.clock, answer, client, progress: progress.stream, pace: opts.pace, onFirstEvent: () => {
-      it.noteBytes()
-      it.place.notePrefilled()
-    } })
+    await relayStream({
+      clock: opts.clock,
+      answer,
+      client,
+      progress: progress.stream,
+      pace: opts.pace,
+      onEvents: it.noteBytes,
+      onFirstEvent: () => it.place.notePrefilled(),
+    })
     return undefined
   }
   const body = await answer.readWhole(MAX_BODY_BYTES)
@@ -161,21 +169,38 @@
   }
 }
 
-/** Ends with the request, or when a repeatable request's server says nothing for too long. */
-function createAttemptSignal (opts: RunOptions, work: RoutedWork): { signal: AbortSignal, stopWatch: () => void, release: () => void } {
+interface AttemptSignal {
+  signal: AbortSignal
+  /** Something has come; the next silence may last as long as the pauses that the route allows. */
+  noteBytes: () => void
+  release: () => void
+}
+
+/** Ends with the request, or when a server that is not the last resort says nothing for too long. */
+function createAttemptSignal (opts: RunOptions, work: RoutedWork, progress: RunProgress): AttemptSignal {
+  const { clock } = opts
   const abort = new AbortController()
   const leave = (): void => abort.abort(work.signal.reason)
   if (work.signal.aborted) leave()
   work.signal.addEventListener('abort', leave, { once: true })
-  const silenceMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_TARGETS)
-  const stopWatch = mayRepeat(work) && work.excluded.size + 1 < work.route.maxAttempts
-    ? opts.clock.setTimer(silenceMs, () => abort.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${Math.round(silenceMs)} ms`)))
-    : () => undefined
+  const isWatched = mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts
+  let heardAt = clock.readTime()
+  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_TARGETS)
+  let cancel = (): void => undefined
+  const look = (): void => {
+    const leftMs = heardAt + limitMs - clock.readTime()
+    if (leftMs > 0) cancel = clock.setTimer(leftMs, look)
+    else abort.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${Math.round(limitMs)} ms`))
+  }
+  if (isWatched) look()
   return {
     signal: abort.signal,
-    stopWatch,
+    noteBytes: () => {
+      heardAt = clock.readTime()
+      limitMs = (work.route.longestPauseMs ?? DEFAULT_PAUSE_MS) * STALL_PAUSES
+    },
     release: () => {
-      stopWatch()
+      cancel()
       work.signal.removeEventListener('abort', leave)
     },
   }
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -6,7 +6,7 @@
 const LIFETIMES = 3
 /** Time before the end in which nothing new is begun. */
 const FINISH_MS = 3_400
-const LAST_MS = 250
+const LAST_MS = 500
 const POLL_MS = 50
 
 /**
