--- /dev/null
+++ b/backend/http/src/OwnRoutedProtocol.ts
@@ -0,0 +1,52 @@
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import { RoutedProtocol, type AnswerFacts, type ForwardContext, type RoutedRequestFacts } from '@pulleystack/backend.interfaces'
+import { listEndToEnd } from '@pulleystack/core.headers'
+import { Ran } from '@pulleystack/core.errors'
+import { ATTEMPT_HEADER, RAN_HEADER } from './wire.js'
+
+const DEADLINE_HEADER = 'pulleystack-deadline-ms'
+const LAST_EVENT_HEADER = 'last-event-id'
+const REFUSED = 503
+/** Written anew, or the caller's secret. */
+const LEFT_OUT = new Set([DEADLINE_HEADER, 'authorization', 'content-length', 'expect'])
+const LEFT_OUT_ON_RESUME = new Set([...LEFT_OUT, LAST_EVENT_HEADER])
+
+/** Gives a routed request the id that its backend server must send back. */
+export function assignAttempt (request: IncomingMessage, attempt: string): void {
+  request.headers[ATTEMPT_HEADER] = attempt
+  request.rawHeaders.push(ATTEMPT_HEADER, attempt)
+}
+
+/** The product's own marks on routed requests: the same headers as for plain services. */
+export class OwnRoutedProtocol extends RoutedProtocol {
+  override readRequest (headers: IncomingHttpHeaders): RoutedRequestFacts {
+    const waitMs = Number(headers[DEADLINE_HEADER])
+    return {
+      requestId: readText(headers[ATTEMPT_HEADER]),
+      waitMs: Number.isFinite(waitMs) ? waitMs : undefined,
+      generation: undefined,
+      lastEventId: readText(headers[LAST_EVENT_HEADER]),
+    }
+  }
+
+  override buildForwardHeaders (rawHeaders: readonly string[], context: ForwardContext): string[] {
+    const headers = listEndToEnd(rawHeaders, context.lastEventId === undefined ? LEFT_OUT : LEFT_OUT_ON_RESUME)
+    headers.push(DEADLINE_HEADER, String(context.waitMs))
+    if (context.lastEventId !== undefined) headers.push(LAST_EVENT_HEADER, context.lastEventId)
+    if (context.bodyBytes !== undefined) headers.push('content-length', String(context.bodyBytes))
+    return headers
+  }
+
+  override readAnswer (status: number, headers: IncomingHttpHeaders): AnswerFacts {
+    const requestId = readText(headers[ATTEMPT_HEADER])
+    return { requestId, signed: requestId !== undefined, notRun: status === REFUSED && headers[RAN_HEADER] === Ran.NO }
+  }
+
+  override buildOwnHeaders (): Record<string, string> {
+    return {}
+  }
+}
+
+function readText (value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value
+}
--- a/config/admission/src/admitObject.ts
+++ b/config/admission/src/admitObject.ts
@@ -28,6 +28,7 @@
     .andThen((object) => checkOwner(object, operator))
     .andThen((object) => checkReferences(object, view))
     .andThen((object) => checkCallerKeys(object, view))
+    .andThen((object) => checkRouteHost(object, view))
     .andThen((object) => checkCapacity(object, view))
 }
 
@@ -64,6 +65,11 @@
     const service = view.findObject(Kinds.SERVICE, object.partner, name)
     return service?.spec.type === 'model' ? undefined : { kind: Kinds.SERVICE, name, field: 'spec.service' }
   }
+  if (object.kind === Kinds.ROUTE) {
+    const names = (object as ConfigObject<'Route'>).spec.targets.map((target) => target.service)
+    const name = names.find((it) => view.findObject(Kinds.SERVICE, object.partner, it)?.spec.type !== 'plain')
+    return name === undefined ? undefined : { kind: Kinds.SERVICE, name, field: 'spec.targets' }
+  }
   if (object.kind === Kinds.ADAPTER || object.kind === Kinds.MODEL_VERSION) {
     const name = (object as ConfigObject<'Adapter'>).spec.model
     return view.findObject(Kinds.MODEL, object.partner, name) ? undefined : { kind: Kinds.MODEL, name, field: 'spec.model' }
@@ -80,6 +86,20 @@
   return err(new PulleystackError('OBJECT_INVALID', 'An access key of this caller is used already', { field: 'spec.keyHashes', hint: 'Create a fresh key.' }))
 }
 
+/** A host belongs to one partner, and each of its prefixes to one route, so that nobody can take another's requests over. */
+function checkRouteHost (object: ConfigObject, view: AdmissionView): Result<ConfigObject, PulleystackError> {
+  if (object.kind !== Kinds.ROUTE) return ok(object)
+  const { host, pathPrefix } = (object as ConfigObject<'Route'>).spec
+  const sameHost = view.listObjects(Kinds.ROUTE).filter((it) => !isSame(it, object) && it.spec.host === host)
+  const taken = sameHost.find((it) => it.partner !== object.partner || it.spec.pathPrefix === pathPrefix)
+  if (!taken) return ok(object)
+  const isForeign = taken.partner !== object.partner
+  return err(new PulleystackError('OBJECT_INVALID', isForeign ? `Host "${host}" is not this partner's` : `Route "${taken.name}" has the same host and prefix`, {
+    field: isForeign ? 'spec.host' : 'spec.pathPrefix',
+    hint: isForeign ? 'Use a host of your own.' : 'Change that route, or use another prefix.',
+  }))
+}
+
 function isSame (a: ConfigObject, b: ConfigObject): boolean {
   return a.partner === b.partner && a.name === b.name
 }
@@ -87,7 +107,8 @@
 function findUser (target: { kind: Kind, partner: string, name: string }, view: AdmissionView): string | undefined {
   if (target.kind === Kinds.SERVICE) {
     const model = view.listObjects(Kinds.MODEL, target.partner).find((it) => it.spec.service === target.name)
-    return model && `Model ${model.name}`
+    const route = view.listObjects(Kinds.ROUTE, target.partner).find((it) => it.spec.targets.some((used) => used.service === target.name))
+    return model ? `Model ${model.name}` : route && `Route ${route.name}`
   }
   if (target.kind !== Kinds.MODEL) return undefined
   const users = [...view.listObjects(Kinds.ADAPTER, target.partner), ...view.listObjects(Kinds.MODEL_VERSION, target.partner)]
--- a/config/objects/src/index.ts
+++ b/config/objects/src/index.ts
@@ -12,6 +12,7 @@
   ServiceSpec,
   SpecOf,
   RepeatRule,
+  RouteSpec,
 } from './schemas.js'
 export { parseConfigObject } from './parseConfigObject.js'
 export { BASE_VERSION, buildAdapterItem, buildModelItem, parseItem } from './items.js'
--- a/config/objects/src/kinds.ts
+++ b/config/objects/src/kinds.ts
@@ -7,6 +7,7 @@
   CALLER: 'Caller',
   BACKEND_SERVER_LABELS: 'BackendServerLabels',
   QUOTA: 'Quota',
+  ROUTE: 'Route',
 } as const
 export type Kind = typeof Kinds[keyof typeof Kinds]
 
--- a/config/objects/src/schemas.ts
+++ b/config/objects/src/schemas.ts
@@ -67,6 +67,23 @@
   mayBorrow: z.boolean().describe('Whether the partner may use what others leave idle.'),
 })
 
+const routeSchema = z.strictObject({
+  host: z.string().regex(/^[a-z0-9](?:[a-z0-9.-]{0,251}[a-z0-9])?$/, 'must be a host name in lower case')
+    .describe('Host without port; all routes of a host belong to one partner.'),
+  pathPrefix: z.string().regex(/^\/(?:.*\/)?$/, 'must begin and end with a slash').max(500)
+    .describe('Of the routes of a host the one with the longest prefix takes a request.'),
+  targets: z.array(z.strictObject({ service: nameSchema, weight: z.number().min(0).max(1000) })).min(1).max(16)
+    .describe('Plain services, with their shares of the requests.'),
+  repeat: z.enum(['repeatable', 'once']).describe('Whether one request may run more than once.'),
+  streams: z.boolean().optional().describe('Answers are streams of server-sent events.'),
+  resumable: z.boolean().optional().describe('A broken stream may go on at another backend server, by Last-Event-Id.'),
+  timeoutMs: z.number().int().min(10).max(3_600_000).describe('Longest time that a request may be held.'),
+  targetLatencyMs: z.number().int().min(1).max(3_600_000).optional().describe('Time to a whole answer, or to the first event, that is of full use.'),
+  longestPauseMs: z.number().int().min(1).max(600_000).optional().describe('Longest pause between events that is of full use.'),
+  priority: z.number().int().min(0).max(9).optional().describe('0 is the most urgent; absent: 5.'),
+  maxAttempts: z.number().int().min(1).max(10).optional().describe('Backend servers on which one request may run; absent: 2, or 1 when it may run once only.'),
+})
+
 /** The schema of each kind's spec. */
 export const specSchemas = {
   [Kinds.SERVICE]: serviceSchema,
@@ -76,6 +93,7 @@
   [Kinds.CALLER]: callerSchema,
   [Kinds.BACKEND_SERVER_LABELS]: backendServerLabelsSchema,
   [Kinds.QUOTA]: quotaSchema,
+  [Kinds.ROUTE]: routeSchema,
 } as const
 
 /** What is the same in objects of all kinds. */
@@ -97,6 +115,7 @@
 export type CallerSpec = z.infer<typeof callerSchema>
 export type BackendServerLabelsSpec = z.infer<typeof backendServerLabelsSchema>
 export type QuotaSpec = z.infer<typeof quotaSchema>
+export type RouteSpec = z.infer<typeof routeSchema>
 export type RepeatRule = z.infer<typeof repeatRuleSchema>
 
 export interface SpecOf {
@@ -107,6 +126,7 @@
   Caller: CallerSpec
   BackendServerLabels: BackendServerLabelsSpec
   Quota: QuotaSpec
+  Route: RouteSpec
 }
 
 /** A configuration object that matches its schema. */
--- /dev/null
+++ b/core/headers/src/index.ts
@@ -0,0 +1,1 @@
+export { listEndToEnd } from './listEndToEnd.js'
--- a/gateway/routed/src/ClientAnswer.ts
+++ b/gateway/routed/src/ClientAnswer.ts
@@ -1,8 +1,8 @@
 import type http from 'node:http'
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { Ran } from '@pulleystack/core.errors'
+import { listEndToEnd } from '@pulleystack/core.headers'
 import type { ExchangeAnswer } from '@pulleystack/routing.forward'
-import { listEndToEnd } from './headers.js'
 
 const WITH_OWN_LENGTH = new Set(['content-length'])
 const DEFAULT_RETRY_SECONDS = 0.25
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -4,8 +4,10 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
+import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { createAttemptSignal } from './AttemptSignal.js'
 import type { BackendPlace, BackendQueue } from './BackendQueue.js'
 import type { ClientAnswer } from './ClientAnswer.js'
 import { relayStream, type StreamProgress } from './relayStream.js'
@@ -16,13 +18,7 @@
 const MAX_BODY_BYTES = 32 << 20
 /** Sends of one request, those included that its servers refused. */
 const MAX_SENDS = 4
-/** A repeatable request goes elsewhere when nothing has come for this many times its latency target. */
-const SILENCE_TARGETS = 2
-const MIN_SILENCE_MS = 250
-/** A stream that may be resumed goes elsewhere after so many of the longest pauses that its route allows. */
-const STALL_PAUSES = 3
-const DEFAULT_PAUSE_MS = 400
-
+const SERVER_FAILURE = 500
 /** What the attempts of all requests share. */
 export interface RunOptions {
   clock: Clock
@@ -30,6 +26,7 @@
   agent: BackendAgent
   protocol: RoutedProtocol
   queue: BackendQueue
+  fleet: BackendFleet
   /** When events that came close together are written. */
   pace: StreamPace
   log: DecisionLog
@@ -82,7 +79,7 @@
 ): Promise<PulleystackError | undefined> {
   const { clock, log } = opts
   const sentAt = clock.readTime()
-  const attempt = createAttemptSignal(opts, work, progress)
+  const attempt = createAttemptSignal(clock, work, mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts)
   progress.sends++
   const facts = { request: work.requestId, backend: place.backend.id, send: progress.sends }
   log.record(DecisionKinds.ATTEMPT_SENT, {
@@ -98,7 +95,9 @@
     place.backend.noteReached(clock.readTime())
     const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.noteBytes })
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
-    place.backend.outlier.noteSuccess()
+    const hasFailed = answer.status >= SERVER_FAILURE
+    opts.fleet.noteOutcome(place.backend, hasFailed, clock.readTime())
+    if (!hasFailed) place.backend.outlier.noteSuccess()
     return undefined
   } catch (thrown) {
     const error = attempt.signal.aborted && attempt.signal.reason instanceof PulleystackError ? withRan(attempt.signal.reason, thrown) : convertToError(thrown)
@@ -135,7 +134,7 @@
   const body = await answer.readWhole(MAX_BODY_BYTES)
   it.noteBytes()
   if (client.hasBegun) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server answered ${answer.status} where a stream was to go on`)
-  if (answer.status < 500) {
+  if (answer.status < SERVER_FAILURE) {
     client.sendWhole(answer, body)
     return undefined
   }
@@ -169,43 +168,6 @@
   }
 }
 
-interface AttemptSignal {
-  signal: AbortSignal
-  /** Something has come; the next silence may last as long as the pauses that the route allows. */
-  noteBytes: () => void
-  release: () => void
-}
-
-/** Ends with the request, or when a server that is not the last resort says nothing for too long. */
-function createAttemptSignal (opts: RunOptions, work: RoutedWork, progress: RunProgress): AttemptSignal {
-  const { clock } = opts
-  const abort = new AbortController()
-  const leave = (): void => abort.abort(work.signal.reason)
-  if (work.signal.aborted) leave()
-  work.signal.addEventListener('abort', leave, { once: true })
-  const isWatched = mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts
-  let heardAt = clock.readTime()
-  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_TARGETS)
-  let cancel = (): void => undefined
-  const look = (): void => {
-    const leftMs = heardAt + limitMs - clock.readTime()
-    if (leftMs > 0) cancel = clock.setTimer(leftMs, look)
-    else abort.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `Nothing came for ${Math.round(limitMs)} ms`))
-  }
-  if (isWatched) look()
-  return {
-    signal: abort.signal,
-    noteBytes: () => {
-      heardAt = clock.readTime()
-      limitMs = (work.route.longestPauseMs ?? DEFAULT_PAUSE_MS) * STALL_PAUSES
-    },
-    release: () => {
-      cancel()
-      work.signal.removeEventListener('abort', leave)
-    },
-  }
-}
-
 function noteServerFailure (
   opts: RunOptions,
   work: RoutedWork,
@@ -217,7 +179,9 @@
   work.excluded.add(backend.id)
   opts.log.record(DecisionKinds.ATTEMPT_FAILED, { ...facts, code: error.code, ran: error.ran, reason: error.message })
   if (error.code === 'ATTEMPT_FAILED_NOT_RUN') backend.noteUnreachable(opts.clock.readTime())
-  const isOwnFault = error.code === 'CALLER_GONE' || error.code === 'BACKEND_REFUSED' || error.code === 'ATTEMPT_FAILED_NOT_RUN' || work.signal.aborted
+  const isSilent = error.code === 'DEADLINE_UNKNOWN' && work.stream.events === 0
+  const isOwnFault = !isSilent && (error.code === 'CALLER_GONE' || error.code === 'BACKEND_REFUSED' || error.code === 'ATTEMPT_FAILED_NOT_RUN' || work.signal.aborted)
+  if (!isOwnFault) opts.fleet.noteOutcome(backend, true, opts.clock.readTime())
   if (!isOwnFault && backend.outlier.noteFailure(opts.clock.readTime(), opts.random.readFraction())) {
     opts.log.record(DecisionKinds.BACKEND_EJECTED, { backend: backend.id, address: backend.entry.address })
   }
--- a/placement/residency/src/AdapterKeeper.ts
+++ b/placement/residency/src/AdapterKeeper.ts
@@ -1,6 +1,7 @@
 import type { WeightsState } from '@pulleystack/backend.interfaces'
 import type { ModelServing } from '@pulleystack/config.routes'
-import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
+import { nameWeights } from '@pulleystack/routing.fleet'
+import { hasRoom } from './memory.js'
 import { SentOrders, type ServerOrders } from './ServerOrders.js'
 
 const FIRST_POLL_MS = 110
@@ -8,7 +9,6 @@
 
 export interface AdapterKeeperOptions {
   serving: ModelServing
-  backend: Backend
   orders: ServerOrders
   /** Milliseconds since an adapter was last asked for, by model/adapter. */
   readIdleMs: (name: string) => number
@@ -28,6 +28,7 @@
     }
     if (!state.comingAdapters.some((coming) => isSameAdapter(coming, name))) {
       if (!await makeRoom(opts, state)) continue
+      if (!hasRoom(opts.serving, state, model, true)) return false
       if (!await opts.orders.send('load', model, adapter)) continue
     }
     const reached = await opts.orders.waitFor((now) => listAdapters(now).includes(name), FIRST_POLL_MS)
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -1,38 +1,18 @@
-import type { WeightsClient } from '@pulleystack/backend.interfaces'
 import type { ModelServing, RouteTable } from '@pulleystack/config.routes'
-import type { Clock } from '@pulleystack/core.clock'
-import { nameWeights, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
-import type { DecisionLog } from '@pulleystack/timeline.decisions'
-import { loadAdapter } from './AdapterKeeper.js'
+import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
 import { DemandTracker, type DemandCount } from './DemandTracker.js'
 import { LoadBucket } from './LoadBucket.js'
 import { computeCopyTargets, listLacking, planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
-import { ServerOrders, type OrderRight } from './ServerOrders.js'
+import { ServerLoads, type HoldOff, type ServerLoadsOptions } from './ServerLoads.js'
 
 const ADAPTER_MS = 220
 const UNLOAD_MS = 150
-const UNLOAD_WAIT_MS = 60
 const MAX_PLANNED_AT_ONCE = 8
-const FRESH_MS = 5_000
 const MAX_NEED_AGE_MS = 12_000
 
-export interface ResidencyHolderOptions {
-  clock: Clock
-  fleet: BackendFleet
-  weights: WeightsClient
-  log: DecisionLog
+export interface ResidencyHolderOptions extends ServerLoadsOptions {
   readTable: () => RouteTable | undefined
-  /** Undefined while this instance may not order. */
-  readRight: () => OrderRight | undefined
-  /** An adapter came or went; to be told to all instances. */
-  onAdapter: (change: { backend: string, model: string, adapter: string, present: boolean }) => void
-}
-
-/** Monotone times before which servers are not ordered, since an earlier holder has ordered them. */
-export interface HoldOff {
-  notBefore: number
-  byBackend: ReadonlyMap<string, number>
 }
 
 /** A model or adapter that somebody waits for. */
@@ -47,37 +27,24 @@
 /** Decides and orders what the model servers hold, while this instance holds the lease. */
 export class ResidencyHolder {
   private readonly demands = new Map<string, DemandTracker>()
-  private readonly orders = new Map<string, ServerOrders>()
   private readonly buckets = new Map<string, LoadBucket>()
-  /** Loads under way, by server. */
-  private readonly loads = new Map<string, PlannedLoad>()
-  /** When each server's models were loaded, by server and model. */
-  private readonly loadedAt = new Map<string, Map<string, number>>()
-  private holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
+  private readonly loads: ServerLoads
   private readonly needs = new Map<string, OpenNeed>()
 
   constructor (private readonly opts: ResidencyHolderOptions) {
-    opts.fleet.changes.subscribe(({ kind, backend }) => {
-      if (kind !== 'removed') return
-      this.orders.delete(backend.id)
-      this.loads.delete(backend.id)
-      this.loadedAt.delete(backend.id)
-    })
+    this.loads = new ServerLoads(opts)
   }
 
   /** Begins to order; what an earlier holder loaded is not known, so that loads begin slowly. */
   begin (holdOff: HoldOff): void {
-    this.holdOff = holdOff
+    this.loads.begin(holdOff)
     for (const bucket of this.buckets.values()) bucket.drain()
-    this.orders.clear()
     this.needs.clear()
   }
 
   /** Servers ordered within a while, with the milliseconds since. */
   listOrdered (withinMs: number): [backend: string, agoMs: number][] {
-    const now = this.opts.clock.readTime()
-    const ordered = [...this.orders].map(([backend, orders]): [string, number] => [backend, now - orders.newestOrderAt])
-    return ordered.filter(([, agoMs]) => agoMs < withinMs)
+    return this.loads.listOrdered(withinMs)
   }
 
   /** Takes what an instance was asked for. */
@@ -125,7 +92,7 @@
       for (const model of listLacking(input, targets)) {
         if (this.loads.size >= MAX_PLANNED_AT_ONCE) return
         const load = planLoad(this.buildInput(name, serving), model, targets)
-        if (load && this.mayBegin(name, load)) void this.runLoad(serving, load)
+        if (load && this.mayBegin(name, load)) void this.loads.run(serving, load)
       }
     }
   }
@@ -138,7 +105,7 @@
     if (holding.length > 0) {
       open.started = true
       open.readyAt = this.opts.clock.readTime() + ADAPTER_MS
-      const done = need.adapter === undefined ? Promise.resolve() : this.bringAdapter(serving, holding, need.model, need.adapter)
+      const done = need.adapter === undefined ? Promise.resolve() : this.bringAdapter(serving, holding, need, need.adapter)
       void done.finally(() => this.needs.delete(name))
       return
     }
@@ -148,7 +115,7 @@
   private serveModelNeed (name: string, open: OpenNeed, serving: ModelServing): void {
     const { need } = open
     const now = this.opts.clock.readTime()
-    const running = need.isMore ? undefined : [...this.loads.values()].find((load) => load.model === need.model)
+    const running = need.isMore ? undefined : this.loads.findRunning(need.model)
     if (running) {
       open.readyAt = Math.min(open.readyAt, now + running.loadMs)
       return
@@ -160,7 +127,7 @@
     const extraMs = load.victims.length * UNLOAD_MS + (need.adapter === undefined ? 0 : ADAPTER_MS)
     open.readyAt = now + load.loadMs + extraMs + (load.fromStore ? this.findBucket(need.service).waitMs : 0)
     if (!this.mayBegin(need.service, load)) return
-    void this.runLoad(serving, load).then(() => {
+    void this.loads.run(serving, load).then(() => {
       // The adapter is served once the directory shows its model.
       if (need.adapter === undefined) this.needs.delete(name)
     })
@@ -170,55 +137,13 @@
     return !load.fromStore || this.findBucket(service).take()
   }
 
-  /** Carries one planned load out: room first, as the server itself confirms, then the load. */
-  private async runLoad (serving: ModelServing, load: PlannedLoad): Promise<void> {
-    const backend = this.opts.fleet.find(load.server)
-    if (!backend) return
-    this.loads.set(load.server, load)
-    const orders = this.findOrders(backend)
-    try {
-      await orders.enqueue(() => this.carryOut(serving, load, orders))
-    } finally {
-      this.loads.delete(load.server)
-    }
-  }
-
-  private async carryOut (serving: ModelServing, load: PlannedLoad, orders: ServerOrders): Promise<void> {
-    let state = await orders.readSettled()
-    if (!state || state.busy || state.models.some((held) => held.name === load.model)) return
-    for (const victim of load.victims) {
-      if (!state.models.some((held) => held.name === victim)) continue
-      if (!await orders.send('unload', victim, undefined)) return
-      state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS)
-      if (!state) return
-    }
-    if (!hasRoom(serving, state.models, load.model)) return
-    if (!await orders.send('load', load.model, undefined)) return
-    await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
-    this.noteLoaded(load.server, load.model)
-  }
-
-  private async bringAdapter (serving: ModelServing, holding: readonly Backend[], model: string, adapter: string): Promise<void> {
-    const [backend] = [...holding].sort((a, b) => this.rateForAdapter(a) - this.rateForAdapter(b))
-    if (!backend) return
-    const orders = this.findOrders(backend)
-    const demand = this.findDemand(backend.entry.service)
-    await orders.enqueue(() => loadAdapter({
-      serving,
-      backend,
-      orders,
-      readIdleMs: (name) => demand.readIdleMs(name),
-      onChange: (changedModel, changedAdapter, present) => this.opts.onAdapter({ backend: backend.id, model: changedModel, adapter: changedAdapter, present }),
-    }, model, adapter))
-  }
-
-  private rateForAdapter (backend: Backend): number {
-    const queued = this.findOrders(backend).isBusy ? 1000 : 0
-    return queued + backend.readLoad().running
+  private bringAdapter (serving: ModelServing, holding: readonly Backend[], need: WeightsNeed, adapter: string): Promise<void> {
+    const demand = this.findDemand(need.service)
+    return this.loads.bringAdapter({ serving, holding, model: need.model, adapter, readIdleMs: (name) => demand.readIdleMs(name) })
   }
 
   private listHolding (need: WeightsNeed): Backend[] {
-    return this.listUsable(need.service).filter((backend) => backend.holds(need.model) && !this.isLeavingServer(backend, need.model))
+    return this.listUsable(need.service).filter((backend) => this.loads.keeps(backend, need.model))
   }
 
   private listUsable (service: string): Backend[] {
@@ -227,62 +152,19 @@
     return staying.filter((backend) => !backend.outlier.isEjected(now))
   }
 
-  private isLeavingServer (backend: Backend, model: string): boolean {
-    return this.loads.get(backend.id)?.victims.includes(model) ?? false
-  }
-
   private buildInput (service: string, serving: ModelServing): PlanInput {
     const demand = this.findDemand(service)
-    const usable = this.listUsable(service)
     return {
       serving,
-      servers: usable.map((backend) => {
-        const load = this.loads.get(backend.id)
-        const held = (backend.entry.models ?? []).map((model) => model.name).filter((name) => !load?.victims.includes(name))
-        return {
-          id: backend.id,
-          models: load && !held.includes(load.model) ? [...held, load.model] : held,
-          inMemory: backend.entry.inMemory,
-          onDisk: backend.entry.onDisk,
-          busy: load !== undefined,
-          fresh: this.listFresh(backend.id),
-          heldMs: Math.max(0, this.readHoldOff(backend.id) - this.opts.clock.readTime()),
-          running: backend.readLoad().running,
-        }
-      }),
+      servers: this.listUsable(service).map((backend) => this.loads.describe(backend)),
       readDemand: (model) => ({ rate: demand.readRate(model), idleMs: demand.readIdleMs(model) }),
     }
   }
 
-  private listFresh (backend: string): string[] {
-    const since = this.opts.clock.readTime() - FRESH_MS
-    return [...this.loadedAt.get(backend) ?? []].filter(([, at]) => at > since).map(([model]) => model)
-  }
-
-  private noteLoaded (backend: string, model: string): void {
-    const models = this.loadedAt.get(backend) ?? new Map<string, number>()
-    models.set(model, this.opts.clock.readTime())
-    this.loadedAt.set(backend, models)
-  }
-
   private findServing (service: string): ModelServing | undefined {
     return this.opts.readTable()?.findService(service)?.serving
   }
 
-  private findOrders (backend: Backend): ServerOrders {
-    const present = this.orders.get(backend.id)
-    if (present) return present
-    const { clock, weights, log, readRight } = this.opts
-    const notBefore = this.readHoldOff(backend.id)
-    const created = new ServerOrders({ clock, weights, log, readRight, notBefore, backendId: backend.id, address: backend.entry.address })
-    this.orders.set(backend.id, created)
-    return created
-  }
-
-  private readHoldOff (backend: string): number {
-    return this.holdOff.byBackend.get(backend) ?? this.holdOff.notBefore
-  }
-
   private findDemand (service: string): DemandTracker {
     const present = this.demands.get(service)
     if (present) return present
@@ -299,9 +181,3 @@
     return created
   }
 }
-
-function hasRoom (serving: ModelServing, held: readonly { name: string }[], model: string): boolean {
-  const sizes = new Map(serving.models.map((served) => [served.name, served.weightsMb]))
-  const used = held.reduce((sum, { name }) => sum + (sizes.get(name) ?? Infinity), 0)
-  return used + (sizes.get(model) ?? Infinity) <= serving.weightsMb
-}
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -8,7 +8,8 @@
 import { estimateWork, type DemandCount } from './DemandTracker.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
-import type { HoldOff, ResidencyHolder } from './ResidencyHolder.js'
+import type { ResidencyHolder } from './ResidencyHolder.js'
+import type { HoldOff } from './ServerLoads.js'
 
 /** Times as shares of the lease's life. */
 const Shares = {
--- /dev/null
+++ b/placement/residency/src/ServerLoads.ts
@@ -0,0 +1,176 @@
+import type { WeightsClient } from '@pulleystack/backend.interfaces'
+import type { ModelServing } from '@pulleystack/config.routes'
+import type { Clock } from '@pulleystack/core.clock'
+import type { Backend, BackendFleet } from '@pulleystack/routing.fleet'
+import type { DecisionLog } from '@pulleystack/timeline.decisions'
+import { loadAdapter } from './AdapterKeeper.js'
+import { hasRoom } from './memory.js'
+import type { PlannedLoad, PlannedServer } from './planResidency.js'
+import { ServerOrders, type OrderRight } from './ServerOrders.js'
+
+const UNLOAD_WAIT_MS = 60
+const FRESH_MS = 5_000
+/** Order in which servers are asked for adapters: those with nothing to do come first. */
+const BUSY_PENALTY = 1_000
+
+/** Monotone times before which servers are not ordered, since an earlier holder has ordered them. */
+export interface HoldOff {
+  notBefore: number
+  byBackend: ReadonlyMap<string, number>
+}
+
+/** An adapter came to a server or went from it. */
+export interface AdapterChange {
+  backend: string
+  model: string
+  adapter: string
+  present: boolean
+}
+
+/** An adapter that somebody waits for. */
+export interface WantedAdapter {
+  serving: ModelServing
+  /** Servers that have its model. */
+  holding: readonly Backend[]
+  model: string
+  adapter: string
+  /** Milliseconds since an adapter was last asked for, by model/adapter. */
+  readIdleMs: (name: string) => number
+}
+
+export interface ServerLoadsOptions {
+  clock: Clock
+  fleet: BackendFleet
+  weights: WeightsClient
+  log: DecisionLog
+  /** Undefined while this instance may not order. */
+  readRight: () => OrderRight | undefined
+  onAdapter: (change: AdapterChange) => void
+}
+
+/** Carries out loads of models and adapters, one after the other at each server. */
+export class ServerLoads {
+  private readonly orders = new Map<string, ServerOrders>()
+  private readonly running = new Map<string, PlannedLoad>()
+  /** When each server's models were loaded, by server and model. */
+  private readonly loadedAt = new Map<string, Map<string, number>>()
+  private holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
+
+  constructor (private readonly opts: ServerLoadsOptions) {
+    opts.fleet.changes.subscribe(({ kind, backend }) => {
+      if (kind !== 'removed') return
+      this.orders.delete(backend.id)
+      this.running.delete(backend.id)
+      this.loadedAt.delete(backend.id)
+    })
+  }
+
+  /** Loads under way. */
+  get size (): number {
+    return this.running.size
+  }
+
+  /** Forgets what was known of sequences; servers are left alone as an earlier holder's orders ask. */
+  begin (holdOff: HoldOff): void {
+    this.holdOff = holdOff
+    this.orders.clear()
+  }
+
+  /** Servers ordered within a while, with the milliseconds since. */
+  listOrdered (withinMs: number): [backend: string, agoMs: number][] {
+    const now = this.opts.clock.readTime()
+    const ordered = [...this.orders].map(([backend, orders]): [string, number] => [backend, now - orders.newestOrderAt])
+    return ordered.filter(([, agoMs]) => agoMs < withinMs)
+  }
+
+  /** A load of the model that is under way somewhere. */
+  findRunning (model: string): PlannedLoad | undefined {
+    return [...this.running.values()].find((load) => load.model === model)
+  }
+
+  /** Whether a server has the model and keeps it. */
+  keeps (backend: Backend, model: string): boolean {
+    return backend.holds(model) && !this.running.get(backend.id)?.victims.includes(model)
+  }
+
+  /** A server as the plan sees it, with the load under way counted as done. */
+  describe (backend: Backend): PlannedServer {
+    const load = this.running.get(backend.id)
+    const now = this.opts.clock.readTime()
+    const held = (backend.entry.models ?? []).map((model) => model.name).filter((name) => !load?.victims.includes(name))
+    const loadedAt = [...this.loadedAt.get(backend.id) ?? []]
+    return {
+      id: backend.id,
+      models: load && !held.includes(load.model) ? [...held, load.model] : held,
+      inMemory: backend.entry.inMemory,
+      onDisk: backend.entry.onDisk,
+      busy: load !== undefined,
+      fresh: loadedAt.filter(([, at]) => at > now - FRESH_MS).map(([model]) => model),
+      heldMs: Math.max(0, this.readHoldOff(backend.id) - now),
+      running: backend.readLoad().running,
+    }
+  }
+
+  /** Carries one planned load out. */
+  async run (serving: ModelServing, load: PlannedLoad): Promise<void> {
+    const backend = this.opts.fleet.find(load.server)
+    if (!backend) return
+    this.running.set(load.server, load)
+    const orders = this.findOrders(backend)
+    try {
+      await orders.enqueue(() => this.carryOut(serving, load, orders))
+    } finally {
+      this.running.delete(load.server)
+    }
+  }
+
+  /** Brings an adapter to one of the servers that have its model, the least busy of them. */
+  async bringAdapter (it: WantedAdapter): Promise<void> {
+    const [backend] = [...it.holding].sort((a, b) => this.rateForAdapter(a) - this.rateForAdapter(b))
+    if (!backend) return
+    const orders = this.findOrders(backend)
+    const onChange = (model: string, adapter: string, present: boolean): void => this.opts.onAdapter({ backend: backend.id, model, adapter, present })
+    const { serving, readIdleMs, model, adapter } = it
+    await orders.enqueue(() => loadAdapter({ serving, orders, readIdleMs, onChange }, model, adapter))
+  }
+
+  /** Room first, as the server itself confirms, then the load. */
+  private async carryOut (serving: ModelServing, load: PlannedLoad, orders: ServerOrders): Promise<void> {
+    let state = await orders.readSettled()
+    if (!state || state.busy || state.models.some((held) => held.name === load.model)) return
+    for (const victim of load.victims) {
+      if (!state.models.some((held) => held.name === victim)) continue
+      if (!await orders.send('unload', victim, undefined)) return
+      state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS)
+      if (!state) return
+    }
+    if (!hasRoom(serving, state, load.model, false)) return
+    if (!await orders.send('load', load.model, undefined)) return
+    await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
+    this.noteLoaded(load.server, load.model)
+  }
+
+  private rateForAdapter (backend: Backend): number {
+    return (this.findOrders(backend).isBusy ? BUSY_PENALTY : 0) + backend.readLoad().running
+  }
+
+  private noteLoaded (backend: string, model: string): void {
+    const models = this.loadedAt.get(backend) ?? new Map<string, number>()
+    models.set(model, this.opts.clock.readTime())
+    this.loadedAt.set(backend, models)
+  }
+
+  private findOrders (backend: Backend): ServerOrders {
+    const present = this.orders.get(backend.id)
+    if (present) return present
+    const { clock, weights, log, readRight } = this.opts
+    const notBefore = this.readHoldOff(backend.id)
+    const created = new ServerOrders({ clock, weights, log, readRight, notBefore, backendId: backend.id, address: backend.entry.address })
+    this.orders.set(backend.id, created)
+    return created
+  }
+
+  private readHoldOff (backend: string): number {
+    return this.holdOff.byBackend.get(backend) ?? this.holdOff.notBefore
+  }
+}
--- /dev/null
+++ b/placement/residency/test/memory.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import type { ModelServing } from '@pulleystack/config.routes'
+import { computeUsedMb, hasRoom } from '../src/index.js'
+
+const SERVING: ModelServing = {
+  batchSlots: 8,
+  cacheTokens: 100_000,
+  weightsMb: 130,
+  adapterSlots: 8,
+  loadsPerSecond: 2,
+  models: ['a', 'b'].map((name) => ({ name, weightsMb: 60, adapterMb: 4, adapters: 9, loadSeconds: 4, diskSeconds: 0.8, memorySeconds: 0.4 })),
+}
+
+describe('the memory of a model server', () => {
+  it('holds models, their adapters, and adapters on their way', () => {
+    assert.equal(computeUsedMb(SERVING, { models: [{ name: 'a', adapters: ['x', 'y'] }], comingAdapters: ['a/z@1'] }), 60 + 3 * 4)
+  })
+
+  it('has no room for a model beside adapters that take its place', () => {
+    assert.equal(hasRoom(SERVING, { models: [{ name: 'a', adapters: ['x', 'y'] }], comingAdapters: [] }, 'b', false), true)
+    assert.equal(hasRoom(SERVING, { models: [{ name: 'a', adapters: ['x', 'y', 'z'] }], comingAdapters: [] }, 'b', false), false)
+  })
+
+  it('has no room for an adapter where models leave none', () => {
+    const state = { models: [{ name: 'a', adapters: ['x'] }, { name: 'b', adapters: ['y'] }], comingAdapters: [] }
+    assert.equal(hasRoom(SERVING, state, 'a', true), false)
+  })
+
+  it('has no room for or beside a model of unknown size', () => {
+    assert.equal(hasRoom(SERVING, { models: [{ name: 'foreign', adapters: [] }], comingAdapters: [] }, 'a', true), false)
+    assert.equal(hasRoom(SERVING, { models: [], comingAdapters: [] }, 'foreign', false), false)
+  })
+})
--- /dev/null
+++ b/program/cli/src/commands/explainRequest.ts
@@ -0,0 +1,37 @@
+import { readFile } from 'node:fs/promises'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { buildStory, readLogLines, renderStory, type LogLine } from '@pulleystack/timeline.story'
+import type { Command } from 'cac'
+import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
+
+export interface ExplainRequestOptions {
+  logs?: string | string[]
+}
+
+export const name = 'explain-request <id> [...files]'
+export const description = 'Tell from logs what happened to one request, and why'
+
+export function help (command: Command): void {
+  command
+    .option('--logs <file>', 'Log of an instance; may be given more than once, or the files named after the id')
+    .example('pulleystack explain-request 9c41d07be2a35f68 entry-1.log entry-2.log')
+}
+
+export async function handler (context: CommandContext, args: readonly string[], opts: ExplainRequestOptions): Promise<ExitCode> {
+  const [id, ...named] = args
+  const files = [...named, ...[opts.logs ?? []].flat().map(String)]
+  if (id === undefined || files.length === 0) throw new PulleystackError('USAGE', 'Name a request and the logs to look into', { hint: 'pulleystack explain-request ID FILE...' })
+  const lines = (await Promise.all(files.map(readLog))).flat()
+  const story = buildStory(lines, id)
+  if (!story) throw new PulleystackError('OBJECT_UNKNOWN', `No line of these logs is about request ${id}`, { hint: 'Look into the logs of all instances.' })
+  context.write(renderStory(story))
+  return ExitCodes.OK
+}
+
+async function readLog (file: string): Promise<LogLine[]> {
+  try {
+    return readLogLines(await readFile(file, 'utf8'))
+  } catch (cause) {
+    throw new PulleystackError('USAGE', `Log ${file} cannot be read`, { cause })
+  }
+}
--- a/program/cli/src/commands/index.ts
+++ b/program/cli/src/commands/index.ts
@@ -5,6 +5,7 @@
 import * as demo from './demo.js'
 import * as describe from './describe.js'
 import * as explain from './explain.js'
+import * as explainRequest from './explainRequest.js'
 import * as get from './get.js'
 import * as label from './label.js'
 import * as remove from './remove.js'
@@ -24,6 +25,7 @@
   remove,
   status,
   explain,
+  explainRequest,
   timeline,
   settings,
   createKey,
--- a/program/demo/src/demoTraffic.ts
+++ b/program/demo/src/demoTraffic.ts
@@ -61,6 +61,8 @@
     buildReview(round),
     buildLookup('plot lookup', 'demo-peritos-notary', `/services/window/plots/${round}`, `plot-${round}`),
     buildLookup('gauge lookup', 'demo-shorewatch-emergency', `/services/gauges/status/${round}`, `gauge-${round}`),
+    buildRouted('routed lookup', 'GET', `/plots/${round}`, `routed-plot-${round}`),
+    buildRouted('routed filing', 'POST', `/filings/${round}`, `routed-filing-${round}`),
     buildStamp(round),
     buildWarning(round),
   ]
@@ -97,6 +99,16 @@
   }
 }
 
+/** A call that a route takes by its host and path. */
+function buildRouted (kind: string, method: string, path: string, work: string): DemoCall {
+  return {
+    kind,
+    work,
+    send: (address) => sendCall(address, { method, path, key: 'demo-peritos-notary', headers: { host: 'window.peritos.example', work } }),
+    isComplete: (answer) => answer.status === 200 && answer.body.includes(work),
+  }
+}
+
 /** A stamp is asked for twice under one key, as a caller does that saw no answer; it must run once. */
 function buildStamp (round: number): DemoCall {
   const work = `stamp-${round}`
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -84,6 +84,7 @@
     agent: new BackendAgent(clock),
     protocol: deps.protocol,
     queue,
+    fleet,
     pace: new StreamPace(clock),
     residency,
     findBudget: createBudgets(settings, clock, mesh),
--- a/program/instance/src/createGateways.ts
+++ b/program/instance/src/createGateways.ts
@@ -6,6 +6,7 @@
 import { RateLimiter } from '@pulleystack/routing.limiter'
 import { collectTimeline } from '@pulleystack/timeline.merge'
 import type { Control } from './createControl.js'
+import { createRouted, type Routed } from './createRouted.js'
 import type { Routing } from './createRouting.js'
 import type { Core } from './startInstance.js'
 
@@ -18,6 +19,7 @@
 export interface Gateways {
   callers: CallerGateway
   admin: AdminGateway
+  routed: Routed
 }
 
 export function createGateways (core: Core, routing: Routing, control: Control): Gateways {
@@ -43,7 +45,7 @@
     collectStatus: () => control.collectStatus(),
     explain: (partner, caller, target) => explainAnywhere(core, callers, explainHere, { partner, caller, target }),
   })
-  return { callers, admin }
+  return { callers, admin, routed: createRouted(core, routing) }
 }
 
 function createWriter (core: Core): ConfigWriter {
--- /dev/null
+++ b/program/instance/src/createRouted.ts
@@ -0,0 +1,158 @@
+import type http from 'node:http'
+import { OwnRoutedProtocol, assignAttempt } from '@pulleystack/backend.http'
+import { Kinds, type ConfigObject } from '@pulleystack/config.objects'
+import { RouteTable, type Route, type RoutingConfig } from '@pulleystack/config.routes'
+import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { findAllowedService } from '@pulleystack/gateway.callers'
+import { parseBearer, sendError } from '@pulleystack/gateway.http'
+import { BackendQueue, RoutedGateway, StreamPace } from '@pulleystack/gateway.routed'
+import { hashAccessKey } from '@pulleystack/membership.keys'
+import { ResidencyClient, type NeedAnswer } from '@pulleystack/placement.residency'
+import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
+import { BackendAgent } from '@pulleystack/routing.forward'
+import { WindowBudget } from '@pulleystack/routing.retries'
+import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
+import type { Routing } from './createRouting.js'
+import type { Core } from './startInstance.js'
+
+const DEFAULT_PRIORITY = 5
+const DEFAULT_TARGET_MS = 1_000
+const DEFAULT_ATTEMPTS = 2
+const MAX_CONNECTIONS = 200
+const SLOTS = 64
+const RETRY_RATIO = 0.1
+const RETRY_EXTRA = 20
+const RETRY_WINDOW_MS = 10_000
+/** Idle connections of clients are bounded by the instance's own listener. */
+const UNUSED_LIMIT = Number.MAX_SAFE_INTEGER
+
+/** Requests that routes of the configuration take. */
+export interface Routed {
+  gateway: RoutedGateway
+  /** Serves the request if a route takes its host and path; false when none does. */
+  tryHandle: (request: http.IncomingMessage, response: http.ServerResponse, url: URL) => Promise<boolean>
+}
+
+/** The gateway for routed requests to plain services, on the objects and servers that the instance knows. */
+export function createRouted (core: Core, routing: Routing): Routed {
+  const { clock, random, index, replica, settings } = core
+  const fleet = new BackendFleet()
+  const log = new SilentDecisionLog()
+  const residency = new NoResidency()
+  const queue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.dataHall })
+  const state: { table: RouteTable } = { table: new RouteTable(buildConfig(core)) }
+  const refresh = (): void => {
+    state.table = new RouteTable(buildConfig(core))
+    fleet.replaceAll(listEntries(core, routing))
+  }
+  replica.changes.subscribe(refresh)
+  core.view.serverChanges.subscribe(refresh)
+  const budgets = new Map<string, WindowBudget>()
+  const gateway = new RoutedGateway({
+    clock,
+    random,
+    log,
+    agent: new BackendAgent(clock),
+    protocol: new OwnRoutedProtocol(),
+    queue,
+    fleet,
+    pace: new StreamPace(clock),
+    residency,
+    findBudget: (service) => {
+      const countInstances = (): number => core.view.listEligible().length
+      const budget = budgets.get(service) ?? new WindowBudget({ clock, ratio: RETRY_RATIO, extra: RETRY_EXTRA, windowMs: RETRY_WINDOW_MS, countInstances })
+      budgets.set(service, budget)
+      return budget
+    },
+    readTable: () => state.table,
+    mustRefuse: () => false,
+    mustClose: () => core.view.self.leaving,
+    onOutcome: ({ service, status, code, ms }) => core.metrics.countRequest({ partner: service.split('/', 1)[0] as string, route: 'routed', status, code, ms }),
+  })
+  const tryHandle = async (request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<boolean> => {
+    const route = state.table.findRoute(request.headers.host ?? '', url.pathname)
+    if (!route) return false
+    try {
+      authorize(index, request, route)
+    } catch (thrown) {
+      sendError(response, convertToError(thrown))
+      return true
+    }
+    assignAttempt(request, core.createId())
+    await gateway.handle(request, response)
+    return true
+  }
+  return { gateway, tryHandle }
+}
+
+/** Plain services have no models to place. */
+class NoResidency extends ResidencyClient {
+  override async requestWeights (): Promise<NeedAnswer> {
+    return { coming: false, reason: 'routes lead to plain services' }
+  }
+
+  override noteDemand (): void {
+    // Nothing is placed for plain services.
+  }
+}
+
+function buildConfig (core: Core): RoutingConfig {
+  const objects = core.index.listObjects(Kinds.ROUTE)
+  const routes = objects.map(buildRoute)
+  const names = new Set(routes.flatMap((route) => route.targets.map((target) => target.service)))
+  return {
+    version: core.replica.newestVersion,
+    routes,
+    services: [...names].map((name) => ({ name, maxConnections: MAX_CONNECTIONS, serving: undefined })),
+    limits: { headerBytes: UNUSED_LIMIT, bodyBytes: core.settings.limits.bodyBytes, headerTimeoutMs: UNUSED_LIMIT, idleTimeoutMs: UNUSED_LIMIT },
+  }
+}
+
+function buildRoute (object: ConfigObject<'Route'>): Route {
+  const { partner, name, spec } = object
+  return {
+    name: `${partner}/${name}`,
+    host: spec.host,
+    pathPrefix: spec.pathPrefix,
+    targets: spec.targets.map(({ service, weight }) => ({ service: `${partner}/${service}`, weight })),
+    repeat: spec.repeat,
+    streams: spec.streams ?? false,
+    resumable: spec.resumable ?? false,
+    timeoutMs: spec.timeoutMs,
+    targetLatencyMs: spec.targetLatencyMs ?? Math.min(DEFAULT_TARGET_MS, spec.timeoutMs),
+    longestPauseMs: spec.longestPauseMs,
+    priority: spec.priority ?? DEFAULT_PRIORITY,
+    maxAttempts: spec.maxAttempts ?? (spec.repeat === 'once' ? 1 : DEFAULT_ATTEMPTS),
+  }
+}
+
+/** The servers that selectors allow for each routed service. */
+function listEntries (core: Core, routing: Routing): BackendEntry[] {
+  const services = new Set(core.index.listObjects(Kinds.ROUTE).flatMap(({ partner, spec }) => spec.targets.map((target) => `${partner}/${target.service}`)))
+  return [...services].flatMap((service) => {
+    const [partner, name] = service.split('/') as [string, string]
+    return routing.eligible.list(partner, name).map(({ server }) => ({
+      id: `${server.id}|${service}`,
+      service,
+      address: server.address,
+      zone: server.dataHall,
+      slots: SLOTS,
+      draining: server.leaving,
+      models: undefined,
+      inMemory: [],
+      onDisk: [],
+    }))
+  })
+}
+
+/** A caller's key opens a route when its selectors let the caller into each of the route's services. */
+function authorize (index: Core['index'], request: http.IncomingMessage, route: Route): void {
+  const key = parseBearer(request.headers)
+  const caller = key === undefined ? undefined : index.findCaller(hashAccessKey(key))
+  if (!caller) throw new PulleystackError('ACCESS_KEY_WRONG', 'The access key is missing or not known', { hint: 'Send it as "Authorization: Bearer KEY".' })
+  for (const target of route.targets) {
+    const [partner, name] = target.service.split('/') as [string, string]
+    if (partner !== caller.partner) throw new PulleystackError('SERVICE_UNKNOWN', 'No such route is open to this caller')
+    findAllowedService(index, caller, name)
+  }
+}
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -83,7 +83,7 @@
   else if (url.pathname === '/metrics') await sendMetrics(core, response)
   else if (url.pathname.startsWith('/admin/')) await gateways.admin.handle(request, response, url)
   else if (!core.replica.isComplete) sendError(response, new PulleystackError('STORE_UNAVAILABLE', 'This instance has no configuration yet', { retryAfterSeconds: 1 }))
-  else await gateways.callers.handle(request, response, url)
+  else if (!await gateways.routed.tryHandle(request, response, url)) await gateways.callers.handle(request, response, url)
 }
 
 function parseUrl (request: http.IncomingMessage): URL | undefined {
--- a/program/instance/src/startInstance.ts
+++ b/program/instance/src/startInstance.ts
@@ -85,7 +85,7 @@
   startConfigSync({ ...core, store: deps.store, digestMs: settings.timings.digestMs }, core.ended.signal)
   control.start(core.ended.signal, (partner, service) => gateways.callers.listSubset(partner, service))
   core.logger.info({ address: listener.address, peerAddress }, 'instance listens')
-  return createHandle(core, { control, listener, peerAddress, inFlight: () => gateways.callers.inFlight })
+  return createHandle(core, { control, listener, peerAddress, inFlight: () => gateways.callers.inFlight + gateways.routed.gateway.inFlight })
 }
 
 function createHandle (core: Core, parts: { control: Control, listener: Listener, peerAddress: string, inFlight: () => number }): Instance {
--- /dev/null
+++ b/program/instance/test/routes.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict'
+import { after, before, describe, it } from 'node:test'
+import { DemoSystem, sendCall, type DemoAnswer } from '@pulleystack/program.demo'
+
+const HOST = 'window.peritos.example'
+const NOTARY = 'demo-peritos-notary'
+const EMERGENCY = 'demo-shorewatch-emergency'
+
+describe('a routed request in a system without the platform', () => {
+  let system: DemoSystem
+
+  const send = (opts: { method?: string, path: string, key?: string, host?: string, headers?: Record<string, string> }): Promise<DemoAnswer> =>
+    sendCall(system.addresses[0] as string, { method: opts.method ?? 'GET', path: opts.path, key: opts.key ?? NOTARY, headers: { host: opts.host ?? HOST, ...opts.headers } })
+  const apply = (partner: string, objects: unknown[]): Promise<DemoAnswer> =>
+    sendCall(system.addresses[0] as string, { method: 'POST', path: '/admin/apply', key: `demo-operator-${partner}`, body: { objects } })
+
+  before(async () => {
+    system = await DemoSystem.start({ instances: 2 })
+    await system.applyExamples()
+    await system.waitUntil(async () => (await send({ path: '/plots/1' })).status === 200)
+  })
+
+  after(() => system.close())
+
+  it('reaches the service of its route with method, path and query unchanged', async () => {
+    const answer = await send({ method: 'POST', path: '/filings/7?copy=2', headers: { work: 'w-1' } })
+    assert.equal(answer.status, 200)
+    assert.deepEqual(JSON.parse(answer.body), { path: '/filings/7?copy=2', method: 'POST', work: 'w-1', length: 0 })
+  })
+
+  it('is served by the other interface where no route takes it', async () => {
+    assert.equal((await send({ path: '/none' })).status, 404)
+    assert.equal((await send({ path: '/services/window/plots/1', host: 'other.example' })).status, 200)
+  })
+
+  it('needs a key that the service lets in', async () => {
+    assert.equal((await send({ path: '/plots/1', key: 'wrong' })).status, 401)
+    assert.equal((await send({ path: '/plots/1', key: EMERGENCY })).status, 404)
+  })
+
+  it('is refused by admission under another partner\'s host or a missing service', async () => {
+    const route = (host: string, service: string): unknown => ({
+      kind: 'Route',
+      partner: 'shorewatch',
+      name: 'r',
+      spec: { host, pathPrefix: '/a/', targets: [{ service, weight: 1 }], repeat: 'once', timeoutMs: 1000 },
+    })
+    const foreign = await apply('shorewatch', [route(HOST, 'gauges')])
+    assert.equal(foreign.status, 400)
+    assert.match(foreign.body, /spec\.host/)
+    const missing = await apply('shorewatch', [route('own.example', 'nothing')])
+    assert.equal(missing.status, 400)
+    assert.match(missing.body, /spec\.targets/)
+  })
+
+  it('follows a change of its route', async () => {
+    const changed = { kind: 'Route', partner: 'shorewatch', name: 'gauges', spec: { host: 'g.example', pathPrefix: '/s/', targets: [{ service: 'gauges', weight: 1 }], repeat: 'repeatable', timeoutMs: 1000 } }
+    assert.equal((await apply('shorewatch', [changed])).status, 200)
+    await system.waitUntil(async () => (await send({ path: '/s/1', host: 'g.example', key: EMERGENCY })).status === 200)
+  })
+})
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -1,4 +1,4 @@
-import { OutlierDetector } from '@pulleystack/routing.retries'
+import { FailureRate, OutlierDetector } from '@pulleystack/routing.retries'
 import { holdsWeights, type BackendEntry } from './BackendEntry.js'
 import { NO_LOAD, sumTallies, type LoadTally } from './LoadTally.js'
 import { PrefixMemory } from './PrefixMemory.js'
@@ -16,6 +16,8 @@
   /** What other instances said they have in hand there, by instance. */
   readonly others = new Map<string, LoadTally>()
   readonly outlier = new OutlierDetector()
+  /** As all instances together see it. */
+  readonly failureRate = new FailureRate()
   readonly prefixes = new PrefixMemory(DEFAULT_CACHE_TOKENS)
   /** Adapters that were loaded or dropped since the entry was written, by model. */
   private readonly adapterChanges = new Map<string, Map<string, boolean>>()
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -25,6 +25,7 @@
   private readonly byService = new Map<string, Backend[]>()
   private readonly subject = new Subject<FleetChange>()
   private readonly untold: SharedPrefix[] = []
+  private readonly untoldOutcomes = new Map<string, { failures: number, total: number }>()
   private readonly loadSubject = new Subject<void>()
 
   get changes (): Observable<FleetChange> {
@@ -46,6 +47,21 @@
     if (isNew && this.untold.length < MAX_UNTOLD) this.untold.push({ backend: backend.id, weights, parts: shared })
   }
 
+  /** Counts an answer of a server, or its lack, and remembers it for the other instances. */
+  noteOutcome (backend: Backend, failed: boolean, now: number): void {
+    const failures = failed ? 1 : 0
+    backend.failureRate.add(failures, 1, now)
+    const untold = this.untoldOutcomes.get(backend.id) ?? { failures: 0, total: 0 }
+    this.untoldOutcomes.set(backend.id, { failures: untold.failures + failures, total: untold.total + 1 })
+  }
+
+  /** Outcomes that the other instances have not been told yet. */
+  takeUntoldOutcomes (): [backend: string, failures: number, total: number][] {
+    const outcomes = [...this.untoldOutcomes].map(([id, { failures, total }]): [string, number, number] => [id, failures, total])
+    this.untoldOutcomes.clear()
+    return outcomes
+  }
+
   /** Prefixes that the other instances have not been told yet. */
   takeUntold (): SharedPrefix[] {
     return this.untold.splice(0)
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -1,5 +1,5 @@
 import type { RandomSource } from '@pulleystack/core.clock'
-import { listUsable } from '@pulleystack/routing.retries'
+import { dropFailing, listUsable } from '@pulleystack/routing.retries'
 import type { Backend } from './Backend.js'
 import { nameWeights } from './BackendEntry.js'
 import type { PromptPart } from './PrefixMemory.js'
@@ -73,7 +73,7 @@
   const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
   const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
   if (fresh.length === 0) return generation ? ChoiceFailures.NOT_RESIDENT : ChoiceFailures.NO_BACKEND
-  const rated = fresh.flatMap((backend) => rateBackend(backend, opts) ?? [])
+  const rated = dropFailing(fresh, now).flatMap((backend) => rateBackend(backend, opts) ?? [])
   if (rated.length === 0) return ChoiceFailures.FULL
   return rated.reduce((best, it) => it.cost < best.cost ? it : best)
 }
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -8,6 +8,8 @@
   loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number][]
   /** Servers to which no connection comes up. */
   down: string[]
+  /** Answers of servers since the last message, and how many of them failed. */
+  outcomes: [backend: string, failures: number, total: number][]
   /** Shared beginnings of prompts that servers have read since the last message. */
   prefixes: [backend: string, weights: string, parts: [id: string, tokens: number][]][]
 }
@@ -40,6 +42,7 @@
     network.receive(LOADS).subscribe(({ from, body }) => {
       fleet.applyPeerLoads(from, readTallies(body))
       for (const [backend, weights, parts] of body.prefixes) fleet.find(backend)?.prefixes.note(weights, parts.map(([id, tokens]) => ({ id, tokens })))
+      for (const [backend, failures, total] of body.outcomes) fleet.find(backend)?.failureRate.add(failures, total, opts.clock.readTime())
       for (const backend of body.down) fleet.find(backend)?.noteReportedDown(opts.clock.readTime())
       opts.onChange()
     }),
@@ -69,6 +72,7 @@
   return {
     loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]),
     down: down.map(({ id }) => id),
+    outcomes: fleet.takeUntoldOutcomes(),
     prefixes: fleet.takeUntold().map(({ backend, weights, parts }) => [backend, weights, parts.map(({ id, tokens }) => [id, tokens])]),
   }
 }
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -63,6 +63,13 @@
     assert.equal(chooseId({}, [], 10_000), 'r1')
   })
 
+  it('passes over a server that fails clearly more often than its like', () => {
+    fleet.put(createEntry({ id: 'r3', zone: 'z3' }))
+    for (let i = 0; i < 10; i++) fleet.noteOutcome(find('r1'), i % 2 === 0, 0)
+    assert.notEqual(chooseId(), 'r1')
+    assert.equal(chooseId({}, [], 30_000), 'r1')
+  })
+
   it('counts what other instances have in hand', () => {
     fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0 }]]))
     assert.equal(chooseId(), 'r2')
--- /dev/null
+++ b/timeline/story/test/buildStory.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict'
+import { describe, it } from 'node:test'
+import { buildStory, readLogLines, renderStory } from '../src/index.js'
+
+function createLine (seconds: number, instance: string, kind: string, fields: Record<string, unknown>): string {
+  const time = new Date(1_000_000 + seconds * 1000).toISOString()
+  return `  ${seconds.toFixed(4)} ${instance} ${JSON.stringify({ name: instance, hostname: 'h', pid: 1, level: 30, ...fields, msg: kind, time, v: 0 })}`
+}
+
+const LOG = [
+  createLine(1, 'e1', 'config-applied', { version: 4 }),
+  createLine(9, 'e1', 'dependency-lost', { dependency: 'store' }),
+  createLine(9.5, 'e2', 'dependency-lost', { dependency: 'store' }),
+  createLine(10, 'e1', 'attempt-sent', { request: 'q1', backend: 'r1', send: 1 }),
+  createLine(10, 'e1', 'attempt-sent', { request: 'q2', backend: 'r2', send: 1 }),
+  createLine(10.1, 'e1', 'backend-ejected', { backend: 'r1' }),
+  createLine(10.1, 'e1', 'backend-ejected', { backend: 'r2' }),
+  createLine(10.2, 'e1', 'attempt-failed', { request: 'q1', backend: 'r1', reason: 'socket hang up' }),
+  createLine(10.3, 'e1', 'request-ended', { request: 'q1', status: 502, code: 'ATTEMPT_FAILED_UNKNOWN', reason: 'socket hang up', ms: 300 }),
+  'not a log line',
+].join('\n')
+
+describe('the story of a request', () => {
+  const lines = readLogLines(LOG)
+
+  it('passes over what is no log line', () => {
+    assert.equal(lines.length, 9)
+  })
+
+  it('holds the request\'s lines and what its instance believed then, in order', () => {
+    const story = buildStory(lines, 'q1')
+    assert.deepEqual(story?.lines.map((line) => line.kind), ['dependency-lost', 'attempt-sent', 'backend-ejected', 'attempt-failed', 'request-ended'])
+    assert.deepEqual(story.lines.map((line) => line.isOwn), [false, true, false, true, true])
+  })
+
+  it('says why the request failed', () => {
+    const story = buildStory(lines, 'q1')
+    assert.match(story?.conclusion ?? '', /answered 502 .* after 300 ms; because: socket hang up; failed attempts: r1: socket hang up/)
+    assert.match(renderStory(story as NonNullable<typeof story>), /-1000 ms {3}e1 dependency-lost/)
+  })
+
+  it('says so when the end is missing, and gives nothing for an unknown request', () => {
+    assert.match(buildStory(lines, 'q2')?.conclusion ?? '', /no line tells its end/)
+    assert.equal(buildStory(lines, 'q3'), undefined)
+  })
+})
