--- a/routing/retries/test/WindowBudget.test.ts
+++ b/routing/retries/test/WindowBudget.test.ts
@@ -29,6 +29,17 @@
     assert.equal(countTakes(budget), 1)
   })
 
+  it('remembers attempts for the whole window, wherever they fall in it', async () => {
+    const clock = new ManualClock()
+    const budget = new WindowBudget({ ...OPTS, clock, countInstances: () => 1 })
+    await clock.advance(999)
+    assert.equal(countTakes(budget), 54)
+    await clock.advance(9_002)
+    assert.equal(countTakes(budget), 0)
+    await clock.advance(1_000)
+    assert.equal(countTakes(budget), 54)
+  })
+
   it('shrinks when instances join', () => {
     let instances = 1
     const budget = new WindowBudget({ ...OPTS, clock: new ManualClock(), countInstances: () => instances })
--- /dev/null
+++ b/timeline/decisions/test/JsonDecisionLog.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict'
+import { Writable } from 'node:stream'
+import { describe, it } from 'node:test'
+import { DecisionKinds, JsonDecisionLog } from '../src/index.js'
+
+/** A reader that takes nothing until it is told to. */
+class StalledReader extends Writable {
+  readonly lines: string[] = []
+  private isStalled = true
+  private pending: (() => void) | undefined
+
+  override _write (chunk: Buffer, _: string, done: () => void): void {
+    this.lines.push(chunk.toString())
+    if (this.isStalled) this.pending = done
+    else done()
+  }
+
+  release (): void {
+    this.isStalled = false
+    this.pending?.()
+  }
+}
+
+describe('the log of decisions', () => {
+  it('writes one JSON line with kind and facts', () => {
+    const output = new StalledReader()
+    output.release()
+    new JsonDecisionLog({ instance: 'e1', output }).record(DecisionKinds.ATTEMPT_SENT, { request: 'q', leftMs: 5 })
+    const line = JSON.parse(output.lines[0] ?? '') as Record<string, unknown>
+    assert.deepEqual([line['name'], line['msg'], line['request'], line['leftMs']], ['e1', 'attempt-sent', 'q', 5])
+  })
+
+  it('drops lines while its reader stands still, within its bound, and tells how many once it reads again', async () => {
+    const output = new StalledReader()
+    const log = new JsonDecisionLog({ instance: 'e1', output, maxBufferedBytes: 2_000 })
+    for (let i = 0; i < 1_000; i++) log.record(DecisionKinds.ATTEMPT_SENT, { request: `q${i}` })
+    assert.ok(output.writableLength < 2_500)
+    const { dropped } = log
+    assert.ok(dropped > 900)
+    output.release()
+    await new Promise((resolve) => setImmediate(resolve))
+    log.record(DecisionKinds.ATTEMPT_SENT, { request: 'last' })
+    await new Promise((resolve) => setImmediate(resolve))
+    const told = output.lines.map((line) => JSON.parse(line) as { msg: string, dropped?: number }).find((line) => line.msg === 'lines-dropped')
+    assert.equal(told?.dropped, dropped)
+  })
+
+  it('outlives a reader that goes away', () => {
+    const output = new StalledReader()
+    const log = new JsonDecisionLog({ instance: 'e1', output })
+    output.destroy(new Error('gone'))
+    log.record(DecisionKinds.STOPPED, {})
+    assert.equal(log.dropped, 0)
+  })
+})
