--- a/placement/planner/src/HysteresisPlanner.ts
+++ b/placement/planner/src/HysteresisPlanner.ts
@@ -36,7 +36,8 @@
       if (!this.addCopy(state, group, 'has no copy')) unplaced.push(group.item)
     }
     for (const group of wanted) {
-      while (state.countCopies(group.item) > 0 && state.countCopies(group.item) < group.minCopies) {
+      // Loads of this plan are bounded; what is still missing then comes with the next one.
+      while (countLoads(state) < state.input.maxLoads && state.countCopies(group.item) > 0 && state.countCopies(group.item) < group.minCopies) {
         if (!this.addCopy(state, group, `has fewer than ${group.minCopies} copies`)) break
       }
     }
--- a/placement/planner/test/planner.test.ts
+++ b/placement/planner/test/planner.test.ts
@@ -29,6 +29,12 @@
     assert.equal(plan.steps.length, 3)
   })
 
+  it('ends when the bound on loads is reached before an item has its least copies', () => {
+    const groups = [buildGroup('a', { minCopies: 2 }), buildGroup('b', { minCopies: 2 }), buildGroup('c')]
+    const plan = run({ groups, servers: buildServers(4), maxLoads: 2 })
+    assert.equal(plan.steps.length, 2)
+  })
+
   it('leaves copies where they are while no accelerator is overloaded', () => {
     const copies = [place('a', 's0'), place('b', 's0')]
     assert.deepEqual(run({ groups: [buildGroup('a', { load: 0.4 }), buildGroup('b', { load: 0.4 })], servers: buildServers(3), copies }).steps, [])
