--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -29,8 +29,8 @@
   residency: ResidencyClient
   /** The routes in force; undefined until a configuration is known. */
   readTable: () => RouteTable | undefined
-  /** Requests are refused because the process is about to end. */
-  mustRefuse: () => boolean
+  /** Whether a request that may last until the deadline may begin; false when the process ends before. */
+  mayBegin: (deadline: number) => boolean
   /** Connections are to close after their current answer. */
   mustClose: () => boolean
   onOutcome: (outcome: RoutedOutcome) => void
@@ -43,6 +43,7 @@
   facts: RoutedRequestFacts
   request: http.IncomingMessage
   arrivedAt: number
+  deadline: number
   signal: AbortSignal
 }
 
@@ -80,7 +81,9 @@
       const table = this.findTable()
       const route = findRoute(table, request)
       outcome.route = route.name
-      const work = await this.readWork({ table, route, facts, request, arrivedAt, signal: end.signal })
+      const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
+      if (!this.opts.mayBegin(deadline)) throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
+      const work = await this.readWork({ table, route, facts, request, arrivedAt, deadline, signal: end.signal })
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
@@ -101,7 +104,6 @@
 
   private findTable (): RouteTable {
     const table = this.opts.readTable()
-    if (this.opts.mustRefuse()) throw new PulleystackError('INSTANCE_STOPPING', 'This instance is about to end', { retryAfterSeconds: 0 })
     if (!table) throw new PulleystackError('NO_RUNNER', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
     return table
   }
@@ -122,7 +124,7 @@
       rawHeaders: request.rawHeaders,
       body,
       arrivedAt: it.arrivedAt,
-      deadline: it.arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity),
+      deadline: it.deadline,
       generation: service.serving ? estimateGeneration(facts) : undefined,
       excluded: new Set(),
       stream: createStreamProgress(facts.lastEventId),
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -15,6 +15,7 @@
 import { EntryMetrics } from './EntryMetrics.js'
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
+import type { StopPlan } from './StopPlan.js'
 import { watchSources } from './watchSources.js'
 
 const HEARTBEAT_MS = 1_000
@@ -47,6 +48,8 @@
   readTable: () => RouteTable | undefined
   readPhase: () => EntryPhase
   setPhase: (phase: EntryPhase) => void
+  /** Begins a planned stop. */
+  leave: (plan: StopPlan) => void
   ended: AbortController
 }
 
@@ -69,7 +72,11 @@
   const random = it.random ?? new RandomSource()
   const { log } = it
   const ended = new AbortController()
-  const state: { table: RouteTable | undefined, phase: EntryPhase } = { table: undefined, phase: EntryPhases.STARTING }
+  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined } = {
+    table: undefined,
+    phase: EntryPhases.STARTING,
+    stopPlan: undefined,
+  }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
@@ -77,26 +84,17 @@
   const residency = createResidency({ ...parts, orderDelayMs: it.orderDelayMs, onChange: () => queue.pump() })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.zone })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
-  const gateway = new RoutedGateway({
-    clock,
-    random,
-    log,
-    agent: new BackendAgent(clock),
-    protocol: deps.protocol,
-    queue,
-    fleet,
-    pace: new StreamPace(clock),
-    residency,
-    findBudget: createBudgets(settings, clock, mesh),
-    readTable,
-    mustRefuse: () => state.phase === EntryPhases.ENDING,
-    mustClose: () => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING,
-    onOutcome: (outcome) => metrics.countOutcome(outcome),
-  })
+  const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
+  const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
+  const gateway = createGateway({ ...parts, random, queue, residency, metrics, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
   }
+  const leave = (plan: StopPlan): void => {
+    state.stopPlan = plan
+    setPhase(EntryPhases.LEAVING)
+  }
   const peerPort = await network.start()
   mesh.self.peerAddress = `${parseAddress(settings.peerAddress).host}:${peerPort}`
   mesh.start(ended.signal)
@@ -124,7 +122,7 @@
     },
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, zone: settings.zone, address: settings.clientAddress })
-  return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, ended }
+  return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
 interface Parts {
@@ -214,6 +212,38 @@
   return residency
 }
 
+interface GatewayParts extends Parts {
+  random: RandomSource
+  fleet: BackendFleet
+  mesh: InstanceMesh
+  queue: BackendQueue
+  residency: ResidencyService
+  metrics: EntryMetrics
+  readTable: () => RouteTable | undefined
+  mayBegin: (deadline: number) => boolean
+  mustClose: () => boolean
+}
+
+function createGateway (parts: GatewayParts): RoutedGateway {
+  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, mayBegin, mustClose } = parts
+  return new RoutedGateway({
+    clock,
+    random,
+    log,
+    agent: new BackendAgent(clock),
+    protocol: deps.protocol,
+    queue,
+    fleet,
+    pace: new StreamPace(clock),
+    residency,
+    findBudget: createBudgets(settings, clock, parts.mesh),
+    readTable,
+    mayBegin,
+    mustClose,
+    onOutcome: (outcome) => metrics.countOutcome(outcome),
+  })
+}
+
 function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
   const budgets = new Map<string, WindowBudget>()
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -1,12 +1,8 @@
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import type { ClientListener } from './listenForClients.js'
 import { EntryPhases, type Entry } from './startEntry.js'
+import { StopPlan } from './StopPlan.js'
 
-/** Clients may keep an old list for three of its lifetimes. */
-const LIFETIMES = 3
-/** Time before the end in which nothing new is begun. */
-const FINISH_MS = 3_400
-const LAST_MS = 500
 const POLL_MS = 50
 
 /**
@@ -15,18 +11,17 @@
  */
 export async function stopEntry (entry: Entry, listener: ClientListener): Promise<number> {
   const { clock, gateway, settings } = entry
-  const startedAt = clock.readTime()
+  const plan = new StopPlan({ startedAt: clock.readTime(), graceMs: settings.bounds.graceMs, directoryLifetimeMs: settings.directoryLifetimeMs })
   entry.log.record(DecisionKinds.STOPPING, { inFlight: gateway.inFlight })
-  entry.setPhase(EntryPhases.LEAVING)
+  entry.leave(plan)
   void entry.residency.stop()
   void entry.mesh.withdraw()
   listener.closeIdle()
-  const serveMs = Math.min(settings.directoryLifetimeMs * LIFETIMES, settings.bounds.graceMs - FINISH_MS)
-  await clock.wait(serveMs)
+  await clock.wait(plan.servesUntil - clock.readTime())
   entry.setPhase(EntryPhases.ENDING)
-  while (gateway.inFlight > 0 && clock.readTime() - startedAt < settings.bounds.graceMs - LAST_MS) await clock.wait(POLL_MS)
+  while (gateway.inFlight > 0 && clock.readTime() < plan.endsAt) await clock.wait(POLL_MS)
   const cut = gateway.inFlight
-  entry.log.record(DecisionKinds.STOPPED, { cut, ms: Math.round(clock.readTime() - startedAt) })
+  entry.log.record(DecisionKinds.STOPPED, { cut, ms: Math.round(clock.readTime() - plan.startedAt) })
   entry.ended.abort()
   listener.close()
   await entry.network.stop()
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -65,7 +65,7 @@
       return budget
     },
     readTable: () => state.table,
-    mustRefuse: () => false,
+    mayBegin: () => true,
     mustClose: () => core.view.self.leaving,
     onOutcome: ({ service, status, code, ms }) => core.metrics.countRequest({ partner: service.split('/', 1)[0] as string, route: 'routed', status, code, ms }),
   })
