Let a part of a large system serve while the rest stands by

Ruled out: calls to the store (one watcher for each kind already). Change: instances rank themselves by data hall and processor cores; a fifth of them, twelve at least, serve. While fewer serve than should, the next in the order step in, more of them the longer it lasts. Broadcasts are encoded once and leave out those on standby; many readers are told less often. Objects of instances that are gone are removed. An identity that changed between hello and proof was never told again (seen by the new test of a large system): each new link tells it once more.

--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -1,18 +1,30 @@
-import type { ObjectStore } from '@pulleystack/backend.interfaces'
+import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
-import type { PeerIdentity, WebSocketNetwork } from '@pulleystack/membership.peers'
+import { defineChannel, type PeerIdentity, type WebSocketNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, type Observable } from 'rxjs'
+import { SMALL_SYSTEM, countServing } from './chooseServing.js'
+import { InstanceDirectory, type KnownInstance } from './InstanceDirectory.js'
 
 const PREFIX = 'instances/'
 const SEED_RETRY_MS = 1_000
+const TICK_MS = 500
 const LIST_MS = 15_000
-const LIST_RETRY_MS = 1_000
+/** In a large system those that start are heard of by their links; the store is asked seldom. */
+const LARGE_LIST_MS = 60_000
+const LIST_RETRY_MS = 250
+/** Instances unreached for this long are taken out of the store. */
+const FORGET_MS = 30_000
+const CALL_MS = 500
+
+/** Asks a peer which instances it knows. */
+const INSTANCES = defineChannel<Record<string, never>, KnownInstance[]>('mesh.instances')
+
+/** An instance that serves tells those on standby who else does. */
+const SERVING = defineChannel<PeerIdentity[]>('mesh.serving')
 
 /** What an instance writes of itself into the store. */
-interface InstanceRecord {
-  peerAddress: string
-}
+type InstanceRecord = Omit<KnownInstance, 'instance'>
 
 export interface InstanceMeshOptions {
   clock: Clock
@@ -22,19 +34,30 @@
   self: PeerIdentity
   /** Peer addresses of some instances; may be out of date. */
   seeds: readonly string[]
+  /** Milliseconds after the start before it is said who serves, so that instances that start together find each other. */
+  settleMs: number
 }
 
 /**
- * All other instances, each with one link. The store says who may exist; links say who lives. An instance that starts
- * dials all that it finds, so that those need not watch for it.
+ * The other instances. The store says who may exist; links say who lives. In a small system all serve and are linked to each
+ * other. In a large one the first in a common order do; the others are linked to a few of those, who tell them of the rest.
  */
 export class InstanceMesh {
+  private readonly directory: InstanceDirectory
   private readonly known = new Map<string, PeerIdentity>()
-  private readonly addresses = new Map<string, string>()
+  private readonly served = new Set<string>()
   private readonly linked = new Set<string>()
+  /** What instances that serve told this one, while it stands by, by the teller. */
+  private readonly told = new Map<string, readonly PeerIdentity[]>()
   private readonly subject = new Subject<void>()
+  private readonly startedAt: number
+  private hasFound = false
 
-  constructor (private readonly opts: InstanceMeshOptions) {}
+  constructor (private readonly opts: InstanceMeshOptions) {
+    const { instance, peerAddress, dataHall, capacity = 1 } = opts.self
+    this.directory = new InstanceDirectory(opts.clock, { instance, peerAddress, dataHall, capacity })
+    this.startedAt = opts.clock.readTime()
+  }
 
   /** Tells that an instance joined, left or changed. */
   get changes (): Observable<void> {
@@ -47,7 +70,7 @@
 
   /** Where an instance listens for peers. */
   findAddress (instance: string): string | undefined {
-    return this.addresses.get(instance)
+    return this.directory.findAddress(instance)
   }
 
   /** The other instances that have a live link. */
@@ -55,91 +78,194 @@
     return [...this.linked].flatMap((instance) => this.known.get(instance) ?? [])
   }
 
-  /** The other instances that were ever heard of in this life. */
-  listKnown (): PeerIdentity[] {
-    return [...this.known.values()]
+  /** The other instances that serve clients now; while this one stands by, also those that it only heard of. */
+  listServing (): PeerIdentity[] {
+    const serving = new Map(this.listLive().filter(isServing).map((identity) => [identity.instance, identity]))
+    if (!this.self.standby) return [...serving.values()]
+    for (const identity of [...this.told.values()].flat()) {
+      if (!serving.has(identity.instance) && identity.instance !== this.self.instance) serving.set(identity.instance, identity)
+    }
+    return [...serving.values()]
+  }
+
+  /** How many instances, this one among them, serve, should serve or were ever heard to in this life. */
+  countServed (): number {
+    return Math.max(this.served.size + 1, countServing(this.directory.size))
+  }
+
+  /** Whether this instance is one of those that are to serve; undefined while too little is known. */
+  isChosen (): boolean | undefined {
+    if (!this.hasFound || this.opts.clock.readTime() - this.startedAt < this.opts.settleMs) return undefined
+    return this.directory.isChosen(this.nameServing())
   }
 
   /** Starts finding instances; goes on until the signal ends. */
   start (signal: AbortSignal): void {
-    const events = this.opts.network.peerEvents.subscribe((event) => {
+    const { network } = this.opts
+    network.handleCalls(INSTANCES, () => [...this.directory.list(), this.describeSelf()])
+    const events = network.peerEvents.subscribe((event) => {
       if (event.kind === 'heard') this.noteHeard(event.identity)
       else this.noteSilent(event.instance)
     })
-    signal.addEventListener('abort', () => events.unsubscribe(), { once: true })
+    const lists = network.receive(SERVING).subscribe(({ from, body }) => this.takeServing(from, body))
+    signal.addEventListener('abort', () => {
+      events.unsubscribe()
+      lists.unsubscribe()
+    }, { once: true })
     void this.keepSeeds(signal)
     void this.keepListing(signal)
+    void this.keepNeighbours(signal)
   }
 
   /** Changes what the others are told of this instance. */
   announce (changes: Partial<PeerIdentity>): void {
     Object.assign(this.opts.self, changes)
     this.opts.network.announceIdentity()
+    if (changes.standby !== undefined) this.chooseNeighbours()
+    this.noteChange()
+  }
+
+  private noteHeard (identity: PeerIdentity): void {
+    const { instance, peerAddress, dataHall, capacity = 1 } = identity
+    const before = this.known.get(instance)
+    this.known.set(instance, identity)
+    if (!identity.standby) this.served.add(instance)
+    this.directory.noteLinked(instance)
+    const isNew = !this.linked.has(instance)
+    this.linked.add(instance)
+    if (isNew && peerAddress !== '') this.directory.put({ instance, peerAddress, dataHall, capacity })
+    if (isNew) this.opts.log.record(DecisionKinds.PEER_JOINED, { peer: instance, incarnation: identity.incarnation })
+    if (isNew && identity.standby) this.tellServing([instance])
+    const isChanged = before?.leaving !== identity.leaving || before.standby !== identity.standby || before.incarnation !== identity.incarnation
+    if (isNew || isChanged) this.noteChange()
+  }
+
+  private noteChange (): void {
     this.subject.next()
+    this.tellServing(this.listLive().filter((identity) => identity.standby).map((identity) => identity.instance))
   }
 
-  /** Removes this instance's object from the store. */
-  async withdraw (): Promise<void> {
-    const key = PREFIX + this.opts.self.instance
-    const read = await this.opts.store.readObject(key)
-    if (read.isOk() && read.value) await this.opts.store.deleteObject(key, read.value.version)
+  /** Tells instances on standby who serves. */
+  private tellServing (to: readonly string[]): void {
+    if (!isServing(this.self)) return
+    const serving = [this.self, ...this.listServing()]
+    for (const instance of to) this.opts.network.send(instance, SERVING, serving)
   }
 
-  private noteHeard (identity: PeerIdentity): void {
-    const before = this.known.get(identity.instance)
-    this.known.set(identity.instance, identity)
-    if (identity.peerAddress !== '') this.noteAddress(identity.instance, identity.peerAddress)
-    const isNew = !this.linked.has(identity.instance)
-    this.linked.add(identity.instance)
-    if (isNew) this.opts.log.record(DecisionKinds.PEER_JOINED, { peer: identity.instance, incarnation: identity.incarnation })
-    if (isNew || before?.leaving !== identity.leaving || before.incarnation !== identity.incarnation) this.subject.next()
+  private takeServing (from: string, serving: readonly PeerIdentity[]): void {
+    this.told.set(from, serving)
+    for (const { instance, peerAddress, dataHall, capacity = 1 } of serving) this.directory.put({ instance, peerAddress, dataHall, capacity })
   }
 
   private noteSilent (instance: string): void {
+    this.directory.noteMissing(instance)
+    this.told.delete(instance)
     if (!this.linked.delete(instance)) return
     this.opts.log.record(DecisionKinds.PEER_LOST, { peer: instance })
-    this.subject.next()
+    this.noteChange()
+  }
+
+  private async keepNeighbours (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.chooseNeighbours()
+      await this.opts.clock.wait(TICK_MS, signal)
+    }
   }
 
-  private noteAddress (instance: string, peerAddress: string): void {
-    if (instance === this.opts.self.instance || this.addresses.get(instance) === peerAddress) return
-    this.addresses.set(instance, peerAddress)
-    this.opts.network.setNeighbours([...this.addresses].map(([name, address]) => ({ instance: name, peerAddress: address })))
+  private chooseNeighbours (): void {
+    const serving = this.nameServing()
+    const neighbours = this.self.standby ? this.directory.listStandbyNeighbours(serving) : this.directory.listServingNeighbours(serving)
+    for (const { instance } of neighbours) {
+      if (!this.linked.has(instance)) this.directory.noteMissing(instance)
+    }
+    this.opts.network.setNeighbours(neighbours)
+  }
+
+  private nameServing (): Set<string> {
+    return new Set(this.listServing().map((identity) => identity.instance))
   }
 
   /** Tries the seeds until some instance is linked; they are all there is while the store is down. */
   private async keepSeeds (signal: AbortSignal): Promise<void> {
     const others = this.opts.seeds.filter((address) => address !== this.opts.self.peerAddress)
     while (!signal.aborted && this.linked.size === 0) {
-      await Promise.all(others.map((address) => this.opts.network.connect(address)))
+      await Promise.all(others.map((address) => this.askSeed(address)))
       await this.opts.clock.wait(SEED_RETRY_MS, signal)
     }
   }
 
+  private async askSeed (address: string): Promise<void> {
+    const { network } = this.opts
+    const identity = await network.connect(address)
+    if (!identity) return
+    const answer = await network.call(identity.instance, INSTANCES, {}, CALL_MS)
+    if (answer.isOk()) this.take(answer.value)
+  }
+
+  private take (instances: readonly KnownInstance[]): void {
+    for (const instance of instances) this.directory.put(instance)
+    this.hasFound = true
+    this.chooseNeighbours()
+  }
+
   private async keepListing (signal: AbortSignal): Promise<void> {
-    let isWritten = false
+    const { clock, settleMs } = this.opts
+    // Instances that start together write first, so that each finds all others when it lists.
+    if (settleMs > 0) {
+      await this.writeSelf(0)
+      await clock.wait(settleMs, signal)
+    }
     while (!signal.aborted) {
-      isWritten ||= await this.writeSelf()
-      const listing = await this.opts.store.listObjects(PREFIX)
-      if (listing.isOk()) {
-        for (const object of listing.value.objects) {
-          const record = object.value as Partial<InstanceRecord> | null
-          if (typeof record?.peerAddress === 'string') this.noteAddress(object.key.slice(PREFIX.length), record.peerAddress)
-        }
-      }
-      await this.opts.clock.wait(isWritten && listing.isOk() ? LIST_MS : LIST_RETRY_MS, signal)
+      const isListed = await this.list()
+      const pauseMs = this.directory.size > SMALL_SYSTEM ? LARGE_LIST_MS : LIST_MS
+      await clock.wait(isListed ? pauseMs : LIST_RETRY_MS, signal)
     }
   }
 
-  private async writeSelf (): Promise<boolean> {
+  /** Reads who may exist; false when it has to be done again. */
+  private async list (): Promise<boolean> {
     const { store, self } = this.opts
-    const key = PREFIX + self.instance
-    const record: InstanceRecord = { peerAddress: self.peerAddress }
-    const created = await store.writeObject(key, record, 0)
-    if (created.isOk()) return true
-    if (created.error.code !== 'STORE_CONFLICT') return false
-    const read = await store.readObject(key)
-    if (read.isErr() || !read.value) return false
-    return (await store.writeObject(key, record, read.value.version)).isOk()
+    const listing = await store.listObjects(PREFIX)
+    if (listing.isErr()) return false
+    const listed = new Map(listing.value.objects.map((object) => [object.key.slice(PREFIX.length), object]))
+    for (const { instance } of this.directory.list()) {
+      if (!listed.has(instance) && !this.linked.has(instance)) this.directory.remove(instance)
+    }
+    this.take([...listed].flatMap(([instance, object]) => readRecord(instance, object) ?? []))
+    const own = listed.get(self.instance)
+    const isWritten = own !== undefined && readRecord(self.instance, own)?.peerAddress === self.peerAddress
+    if (this.directory.isFirst()) await this.forgetMissing(listed)
+    // Of two instances that write at the same time only a listing after the write is sure to show one to the other.
+    if (!isWritten) await this.writeSelf(own?.version ?? 0)
+    return isWritten
+  }
+
+  private async writeSelf (version: number): Promise<boolean> {
+    const { instance, ...record } = this.describeSelf()
+    const written = await this.opts.store.writeObject(PREFIX + instance, record satisfies InstanceRecord, version)
+    return written.isOk()
+  }
+
+  /** Objects of instances that are gone would be listed and dialled for ever. One that lives writes itself again. */
+  private async forgetMissing (listed: ReadonlyMap<string, StoredObject>): Promise<void> {
+    for (const instance of this.directory.listMissing(FORGET_MS)) {
+      const object = listed.get(instance)
+      if (object) await this.opts.store.deleteObject(object.key, object.version)
+    }
+  }
+
+  private describeSelf (): KnownInstance {
+    const { instance, peerAddress, dataHall, capacity = 1 } = this.opts.self
+    return { instance, peerAddress, dataHall, capacity }
   }
 }
+
+function isServing (identity: PeerIdentity): boolean {
+  return !identity.leaving && !identity.standby
+}
+
+function readRecord (instance: string, object: StoredObject): KnownInstance | undefined {
+  const record = object.value as Partial<InstanceRecord> | null
+  if (typeof record?.peerAddress !== 'string') return undefined
+  return { instance, peerAddress: record.peerAddress, dataHall: record.dataHall ?? '', capacity: record.capacity ?? 1 }
+}
--- /dev/null
+++ b/membership/mesh/src/chooseServing.ts
@@ -0,0 +1,34 @@
+import { hashText } from '@pulleystack/core.hashing'
+
+/** An instance that could serve clients. */
+export interface ServingCandidate {
+  instance: string
+  dataHall: string
+  /** Processor cores that it may use. */
+  capacity: number
+}
+
+/** Up to so many instances all of them serve. */
+export const SMALL_SYSTEM = 12
+/** Share of a larger system that serves; each further instance that does costs every other one messages. */
+const SERVING_SHARE = 0.2
+/** How many of all instances serve clients. */
+export function countServing (total: number): number {
+  return total <= SMALL_SYSTEM ? total : Math.max(SMALL_SYSTEM, Math.ceil(total * SERVING_SHARE))
+}
+
+/** The order in which instances are to serve: data halls by turns, in each the most capable first; the same for all that know the same. */
+export function rankServing<T extends ServingCandidate> (candidates: Iterable<T>): T[] {
+  const halls = new Map<string, T[]>()
+  for (const candidate of candidates) {
+    const hall = halls.get(candidate.dataHall)
+    if (hall) hall.push(candidate)
+    else halls.set(candidate.dataHall, [candidate])
+  }
+  const turns = [...halls.values()].flatMap((hall) => hall.sort(compareInHall).map((candidate, turn) => ({ candidate, turn })))
+  return turns.sort((a, b) => a.turn - b.turn || compareInHall(a.candidate, b.candidate)).map((it) => it.candidate)
+}
+
+function compareInHall (a: ServingCandidate, b: ServingCandidate): number {
+  return b.capacity - a.capacity || hashText(a.instance) - hashText(b.instance) || (a.instance < b.instance ? -1 : 1)
+}
--- a/membership/mesh/src/index.ts
+++ b/membership/mesh/src/index.ts
@@ -1,2 +1,6 @@
 export { InstanceMesh } from './InstanceMesh.js'
 export type { InstanceMeshOptions } from './InstanceMesh.js'
+export { InstanceDirectory } from './InstanceDirectory.js'
+export type { KnownInstance } from './InstanceDirectory.js'
+export { SMALL_SYSTEM, countServing, rankServing } from './chooseServing.js'
+export type { ServingCandidate } from './chooseServing.js'
--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -66,10 +66,15 @@
   }
 
   send (channel: string, body: unknown): boolean {
+    return this.sendEncoded(encodeFrame({ t: 'send', channel, body }))
+  }
+
+  /** Sends a frame that was encoded for several peers. */
+  sendEncoded (bytes: Buffer): boolean {
     // A peer that does not read gets less, not more; digests mend what it missed.
     if (!this.isOpen || this.opts.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
     this.lastUsed = this.opts.clock.readTime()
-    this.write({ t: 'send', channel, body })
+    this.writeBytes(bytes)
     return true
   }
 
@@ -98,8 +103,10 @@
   }
 
   private write (frame: Frame): void {
-    if (this.opts.socket.readyState !== this.opts.socket.OPEN) return
-    const bytes = encodeFrame(frame)
+    if (this.opts.socket.readyState === this.opts.socket.OPEN) this.writeBytes(encodeFrame(frame))
+  }
+
+  private writeBytes (bytes: Buffer): void {
     this.sentBytes += bytes.length
     this.opts.socket.send(bytes)
   }
@@ -136,6 +143,8 @@
     if (!this.identity || this.proven) return false
     if (secret !== undefined && !checkProof(secret, proof, this.theirNonce, this.nonce, this.identity.instance)) return false
     this.proven = true
+    // What the hello told may have changed while the peer proved itself.
+    this.sendIdentity()
     this.opts.onOpen(this)
     return true
   }
--- a/membership/peers/src/PeerNetwork.ts
+++ b/membership/peers/src/PeerNetwork.ts
@@ -14,6 +14,10 @@
   region: string
   dataHall: string
   leaving: boolean
+  /** It serves nobody for now and is told only who does. */
+  standby?: boolean
+  /** Processor cores that it may use. */
+  capacity?: number
 }
 
 export interface Received<Body> {
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -8,7 +8,7 @@
 import { filter, map, Subject, type Observable } from 'rxjs'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { Channel } from './Channel.js'
-import { MAX_FRAME_BYTES } from './frames.js'
+import { MAX_FRAME_BYTES, encodeFrame } from './frames.js'
 import { PeerLink } from './PeerLink.js'
 import { PeerNetwork, type CallHandler, type PeerEvent, type PeerIdentity, type Received } from './PeerNetwork.js'
 
@@ -110,6 +110,14 @@
     return link?.send(channel.name, body) ?? false
   }
 
+  /** Encodes once for all; instances on standby are left out. */
+  override broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): void {
+    const bytes = encodeFrame({ t: 'send', channel: channel.name, body })
+    for (const [instance, link] of this.links) {
+      if (instance !== except && !link.identity?.standby) link.sendEncoded(bytes)
+    }
+  }
+
   receive<Body> (channel: Channel<Body>): Observable<Received<Body>> {
     return this.received.pipe(
       filter((it) => it.channel === channel.name),
@@ -141,7 +149,10 @@
 
   /** Tells every peer that the own identity changed, as when leaving. */
   announceIdentity (): void {
-    for (const link of this.links.values()) link.sendIdentity()
+    // Either of two links to one peer may be the one that is kept.
+    for (const link of this.all) {
+      if (link.isOpen) link.sendIdentity()
+    }
   }
 
   /** Opens a link to whoever listens at an address, as to a seed whose name is not known; undefined when nobody does. */
--- a/membership/peers/test/WebSocketNetwork.test.ts
+++ b/membership/peers/test/WebSocketNetwork.test.ts
@@ -61,6 +61,19 @@
     await Promise.all([a.stop(), b.stop()])
   })
 
+  // A large system took some instances for leaving ever after: they became ready between hello and proof.
+  it('tells a peer what changed of the own identity while the link came up', async () => {
+    const addresses = new Map<string, string>()
+    let told = 0
+    const readIdentity = (): PeerIdentity => ({ instance: 'a', incarnation: 1, address: '', peerAddress: '', region: 'r', dataHall: 'h', leaving: told++ === 0 })
+    const [a, b] = [await start('a', addresses, { readIdentity }), await start('b', addresses)]
+    const heard = new Promise<void>((resolve) => b.peerEvents.subscribe((event) => {
+      if (event.kind === 'heard' && !event.identity.leaving) resolve()
+    }))
+    await a.call('b', ECHO, 'open', 2_000)
+    await heard
+  })
+
   it('says that nothing ran when a peer cannot be reached', async () => {
     const a = await start('a', new Map([['b', '127.0.0.1:1']]))
     assert.equal((await a.call('b', ECHO, 'x', 1_000))._unsafeUnwrapErr().ran, 'no')
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -24,6 +24,10 @@
   peerAddress: string
   /** Peer addresses of some instances. */
   seeds: readonly string[]
+  /** Processor cores that the instance may use. */
+  cores: number
+  /** The whole system starts for the first time, so that nobody is known yet. */
+  isFirstStart: boolean
   /** Milliseconds for which clients may keep the list of addresses. */
   directoryLifetimeMs: number
   bounds: EntryBounds
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -20,11 +20,14 @@
 
 const HEARTBEAT_MS = 1_000
 const SUSPECT_AFTER_MS = 2_400
+/** Time in which instances that start together find each other. */
+const SETTLE_MS = 2_500
+const ROLE_MS = 100
 const SHARD = 'residency'
 
 /** Where an instance stands between its start and its end. */
 export const EntryPhases = {
-  /** Knows no configuration or no servers yet. */
+  /** Knows no configuration or no servers yet, or stands by while others serve. */
   STARTING: 'starting',
   READY: 'ready',
   /** Serves what comes, but clients are told to go elsewhere. */
@@ -98,33 +101,48 @@
   const peerPort = await network.start()
   mesh.self.peerAddress = `${parseAddress(settings.peerAddress).host}:${peerPort}`
   mesh.start(ended.signal)
-  shareLoads({ clock, network, fleet, onChange: () => queue.pump() }, ended.signal)
+  shareLoads({ clock, network, fleet, countReaders: () => mesh.listServing().length, onChange: () => queue.pump() }, ended.signal)
   residency.start(ended.signal)
   const noteReady = (): void => {
     if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
   }
   fleet.changes.subscribe(noteReady)
-  watchSources({
-    clock,
-    random,
-    store: deps.store,
-    network,
-    instance: settings.instance,
-    listCandidates: () => [settings.instance, ...mesh.listLive().filter((identity) => !identity.leaving).map((identity) => identity.instance)],
-    sources: deps.sources,
-    fleet,
-    log,
-    signal: ended.signal,
-    onTable: (table) => {
-      state.table = table
-      noteReady()
-      queue.pump()
-    },
+  const serve = (): void => {
+    mesh.announce({ standby: false })
+    watchSources({
+      clock,
+      random,
+      store: deps.store,
+      network,
+      instance: settings.instance,
+      listCandidates: () => [settings.instance, ...mesh.listServing().map((identity) => identity.instance)],
+      sources: deps.sources,
+      fleet,
+      log,
+      signal: ended.signal,
+      onTable: (table) => {
+        state.table = table
+        noteReady()
+        queue.pump()
+      },
+    })
+  }
+  void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
+    if (isChosen) serve()
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, zone: settings.zone, address: settings.clientAddress })
   return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
+/** Resolves with true once this instance is one of those that serve; with false when the signal ends before. */
+async function waitUntilChosen (clock: Clock, mesh: InstanceMesh, signal: AbortSignal): Promise<boolean> {
+  while (!signal.aborted) {
+    if (mesh.isChosen()) return true
+    await clock.wait(ROLE_MS, signal)
+  }
+  return false
+}
+
 interface Parts {
   settings: EntrySettings
   deps: EntryDependencies
@@ -143,6 +161,8 @@
     region: settings.region,
     dataHall: settings.zone,
     leaving: true,
+    standby: true,
+    capacity: settings.cores,
   }
   const { host, port } = parseAddress(settings.peerAddress)
   const network = new WebSocketNetwork({
@@ -157,7 +177,8 @@
     suspectAfterMs: SUSPECT_AFTER_MS,
     privateNetwork: true,
   })
-  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds })
+  const settleMs = settings.isFirstStart ? SETTLE_MS : 0
+  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
   return { network, mesh }
 }
 
@@ -206,7 +227,7 @@
     life,
     turnMs: settings.bounds.leaseMs,
     holder,
-    listCandidates: () => [mesh.self, ...mesh.listLive()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
+    listCandidates: () => [mesh.self, ...mesh.listServing()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
     onChange: parts.onChange,
   })
   return residency
@@ -250,7 +271,7 @@
   return (service) => {
     const present = budgets.get(service)
     if (present) return present
-    const countInstances = (): number => Math.max(mesh.listKnown().length, mesh.listLive().length) + 1
+    const countInstances = (): number => mesh.countServed()
     const created = new WindowBudget({ clock, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs, countInstances })
     budgets.set(service, created)
     return created
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -15,7 +15,6 @@
   entry.log.record(DecisionKinds.STOPPING, { inFlight: gateway.inFlight })
   entry.leave(plan)
   void entry.residency.stop()
-  void entry.mesh.withdraw()
   listener.closeIdle()
   await clock.wait(plan.servesUntil - clock.readTime())
   entry.setPhase(EntryPhases.ENDING)
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -16,11 +16,14 @@
 
 const LOADS = defineChannel<SharedLoads>('fleet.loads')
 const SHARE_MS = 100
+const READERS_AT_FULL_RATE = 20
 
 export interface ShareLoadsOptions {
   clock: Clock
   network: PeerNetwork
   fleet: BackendFleet
+  /** Instances that are told. */
+  countReaders: () => number
   /** Another instance told something new. */
   onChange: () => void
 }
@@ -35,7 +38,7 @@
     network.broadcast(LOADS, buildLoads(fleet, opts.clock.readTime()))
   }
   const schedule = (): void => {
-    cancel ??= opts.clock.setTimer(SHARE_MS, tell)
+    cancel ??= opts.clock.setTimer(computeShareMs(opts.countReaders()), tell)
   }
   const subscriptions = [
     fleet.loadChanges.subscribe(schedule),
@@ -62,6 +65,11 @@
   }, { once: true })
 }
 
+/** Many instances tell less often, so that nobody has to read more. */
+function computeShareMs (readers: number): number {
+  return SHARE_MS * Math.max(1, readers / READERS_AT_FULL_RATE)
+}
+
 function readTallies (shared: SharedLoads): Map<string, LoadTally> {
   return new Map(shared.loads.map(([backend, running, prefillTokens, cacheTokens]) => [backend, { running, prefillTokens, cacheTokens }]))
 }
