Keep servers whose entries ran out while the store was away until they could write them again

An instance dropped such a server with the first listing, and with it what it had in hand, what it had read and its orders' sequence, and refused requests for what only that server held. Change: BackendDirectory holds such a removal until 2.5 s after the store came back; servers that had said that they leave go at once. News from a peer count as the store's return. Ruled out: DRAIN binds nobody within contactMs of a disruption.

--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -59,6 +59,7 @@
   private freshAt = -Infinity
   private hasGap = false
   private isLost = false
+  private regainedAt = -Infinity
   private backoffMs = MIN_BACKOFF_MS
   private wake: () => void = () => undefined
 
@@ -69,6 +70,11 @@
     return this.opts.clock.readTime() - this.freshAt
   }
 
+  /** Milliseconds since the store came back; 0 while it is away. */
+  get settledMs (): number {
+    return this.isLost ? 0 : this.opts.clock.readTime() - this.regainedAt
+  }
+
   /** Follows the prefix until the signal ends. */
   start (signal: AbortSignal): void {
     const { network, prefix } = this.opts
@@ -160,6 +166,7 @@
     }
     // Who knows less than this instance has no news for it.
     if (news.to < this.revision) return
+    this.noteAnswered()
     this.apply(news, this.opts.clock.readTime())
   }
 
@@ -194,9 +201,11 @@
   }
 
   private noteAnswered (): void {
-    if (this.isLost) this.opts.log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
-    this.isLost = false
     this.backoffMs = MIN_BACKOFF_MS
+    if (!this.isLost) return
+    this.isLost = false
+    this.regainedAt = this.opts.clock.readTime()
+    this.opts.log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
   }
 }
 
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -1,9 +1,9 @@
-import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
+import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
 import { StoreFeed, type StoreFeedOptions } from '@pulleystack/config.feed'
 import { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { BackendDirectory, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { EntrySources } from './EntrySources.js'
 
@@ -53,22 +53,30 @@
     else log.record(DecisionKinds.BACKEND_CHANGED, facts)
   })
   opts.signal.addEventListener('abort', () => noteChange.unsubscribe(), { once: true })
-  follow(opts, sources.backendPrefix, {
-    onListing: (objects) => fleet.replaceAll(objects.flatMap((object) => sources.readBackend(object) ?? [])),
-    onChanges: (changes) => changes.forEach((change) => applyChange(opts, change)),
+  const directory = new BackendDirectory({ clock: opts.clock, fleet, readSettledMs: () => feed.settledMs })
+  const take = (object: StoredObject): void => {
+    const entry = sources.readBackend(object)
+    if (entry) directory.put(entry)
+  }
+  const feed: StoreFeed = follow(opts, sources.backendPrefix, {
+    onListing: (objects) => {
+      objects.forEach(take)
+      directory.keepOnly(new Set(objects.map((object) => readName(sources.backendPrefix, object))))
+    },
+    onChanges: (changes) => changes.forEach((change) => {
+      if (change.value === undefined) directory.remove(readName(sources.backendPrefix, change))
+      else take(change)
+    }),
   })
 }
 
-function applyChange (opts: WatchSourcesOptions, change: StoreChange): void {
-  if (change.value === undefined) {
-    opts.fleet.remove(change.key.slice(opts.sources.backendPrefix.length))
-    return
-  }
-  const entry = opts.sources.readBackend(change)
-  if (entry) opts.fleet.put(entry)
+function readName (prefix: string, object: { key: string }): string {
+  return object.key.slice(prefix.length)
 }
 
-function follow (opts: WatchSourcesOptions, prefix: string, take: Pick<StoreFeedOptions, 'onListing' | 'onChanges'>): void {
+function follow (opts: WatchSourcesOptions, prefix: string, take: Pick<StoreFeedOptions, 'onListing' | 'onChanges'>): StoreFeed {
   const { clock, random, store, network, log, instance, listCandidates } = opts
-  new StoreFeed({ clock, random, store, network, log, prefix, instance, listCandidates, ...take }).start(opts.signal)
+  const feed = new StoreFeed({ clock, random, store, network, log, prefix, instance, listCandidates, ...take })
+  feed.start(opts.signal)
+  return feed
 }
--- a/routing/fleet/src/index.ts
+++ b/routing/fleet/src/index.ts
@@ -1,6 +1,8 @@
 export { shareLoads } from './shareLoads.js'
 export type { SharedLoads } from './shareLoads.js'
 export { Backend } from './Backend.js'
+export { BackendDirectory } from './BackendDirectory.js'
+export type { BackendDirectoryOptions } from './BackendDirectory.js'
 export { BackendFleet } from './BackendFleet.js'
 export type { FleetChange } from './BackendFleet.js'
 export { holdsWeights, nameWeights } from './BackendEntry.js'
