--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,6 +1,6 @@
 import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
-import { listRanked } from '@pulleystack/core.hashing'
+import { findOwner } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 
@@ -32,7 +32,6 @@
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 400
 const SNAPSHOT_MS = 400
-const SMALL_SYSTEM = 9
 
 export interface StoreFeedOptions {
   clock: Clock
@@ -99,9 +98,7 @@
   }
 
   private isWatcher (): boolean {
-    const candidates = this.opts.listCandidates()
-    const count = candidates.length > SMALL_SYSTEM ? 2 : 1
-    return listRanked(`feed/${this.opts.prefix}`, candidates, (name) => name).slice(0, count).includes(this.opts.instance)
+    return findOwner(`feed/${this.opts.prefix}`, this.opts.listCandidates()) === this.opts.instance
   }
 
   /** Waits until this instance has to ask for itself. */
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -67,7 +67,7 @@
   fleet: BackendFleet
   residency: ResidencyClient
   log: DecisionLog
-  zone: string
+  dataHall: string
 }
 
 /** Hands out places at backend servers; requests wait here, the most urgent first, and not in the servers' own queues. */
@@ -109,7 +109,7 @@
   private tryPlace (work: RoutedWork): BackendPlace | ChoiceFailure {
     const choice = chooseBackend({
       backends: this.opts.fleet.list(work.service.name),
-      demand: { zone: this.opts.zone, excluded: work.excluded, generation: work.generation, queueShare: QUEUE_SHARE },
+      demand: { dataHall: this.opts.dataHall, excluded: work.excluded, generation: work.generation, queueShare: QUEUE_SHARE },
       figures: readFigures(work),
       random: this.opts.random,
       now: this.opts.clock.readTime(),
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -101,7 +101,7 @@
     const { need } = open
     const serving = this.findServing(need.service)
     if (!serving) return
-    const holding = this.listHolding(need).filter((backend) => !need.isMore || !backend.holds(need.model, need.adapter))
+    const holding = this.listHolding(need).filter((backend) => !need.isMore || !backend.hasWeights(need.model, need.adapter))
     if (holding.length > 0) {
       open.started = true
       open.readyAt = this.opts.clock.readTime() + ADAPTER_MS
@@ -143,7 +143,7 @@
   }
 
   private listHolding (need: WeightsNeed): Backend[] {
-    return this.listUsable(need.service).filter((backend) => this.loads.keeps(backend, need.model))
+    return this.listUsable(need.service).filter((backend) => this.loads.isKeeping(backend, need.model))
   }
 
   private listUsable (service: string): Backend[] {
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -89,8 +89,8 @@
   }
 
   /** Whether a server has the model and keeps it. */
-  keeps (backend: Backend, model: string): boolean {
-    return backend.holds(model) && !this.running.get(backend.id)?.victims.includes(model)
+  isKeeping (backend: Backend, model: string): boolean {
+    return backend.hasWeights(model) && !this.running.get(backend.id)?.victims.includes(model)
   }
 
   /** A server as the plan sees it, with the load under way counted as done. */
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -195,7 +195,7 @@
   const refresh = (): void => {
     for (const [id, held] of servers.held) {
       const models = [...held.models].map((model) => ({ name: model, adapters: [] }))
-      fleet.put({ id, service: 's', address: `${id}:1`, zone: 'z', slots: 8, draining: false, models, inMemory: [], onDisk: [] })
+      fleet.put({ id, service: 's', address: `${id}:1`, dataHall: 'z', slots: 8, draining: false, models, inMemory: [], onDisk: [] })
     }
   }
   refresh()
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -17,7 +17,7 @@
 export interface EntrySettings {
   instance: string
   region: string
-  zone: string
+  dataHall: string
   /** host:port where clients connect. */
   clientAddress: string
   /** host:port where other instances connect. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -85,7 +85,7 @@
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
   const parts = { settings, deps, clock, log, fleet, network, mesh, readTable }
   const residency = createResidency({ ...parts, orderDelayMs: it.orderDelayMs, onChange: () => queue.pump() })
-  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.zone })
+  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
@@ -130,7 +130,7 @@
   void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
     if (isChosen) serve()
   })
-  log.record(DecisionKinds.STARTED, { instance: settings.instance, zone: settings.zone, address: settings.clientAddress })
+  log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
   return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
@@ -159,7 +159,7 @@
     address: settings.clientAddress,
     peerAddress: settings.peerAddress,
     region: settings.region,
-    dataHall: settings.zone,
+    dataHall: settings.dataHall,
     leaving: true,
     standby: true,
     capacity: settings.cores,
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -39,7 +39,7 @@
   const fleet = new BackendFleet()
   const log = new SilentDecisionLog()
   const residency = new NoResidency()
-  const queue = new BackendQueue({ clock, random, fleet, residency, log, zone: settings.dataHall })
+  const queue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall })
   const state: { table: RouteTable } = { table: new RouteTable(buildConfig(core)) }
   const refresh = (): void => {
     state.table = new RouteTable(buildConfig(core))
@@ -135,7 +135,7 @@
       id: `${server.id}|${service}`,
       service,
       address: server.address,
-      zone: server.dataHall,
+      dataHall: server.dataHall,
       slots: SLOTS,
       draining: server.leaving,
       models: undefined,
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -1,5 +1,5 @@
 import { FailureRate, OutlierDetector } from '@pulleystack/routing.retries'
-import { holdsWeights, type BackendEntry } from './BackendEntry.js'
+import { hasWeights, type BackendEntry } from './BackendEntry.js'
 import { NO_LOAD, sumTallies, type LoadTally } from './LoadTally.js'
 import { PrefixMemory } from './PrefixMemory.js'
 
@@ -62,10 +62,10 @@
   }
 
   /** Whether it has the model, and the adapter if one is named. */
-  holds (model: string, adapter?: string): boolean {
-    if (!holdsWeights(this.entry, model)) return false
+  hasWeights (model: string, adapter?: string): boolean {
+    if (!hasWeights(this.entry, model)) return false
     if (adapter === undefined) return true
-    return this.adapterChanges.get(model)?.get(adapter) ?? holdsWeights(this.entry, model, adapter)
+    return this.adapterChanges.get(model)?.get(adapter) ?? hasWeights(this.entry, model, adapter)
   }
 
   /** Notes an adapter loaded or dropped before the server's entry tells it. */
@@ -78,7 +78,7 @@
   /** Takes a newer entry. A model that went has taken its adapters along. */
   update (entry: BackendEntry): void {
     for (const model of this.adapterChanges.keys()) {
-      if (!holdsWeights(entry, model)) this.adapterChanges.delete(model)
+      if (!hasWeights(entry, model)) this.adapterChanges.delete(model)
     }
     this.entry = entry
   }
--- a/routing/fleet/src/BackendEntry.ts
+++ b/routing/fleet/src/BackendEntry.ts
@@ -11,7 +11,7 @@
   service: string
   /** host:port; may be given to another server after this one has ended. */
   address: string
-  zone: string
+  dataHall: string
   /** Requests that it works on at a time. */
   slots: number
   /** It leaves and takes no new requests. */
@@ -29,7 +29,7 @@
 }
 
 /** Whether a server has a model, and the adapter if one is named. */
-export function holdsWeights (entry: BackendEntry, model: string, adapter?: string): boolean {
+export function hasWeights (entry: BackendEntry, model: string, adapter?: string): boolean {
   const held = entry.models?.find((it) => it.name === model)
   return held !== undefined && (adapter === undefined || held.adapters.includes(adapter))
 }
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -16,7 +16,7 @@
 
 /** What a backend server is wanted for. */
 export interface BackendDemand {
-  zone: string
+  dataHall: string
   /** Servers that failed this request already. */
   excluded: ReadonlySet<string>
   generation: GenerationDemand | undefined
@@ -53,7 +53,7 @@
 const BATCH_MS_PER_REQUEST = 4
 // Reading a prompt holds up every stream that runs beside it; each such stream counts this share of the reading time.
 const HOLD_UP_SHARE = 0.04
-const OTHER_ZONE_MS = 4
+const OTHER_HALL_MS = 4
 const CACHE_SHARE = 0.92
 
 /** Chooses the backend server that will likely answer first. */
@@ -68,7 +68,7 @@
   const present = opts.backends.filter((backend) => !backend.entry.draining && backend.isReachable(now))
   if (present.length === 0) return ChoiceFailures.NO_BACKEND
   const { generation } = demand
-  const holding = generation ? present.filter((backend) => backend.holds(generation.model, generation.adapter)) : present
+  const holding = generation ? present.filter((backend) => backend.hasWeights(generation.model, generation.adapter)) : present
   if (holding.length === 0) return ChoiceFailures.NOT_RESIDENT
   const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
   const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
@@ -85,12 +85,12 @@
 function rateBackend (backend: Backend, opts: { demand: BackendDemand, figures: ServingFigures | undefined, random: RandomSource }): RatedBackend | undefined {
   const { demand, figures } = opts
   const load = backend.readLoad()
-  const zoneMs = backend.entry.zone === demand.zone ? 0 : OTHER_ZONE_MS
+  const hallMs = backend.entry.dataHall === demand.dataHall ? 0 : OTHER_HALL_MS
   // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
   const jitter = opts.random.readFraction()
   if (!demand.generation || !figures) {
     if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return undefined
-    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + zoneMs + jitter }
+    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + hallMs + jitter }
   }
   const { generation } = demand
   const keptTokens = backend.prefixes.countKept(nameWeights(generation.model, generation.adapter), generation.parts)
@@ -100,5 +100,5 @@
   const ownMs = (generation.promptTokens - keptTokens) / PREFILL_TOKENS_PER_MS
   const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
   const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
-  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + zoneMs + jitter }
+  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + hallMs + jitter }
 }
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -6,7 +6,7 @@
 const SETTLED_MS = 60_000
 
 function createEntry (id: string, draining = false): BackendEntry {
-  return { id, service: 's', address: '127.0.0.1:1', zone: 'z', slots: 1, draining, models: undefined, inMemory: [], onDisk: [] }
+  return { id, service: 's', address: '127.0.0.1:1', dataHall: 'z', slots: 1, draining, models: undefined, inMemory: [], onDisk: [] }
 }
 
 describe('the directory of backend servers', () => {
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -11,7 +11,7 @@
     id: 'r1',
     service: 's',
     address: 'h:1',
-    zone: 'z1',
+    dataHall: 'z1',
     slots: 8,
     draining: false,
     models: [{ name: 'm', adapters: [] }],
@@ -25,7 +25,7 @@
   let fleet: BackendFleet
   const choose = (demand: Partial<GenerationDemand> = {}, excluded: string[] = [], now = 0): BackendChoice | ChoiceFailure => chooseBackend({
     backends: fleet.list('s'),
-    demand: { zone: 'z1', excluded: new Set(excluded), generation: { ...DEMAND, ...demand }, queueShare: 1 },
+    demand: { dataHall: 'z1', excluded: new Set(excluded), generation: { ...DEMAND, ...demand }, queueShare: 1 },
     figures: FIGURES,
     random: new RandomSource(1),
     now,
@@ -38,10 +38,10 @@
 
   beforeEach(() => {
     fleet = new BackendFleet()
-    fleet.replaceAll([createEntry({ id: 'r1' }), createEntry({ id: 'r2', zone: 'z2' })])
+    fleet.replaceAll([createEntry({ id: 'r1' }), createEntry({ id: 'r2', dataHall: 'z2' })])
   })
 
-  it('takes the own zone when all else is alike', () => {
+  it('takes the own data hall when all else is alike', () => {
     assert.equal(chooseId(), 'r1')
   })
 
@@ -64,7 +64,7 @@
   })
 
   it('passes over a server that fails clearly more often than its like', () => {
-    fleet.put(createEntry({ id: 'r3', zone: 'z3' }))
+    fleet.put(createEntry({ id: 'r3', dataHall: 'z3' }))
     for (let i = 0; i < 10; i++) fleet.noteOutcome(find('r1'), i % 2 === 0, 0)
     assert.notEqual(chooseId(), 'r1')
     assert.equal(chooseId({}, [], 30_000), 'r1')
