Deal places in one sort, once for many needs, and let the most capable instance hold the lease

Each open need dealt all 294 places anew, each place by sorting all 305 models, on a holder with a third of a core; renewals came too late. Ruled out: the store (answered), cuts (none). Change: all gains in one sort; targets kept for a quarter of a second; the plan describes servers once; the holder is chosen among the most capable. Tests: a property against dealing one by one; 'leave the lease to the most capable' (fails without).

--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -2,7 +2,7 @@
 import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
 import { DemandTracker, type DemandCount } from './DemandTracker.js'
 import { LoadBucket } from './LoadBucket.js'
-import { computeCopyTargets, listLacking, planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
+import { computeCopyTargets, listLacking, planLoad, type CopyTargets, type PlanInput, type PlannedLoad } from './planResidency.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ServerLoads, type HoldOff, type ServerLoadsOptions } from './ServerLoads.js'
 
@@ -10,6 +10,8 @@
 const UNLOAD_MS = 150
 const MAX_PLANNED_AT_ONCE = 8
 const MAX_NEED_AGE_MS = 12_000
+/** Demand moves slowly against this; many needs at once must not each deal all places anew. */
+const TARGETS_MS = 250
 
 export interface ResidencyHolderOptions extends ServerLoadsOptions {
   readTable: () => RouteTable | undefined
@@ -30,6 +32,7 @@
   private readonly buckets = new Map<string, LoadBucket>()
   private readonly loads: ServerLoads
   private readonly needs = new Map<string, OpenNeed>()
+  private readonly targets = new Map<string, { computedAt: number, servers: number, targets: CopyTargets }>()
 
   constructor (private readonly opts: ResidencyHolderOptions) {
     this.loads = new ServerLoads(opts)
@@ -87,12 +90,14 @@
     if (!table || !this.opts.readRight()) return
     for (const { name, serving } of table.config.services) {
       if (!serving) continue
-      const input = this.buildInput(name, serving)
-      const targets = computeCopyTargets(input)
+      let input = this.buildInput(name, serving)
+      const targets = this.findTargets(name, input)
       for (const model of listLacking(input, targets)) {
         if (this.loads.size >= MAX_PLANNED_AT_ONCE) return
-        const load = planLoad(this.buildInput(name, serving), model, targets)
-        if (load && this.mayBegin(name, load)) void this.loads.run(serving, load)
+        const load = planLoad(input, model, targets)
+        if (!load || !this.mayBegin(name, load)) continue
+        void this.loads.run(serving, load)
+        input = this.buildInput(name, serving)
       }
     }
   }
@@ -121,7 +126,7 @@
       return
     }
     const input = this.buildInput(need.service, serving)
-    const load = planLoad(input, need.model, computeCopyTargets(input))
+    const load = planLoad(input, need.model, this.findTargets(need.service, input))
     // A further copy must not be one too many, and is worth no load from the weight store.
     if (!load || (need.isMore && load.fromStore)) return
     const extraMs = load.victims.length * UNLOAD_MS + (need.adapter === undefined ? 0 : ADAPTER_MS)
@@ -161,6 +166,15 @@
     }
   }
 
+  private findTargets (service: string, input: PlanInput): CopyTargets {
+    const now = this.opts.clock.readTime()
+    const present = this.targets.get(service)
+    if (present && present.servers === input.servers.length && now - present.computedAt < TARGETS_MS) return present.targets
+    const targets = computeCopyTargets(input)
+    this.targets.set(service, { computedAt: now, servers: input.servers.length, targets })
+    return targets
+  }
+
   private findServing (service: string): ModelServing | undefined {
     return this.opts.readTable()?.findService(service)?.serving
   }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -29,6 +29,13 @@
 /** Orders that were under way when the right to order ended are answered or given up by then. */
 const ORDERS_END_MS = 400
 
+/** An instance that could hold the lease. */
+export interface HolderCandidate {
+  instance: string
+  /** Processor cores that it may use. */
+  capacity: number
+}
+
 export interface ResidencyServiceOptions {
   clock: Clock
   network: PeerNetwork
@@ -43,7 +50,7 @@
   turnMs: number
   holder: ResidencyHolder
   /** Live instances that could hold the lease, this one among them while it can. */
-  listCandidates: () => readonly string[]
+  listCandidates: () => readonly HolderCandidate[]
   /** Something may be at a server now that requests wait for. */
   onChange: () => void
 }
@@ -193,8 +200,8 @@
     const { lease, instance } = this.opts
     if (this.stopping || this.findHolder() !== undefined) return
     const standsBack = this.isStandingBack(this.handover)
-    const candidates = this.opts.listCandidates().filter((candidate) => !standsBack || candidate !== this.handover?.from)
-    if (findOwner('residency', candidates) !== instance) return
+    const candidates = this.opts.listCandidates().filter((candidate) => !standsBack || candidate.instance !== this.handover?.from)
+    if (chooseHolder(candidates) !== instance) return
     if (this.isDue('TAKE') && await lease.tryTake(this.handover)) this.begin()
   }
 
@@ -243,3 +250,9 @@
     return true
   }
 }
+
+/** Planning for many servers takes processor time, so that one of the most capable holds the lease. */
+function chooseHolder (candidates: readonly HolderCandidate[]): string | undefined {
+  const most = Math.max(...candidates.map((candidate) => candidate.capacity))
+  return findOwner('residency', candidates.filter((candidate) => candidate.capacity === most).map((candidate) => candidate.instance))
+}
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -75,19 +75,26 @@
 function dealPlaces (input: PlanInput, busy: number): Map<string, number> {
   const asked = input.serving.models.flatMap(({ name }) => {
     const { rate, idleMs } = input.readDemand(name)
-    return idleMs > FORGOTTEN_MS ? [] : [{ name, rate, copies: 0 }]
+    return idleMs > FORGOTTEN_MS ? [] : [{ name, rate }]
   })
-  for (let places = input.servers.length * countPlaces(input.serving); places > 0; places--) {
-    const [best] = [...asked].sort((first, second) => rateGain(second, input, busy) - rateGain(first, input, busy))
-    if (!best || rateGain(best, input, busy) <= 0) break
-    best.copies++
-  }
-  return new Map(asked.map(({ name, copies }) => [name, copies]))
+  // Each further copy of a model gains less than the one before, so that the best places are those of the largest gains.
+  const gains = asked.flatMap(({ name, rate }) => listGains(rate, input.servers.length, busy).map((gain) => ({ name, gain })))
+  gains.sort((a, b) => b.gain - a.gain)
+  const copies = new Map(asked.map(({ name }) => [name, 0]))
+  const places = input.servers.length * countPlaces(input.serving)
+  for (const { name } of gains.slice(0, places)) copies.set(name, (copies.get(name) ?? 0) + 1)
+  return copies
 }
 
-function rateGain (it: { rate: number, copies: number }, input: PlanInput, busy: number): number {
-  if (it.copies === 0) return FIRST_COPY_VALUE + it.rate * FIRST_COPY_WEIGHT
-  return it.copies >= input.servers.length ? 0 : it.rate / it.copies - busy
+/** What the first, second, ... copy of a model gains, as far as they gain anything. */
+function listGains (rate: number, servers: number, busy: number): number[] {
+  const gains: number[] = []
+  for (let copies = 0; copies < servers; copies++) {
+    const gain = copies === 0 ? FIRST_COPY_VALUE + rate * FIRST_COPY_WEIGHT : rate / copies - busy
+    if (gain <= 0) break
+    gains.push(gain)
+  }
+  return gains
 }
 
 /** The best server for one more copy of a model; undefined when no server can make room for it. */
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -100,6 +100,7 @@
   let clock: ManualClock
   let servers: RecordingServers
   let nodes: Node[]
+  let capacities: Map<string, number>
 
   const listHolders = (): string[] => nodes.filter((node) => node.service.mayOrder).map((node) => node.name)
   const ask = (node: Node, model: string): Promise<unknown> => node.service.requestWeights({ service: 's', model, adapter: undefined, isMore: false, waitMs: 3_000 })
@@ -124,11 +125,12 @@
   beforeEach(async () => {
     clock = new ManualClock()
     servers = new RecordingServers(clock)
+    capacities = new Map()
     for (const id of ['r1', 'r2', 'r3']) servers.add(id, 'a', 'b', 'c')
     const shared = new MemoryObjectStore({ clock })
     const hub = new FakeHub({ clock, random: new RandomSource(1) })
     const listNames = (): string[] => nodes.filter((node) => !node.ended.signal.aborted).map((node) => node.name)
-    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames }))
+    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames, readCapacity: (instance) => capacities.get(instance) ?? 1 }))
     for (const node of nodes) node.service.start(node.ended.signal)
     await clock.advance(6_000)
   })
@@ -162,6 +164,20 @@
     assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
   })
 
+  it('leave the lease to the most capable of those that live', async () => {
+    for (const name of ['n1', 'n2', 'n3']) {
+      capacities.clear()
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      capacities.set(name, 4)
+      if (first.name === name) continue
+      first.store.isCut = true
+      await clock.advance(4_000)
+      assert.deepEqual(listHolders(), [name])
+      first.store.isCut = false
+      await clock.advance(8_000)
+    }
+  })
+
   it('wait out a holder that falls silent, no two of them ordering one server within the bound', async () => {
     const first = nodes.find((node) => node.service.mayOrder) as Node
     await churn(10)
@@ -187,6 +203,7 @@
   shared: MemoryObjectStore
   hub: FakeHub
   listNames: () => string[]
+  readCapacity: (instance: string) => number
 }
 
 function createNode (name: string, it: NodeParts): Node {
@@ -230,7 +247,7 @@
     life: `${name}@1`,
     turnMs: TURN_MS,
     holder,
-    listCandidates: it.listNames,
+    listCandidates: () => it.listNames().map((instance) => ({ instance, capacity: it.readCapacity(instance) })),
     onChange: () => undefined,
   })
   return { name, lease, service, fleet, store, ended: new AbortController() }
--- a/placement/residency/test/planResidency.test.ts
+++ b/placement/residency/test/planResidency.test.ts
@@ -31,6 +31,28 @@
     assert.equal(wanted.get('c'), 1)
   })
 
+  it('deals the places as if each went to whatever gains most by it', () => {
+    const rates = fc.dictionary(fc.constantFrom(...NAMES), fc.double({ min: 0, max: 6, noNaN: true }))
+    fc.assert(fc.property(rates, fc.integer({ min: 1, max: 8 }), (rateOf, count) => {
+      const servers = Array.from({ length: count }, (_, at) => createServer(`r${at}`, []))
+      const { wanted } = computeCopyTargets(createInput(servers, rateOf))
+      const copies = new Map(Object.keys(rateOf).map((name) => [name, 0]))
+      const rateGain = (name: string): number => {
+        const [rate, held] = [rateOf[name] as number, copies.get(name) as number]
+        return held === 0 ? 0.02 + rate * 3 : held >= count ? 0 : rate / held - 0.5
+      }
+      for (let places = count * 3; places > 0; places--) {
+        const [best] = [...copies.keys()].sort((a, b) => rateGain(b) - rateGain(a))
+        if (best === undefined || rateGain(best) <= 0) break
+        copies.set(best, (copies.get(best) as number) + 1)
+      }
+      const sum = (dealt: ReadonlyMap<string, number>): number => [...dealt.values()].reduce((total, held) => total + held, 0)
+      assert.equal(sum(wanted), sum(copies))
+      // Equal gains may go to either of two models.
+      for (const [name, held] of copies) assert.ok(Math.abs((wanted.get(name) ?? 0) - held) <= 1)
+    }))
+  })
+
   it('loads from the place that is fastest', () => {
     const input = createInput([createServer('r1', []), createServer('r2', [], { onDisk: ['a'] }), createServer('r3', [], { inMemory: ['a'] })], { a: 0.1 })
     const load = planLoad(input, 'a', computeCopyTargets(input))
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -227,7 +227,9 @@
     life,
     turnMs: settings.bounds.leaseMs,
     holder,
-    listCandidates: () => [mesh.self, ...mesh.listServing()].filter((identity) => !identity.leaving).map((identity) => identity.instance),
+    listCandidates: () => [mesh.self, ...mesh.listServing()]
+      .filter((identity) => !identity.leaving)
+      .map(({ instance, capacity = 1 }) => ({ instance, capacity })),
     onChange: parts.onChange,
   })
   return residency
