Tell everybody of a model that is to go before its unload is ordered

It had been ordered to unload a model that 54 requests used; until they ended it refused every new one, and the instances went on sending there for seven seconds, as its entry still named the model. Its other orders were answered 409 meanwhile. Ruled out: full batches (54 of 64). Change: the holder broadcasts that a model goes before it orders that, and that one came once the server's report shows it. Test: ResidencyService.test.ts 'tell all others of a model that is to go'.

--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -4,7 +4,7 @@
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { nameWeights, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { ADAPTERS, DEMAND, HANDOVER, HOLDER_BEAT, NEED, type Handover } from './channels.js'
+import { DEMAND, HANDOVER, HOLDER_BEAT, NEED, WEIGHTS, type Handover, type WeightsChange } from './channels.js'
 import { estimateWork, type DemandCount } from './DemandTracker.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
@@ -26,6 +26,7 @@
   STAND_BACK: 2.5,
 } as const
 const CALL_MS = 500
+const CHANGE_KEPT_MS = 15_000
 /** Orders that were under way when the right to order ended are answered or given up by then. */
 const ORDERS_END_MS = 400
 
@@ -80,16 +81,16 @@
       network.receive(DEMAND).subscribe(({ body }) => holder.noteDemand(body.counts)),
       network.receive(HANDOVER).subscribe(({ from, body }) => this.noteHandover(from, body)),
       network.receive(HOLDER_BEAT).subscribe(({ from, body }) => this.noteBeat(from, body)),
-      network.receive(ADAPTERS).subscribe(({ body }) => this.noteAdapter(body)),
+      network.receive(WEIGHTS).subscribe(({ body }) => this.noteWeights(body)),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
     void this.run(signal)
   }
 
   /** Takes a change that the own holder made, and tells the others. */
-  spreadAdapter (change: { backend: string, model: string, adapter: string, present: boolean }): void {
-    this.opts.network.broadcast(ADAPTERS, change)
-    this.noteAdapter(change)
+  spreadWeights (change: WeightsChange): void {
+    this.opts.network.broadcast(WEIGHTS, change)
+    this.noteWeights(change)
   }
 
   /** Orders no more, leaves the newest orders to the successor and gives the lease up. */
@@ -150,8 +151,16 @@
     this.heard = { instance: from, at: this.opts.clock.readTime() }
   }
 
-  private noteAdapter (change: { backend: string, model: string, adapter: string, present: boolean }): void {
-    this.opts.fleet.find(change.backend)?.noteAdapter(change.model, change.adapter, change.present)
+  private noteWeights (change: WeightsChange): void {
+    const { model, adapter, present } = change
+    const backend = this.opts.fleet.find(change.backend)
+    if (adapter !== undefined) {
+      backend?.noteAdapter(model, adapter, present)
+    } else if (backend) {
+      backend.noteModel(model, present)
+      // The holder may die before it can take its word back; the server's own entry is right by then.
+      this.opts.clock.setTimer(CHANGE_KEPT_MS, () => backend.forgetModelChange(model))
+    }
     this.opts.onChange()
   }
 
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -4,6 +4,7 @@
 import type { Backend, BackendFleet } from '@pulleystack/routing.fleet'
 import type { DecisionLog } from '@pulleystack/timeline.decisions'
 import { loadAdapter } from './AdapterKeeper.js'
+import type { WeightsChange } from './channels.js'
 import { hasRoom } from './memory.js'
 import type { PlannedLoad, PlannedServer } from './planResidency.js'
 import { ServerOrders, type OrderRight } from './ServerOrders.js'
@@ -19,14 +20,6 @@
   byBackend: ReadonlyMap<string, number>
 }
 
-/** An adapter came to a server or went from it. */
-export interface AdapterChange {
-  backend: string
-  model: string
-  adapter: string
-  present: boolean
-}
-
 /** An adapter that somebody waits for. */
 export interface WantedAdapter {
   serving: ModelServing
@@ -45,7 +38,7 @@
   log: DecisionLog
   /** Undefined while this instance may not order. */
   readRight: () => OrderRight | undefined
-  onAdapter: (change: AdapterChange) => void
+  onChange: (change: WeightsChange) => void
 }
 
 /** Carries out loads of models and adapters, one after the other at each server. */
@@ -129,7 +122,7 @@
     const [backend] = [...it.holding].sort((a, b) => this.rateForAdapter(a) - this.rateForAdapter(b))
     if (!backend) return
     const orders = this.findOrders(backend)
-    const onChange = (model: string, adapter: string, present: boolean): void => this.opts.onAdapter({ backend: backend.id, model, adapter, present })
+    const onChange = (model: string, adapter: string, present: boolean): void => this.opts.onChange({ backend: backend.id, model, adapter, present })
     const { serving, readIdleMs, model, adapter } = it
     await orders.enqueue(() => loadAdapter({ serving, orders, readIdleMs, onChange }, model, adapter))
   }
@@ -140,16 +133,26 @@
     if (!state || state.busy || state.models.some((held) => held.name === load.model)) return
     for (const victim of load.victims) {
       if (!state.models.some((held) => held.name === victim)) continue
-      if (!await orders.send('unload', victim, undefined)) return
+      if (!await this.unload(load.server, victim, orders)) return
       state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS)
       if (!state) return
     }
     if (!hasRoom(serving, state, load.model, false)) return
     if (!await orders.send('load', load.model, undefined)) return
-    await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
+    const loaded = await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
+    if (loaded) this.opts.onChange({ backend: load.server, model: load.model, adapter: undefined, present: true })
     this.noteLoaded(load.server, load.model)
   }
 
+  /** The server refuses new requests for the model until those that run have ended, so that everybody is told first. */
+  private async unload (backend: string, model: string, orders: ServerOrders): Promise<boolean> {
+    const change = { backend, model, adapter: undefined }
+    this.opts.onChange({ ...change, present: false })
+    const isSent = await orders.send('unload', model, undefined) !== undefined
+    if (!isSent) this.opts.onChange({ ...change, present: true })
+    return isSent
+  }
+
   private rateForAdapter (backend: Backend): number {
     return (this.findOrders(backend).isBusy ? BUSY_PENALTY : 0) + backend.readLoad().running
   }
--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -21,5 +21,15 @@
 export const NEED = defineChannel<WeightsNeed, NeedAnswer>('residency.need')
 /** Tells the lease holder what was asked for since the last message. */
 export const DEMAND = defineChannel<{ counts: DemandCount[] }>('residency.demand')
-/** The lease holder tells which adapters a server has now. */
-export const ADAPTERS = defineChannel<{ backend: string, model: string, adapter: string, present: boolean }>('residency.adapters')
+
+/** A model or an adapter of it came to a server, or is to go and takes no new requests there. */
+export interface WeightsChange {
+  backend: string
+  model: string
+  /** Undefined for the model itself. */
+  adapter: string | undefined
+  present: boolean
+}
+
+/** The lease holder tells what came to a server or is to go. */
+export const WEIGHTS = defineChannel<WeightsChange>('residency.weights')
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -164,6 +164,16 @@
     assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
   })
 
+  it('tell all others of a model that is to go before its server refuses requests for it', async () => {
+    const first = nodes.find((node) => node.service.mayOrder) as Node
+    const others = nodes.filter((node) => node !== first)
+    const countHolding = (node: Node): number => ['r1', 'r2', 'r3'].flatMap((id) => ['a', 'b', 'c'].filter((model) => node.fleet.find(id)?.hasWeights(model))).length
+    assert.deepEqual(others.map(countHolding), [9, 9])
+    await ask(first, 'd')
+    await clock.advance(400)
+    assert.deepEqual(others.map(countHolding), [8, 8])
+  })
+
   it('leave the lease to the most capable of those that live', async () => {
     for (const name of ['n1', 'n2', 'n3']) {
       capacities.clear()
@@ -233,7 +243,7 @@
       return table
     },
     readRight: () => service.mayOrder ? { holder: name, fence: lease.fence } : undefined,
-    onAdapter: () => undefined,
+    onChange: (change) => service.spreadWeights(change),
   })
   const network = it.hub.createNode({ instance: name, incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
   const service: ResidencyService = new ResidencyService({
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -214,7 +214,7 @@
     log,
     readTable: parts.readTable,
     readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
-    onAdapter: (change) => residency.spreadAdapter(change),
+    onChange: (change) => residency.spreadWeights(change),
   })
   const residency: ResidencyService = new ResidencyService({
     clock,
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -19,6 +19,8 @@
   /** As all instances together see it. */
   readonly failureRate = new FailureRate()
   readonly prefixes = new PrefixMemory(DEFAULT_CACHE_TOKENS)
+  /** Models that came or are to go, as the holder told before the entry does. */
+  private readonly modelChanges = new Map<string, boolean>()
   /** Adapters that were loaded or dropped since the entry was written, by model. */
   private readonly adapterChanges = new Map<string, Map<string, boolean>>()
 
@@ -63,11 +65,21 @@
 
   /** Whether it has the model, and the adapter if one is named. */
   hasWeights (model: string, adapter?: string): boolean {
-    if (!hasWeights(this.entry, model)) return false
+    if (!(this.modelChanges.get(model) ?? hasWeights(this.entry, model))) return false
     if (adapter === undefined) return true
     return this.adapterChanges.get(model)?.get(adapter) ?? hasWeights(this.entry, model, adapter)
   }
 
+  /** Notes a model that is there, or that takes no new requests since it is to go, before the server's entry tells it. */
+  noteModel (model: string, present: boolean): void {
+    this.modelChanges.set(model, present)
+  }
+
+  /** From now on only the server's entry says whether it has the model. */
+  forgetModelChange (model: string): void {
+    this.modelChanges.delete(model)
+  }
+
   /** Notes an adapter loaded or dropped before the server's entry tells it. */
   noteAdapter (model: string, adapter: string, present: boolean): void {
     const changes = this.adapterChanges.get(model) ?? new Map<string, boolean>()
@@ -77,6 +89,9 @@
 
   /** Takes a newer entry. A model that went has taken its adapters along. */
   update (entry: BackendEntry): void {
+    for (const [model, present] of this.modelChanges) {
+      if (hasWeights(entry, model) === present) this.modelChanges.delete(model)
+    }
     for (const model of this.adapterChanges.keys()) {
       if (!hasWeights(entry, model)) this.adapterChanges.delete(model)
     }
