--- a/gateway/admin/src/AdminGateway.ts
+++ b/gateway/admin/src/AdminGateway.ts
@@ -10,6 +10,7 @@
 import { filterForPartner, type TimelineFilter } from '@pulleystack/timeline.merge'
 import type { ConfigWriter } from './ConfigWriter.js'
 import type { Explanation } from './explainRequest.js'
+import type { RouteExplanation } from './explainRoute.js'
 
 export interface AdminGatewayOptions {
   operators: readonly OperatorSetting[]
@@ -20,6 +21,8 @@
   collectTimeline: (filter: TimelineFilter) => Promise<TimelineEvent[]>
   collectStatus: () => Promise<unknown>
   explain: (partner: string, caller: string, target: { model?: string, service?: string }) => Promise<Explanation>
+  /** Routes of one partner only; of all when none is given. */
+  explainRoute: (partner: string | undefined, host: string, path: string) => RouteExplanation
 }
 
 interface AdminRequest {
@@ -39,6 +42,7 @@
     'DELETE /admin/objects': (admin) => this.remove(admin),
     'GET /admin/status': (admin) => this.readStatus(admin),
     'GET /admin/explain': (admin) => this.explain(admin),
+    'GET /admin/explain-route': (admin) => this.explainRoute(admin),
     'GET /admin/timeline': (admin) => this.readTimeline(admin),
   }
 
@@ -128,6 +132,12 @@
     return this.opts.explain(partner, searchParams.get('caller') ?? '', target)
   }
 
+  private async explainRoute (admin: AdminRequest): Promise<unknown> {
+    const { searchParams } = admin.url
+    const { partner } = admin.operator
+    return this.opts.explainRoute(partner === PLATFORM_PARTNER ? undefined : partner, searchParams.get('host') ?? '', searchParams.get('path') ?? '/')
+  }
+
   private async readTimeline (admin: AdminRequest): Promise<unknown> {
     const params = Object.fromEntries(admin.url.searchParams)
     const { request, order, object, partner, server, model } = params
--- a/program/cli/src/commands/explain.ts
+++ b/program/cli/src/commands/explain.ts
@@ -10,6 +10,8 @@
   model?: string
   service?: string
   partner?: string
+  host?: string
+  path?: string
 }
 
 interface ExplainAnswer {
@@ -19,6 +21,13 @@
   servers: { server: string, dataHall: string, load: number, ownInFlight: number, limit: number, why: string }[]
 }
 
+interface RouteAnswer {
+  route: string
+  pathPrefix: string
+  conclusion: string
+  targets: { service: string, share: number, servers: { server: string, dataHall: string, running: number, slots: number, why: string }[] }[]
+}
+
 export const name = 'explain'
 export const description = 'Say where a request would run now, or why nowhere'
 
@@ -28,11 +37,15 @@
     .option('--model <name>', 'Model, model@version or adapter')
     .option('--service <name>', 'Plain service')
     .option('--partner <partner>', 'Partner of the caller, for operators of the platform')
+    .option('--host <host>', 'Host of a routed request')
+    .option('--path <path>', 'Path of a routed request (default: /)')
     .example('pulleystack explain --caller firm-1 --model appeal-large')
+    .example('pulleystack explain --host window.example --path /plots/12')
 }
 
 export async function handler (context: CommandContext, _: readonly string[], opts: ExplainOptions): Promise<ExitCode> {
-  if (!opts.caller || (!opts.model && !opts.service)) throw new PulleystackError('USAGE', 'Say which caller, and which model or service')
+  if (opts.host !== undefined) return explainRoute(context, opts)
+  if (!opts.caller || (!opts.model && !opts.service)) throw new PulleystackError('USAGE', 'Say which caller, and which model or service; or which host and path')
   const { caller, model, service, partner } = opts
   const answer = await new AdminClient(context, opts).get('/admin/explain', { caller, model, service, partner }) as ExplainAnswer
   const rows = answer.servers.map((it) => [it.server, it.dataHall, it.load.toFixed(0), `${it.ownInFlight}/${it.limit}`, it.why])
@@ -40,3 +53,18 @@
   context.write(formatOutput(opts, answer, ['server', 'data hall', 'load', 'own', 'why'], rows))
   return ExitCodes.OK
 }
+
+async function explainRoute (context: CommandContext, opts: ExplainOptions): Promise<ExitCode> {
+  const answer = await new AdminClient(context, opts).get('/admin/explain-route', { host: opts.host, path: opts.path ?? '/' }) as RouteAnswer
+  const rows = answer.targets.flatMap(({ service, share, servers }) => servers.map((it) => [
+    service,
+    `${Math.round(share * 100)} %`,
+    it.server,
+    it.dataHall,
+    `${it.running}/${it.slots}`,
+    it.why,
+  ]))
+  if (opts.output !== 'json') context.write(`route ${answer.route} (${answer.pathPrefix}): ${answer.conclusion}`)
+  context.write(formatOutput(opts, answer, ['service', 'share', 'server', 'data hall', 'running', 'why'], rows))
+  return ExitCodes.OK
+}
--- a/program/instance/src/createGateways.ts
+++ b/program/instance/src/createGateways.ts
@@ -36,6 +36,7 @@
   })
   const explainHere = (partner: string, caller: string, target: ExplainTarget): Explanation => explainRequest({ ...core, ...routing }, partner, caller, target)
   core.network.handleCalls(EXPLAIN, (_, body) => explainHere(body.partner, body.caller, body.target))
+  const routed = createRouted(core, routing)
   const admin = new AdminGateway({
     ...core,
     operators: settings.operators,
@@ -44,8 +45,9 @@
     collectTimeline: (filter) => collectTimeline({ ...core, peers: listPeers(core) }, filter),
     collectStatus: () => control.collectStatus(),
     explain: (partner, caller, target) => explainAnywhere(core, callers, explainHere, { partner, caller, target }),
+    explainRoute: routed.explain,
   })
-  return { callers, admin, routed: createRouted(core, routing) }
+  return { callers, admin, routed }
 }
 
 function createWriter (core: Core): ConfigWriter {
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -3,6 +3,7 @@
 import { Kinds, type ConfigObject } from '@pulleystack/config.objects'
 import { RouteTable, type Route, type RoutingConfig } from '@pulleystack/config.routes'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { explainRoute, type RouteExplanation } from '@pulleystack/gateway.admin'
 import { findAllowedService } from '@pulleystack/gateway.callers'
 import { parseBearer, sendError } from '@pulleystack/gateway.http'
 import { BackendQueue, RoutedGateway, StreamPace } from '@pulleystack/gateway.routed'
@@ -29,6 +30,8 @@
 /** Requests that routes of the configuration take. */
 export interface Routed {
   gateway: RoutedGateway
+  /** Says where requests for a host and path could run now; of one partner's routes, or of all. */
+  explain: (partner: string | undefined, host: string, path: string) => RouteExplanation
   /** Serves the request if a route takes its host and path; false when none does. */
   tryHandle: (request: http.IncomingMessage, response: http.ServerResponse, url: URL) => Promise<boolean>
 }
@@ -82,7 +85,15 @@
     await gateway.handle(request, response)
     return true
   }
-  return { gateway, tryHandle }
+  const explain = (partner: string | undefined, host: string, path: string): RouteExplanation => explainRoute({
+    table: state.table,
+    listBackends: (service) => fleet.list(service),
+    now: clock.readTime(),
+    partner,
+    host,
+    path,
+  })
+  return { gateway, explain, tryHandle }
 }
 
 /** Plain services have no models to place. */
--- a/program/instance/test/routes.test.ts
+++ b/program/instance/test/routes.test.ts
@@ -38,6 +38,22 @@
     assert.equal((await send({ path: '/plots/1', key: EMERGENCY })).status, 404)
   })
 
+  it('is explained to its partner\'s operators, and to no others', async () => {
+    const explain = (partner: string, path: string): Promise<DemoAnswer> =>
+      sendCall(system.addresses[0] as string, { method: 'GET', path: `/admin/explain-route?host=${HOST}&path=${path}`, key: `demo-operator-${partner}` })
+    const answer = await explain('peritos', '/plots/1')
+    assert.equal(answer.status, 200)
+    const explained = JSON.parse(answer.body) as { route: string, conclusion: string, targets: { share: number, servers: { why: string }[] }[] }
+    assert.match(explained.route, /^peritos\//)
+    assert.equal(explained.conclusion, 'would run at once')
+    assert.equal(explained.targets[0]?.share, 1)
+    assert.ok((explained.targets[0]?.servers.length ?? 0) > 0)
+    assert.ok(explained.targets[0]?.servers.every((server) => server.why === 'can take it now'))
+    assert.equal((await explain('peritos', '/none')).status, 404)
+    assert.equal((await explain('shorewatch', '/plots/1')).status, 404)
+    assert.equal((await explain('platform', '/plots/1')).status, 200)
+  })
+
   it('is refused by admission under another partner\'s host or a missing service', async () => {
     const route = (host: string, service: string): unknown => ({
       kind: 'Route',
