Plan as many loads at once as the weight store bears; log only requests that wait

Change: as many as are under way at the store's rate, eight at least (unchanged on the small sites: 2.1 a second x 4.2 s). Beside it: request-waiting was logged for requests that got a place at once; Node's warning about eleven listeners is gone.

--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -151,7 +151,7 @@
       this.insert(item)
       if (work.signal.aborted) abandon()
       else this.pump()
-      this.noteWaiting(item)
+      if (this.waiting.includes(item)) this.noteWaiting(item)
     })
   }
 
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -8,7 +8,7 @@
 
 const ADAPTER_MS = 220
 const UNLOAD_MS = 150
-const MAX_PLANNED_AT_ONCE = 8
+const MIN_PLANNED_AT_ONCE = 8
 const MAX_NEED_AGE_MS = 12_000
 /** Demand moves slowly against this; many needs at once must not each deal all places anew. */
 const TARGETS_MS = 250
@@ -93,7 +93,7 @@
       let input = this.buildInput(name, serving)
       const targets = this.findTargets(name, input)
       for (const model of listLacking(input, targets)) {
-        if (this.loads.size >= MAX_PLANNED_AT_ONCE) return
+        if (this.loads.size >= countAtOnce(serving)) break
         const load = planLoad(input, model, targets)
         if (!load || !this.mayBegin(name, load)) continue
         void this.loads.run(serving, load)
@@ -195,3 +195,9 @@
     return created
   }
 }
+
+/** As many loads as are under way when the weight store lets them begin at its full rate; more would only make each slower. */
+function countAtOnce (serving: ModelServing): number {
+  const loadSeconds = Math.max(0, ...serving.models.map((model) => model.loadSeconds))
+  return Math.max(MIN_PLANNED_AT_ONCE, Math.floor(serving.loadsPerSecond * loadSeconds))
+}
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
@@ -75,6 +76,8 @@
   const random = it.random ?? new RandomSource()
   const { log } = it
   const ended = new AbortController()
+  // Every task of the instance waits for this signal.
+  setMaxListeners(0, ended.signal)
   const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined } = {
     table: undefined,
     phase: EntryPhases.STARTING,
