--- /dev/null
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -0,0 +1,76 @@
+/** What each kind of line tells beside its time and instance. Times are milliseconds; `docs/log-lines.md` is made from this. */
+export interface DecisionFacts {
+  /** The process has started; it is not ready yet. */
+  'started': { instance: string, dataHall: string, address: string }
+  /** It was asked to stop. */
+  'stopping': { inFlight: number }
+  /** It ends; `cut` requests were still under way, `ms` after it was asked. */
+  'stopped': { cut: number, ms: number }
+  /** Settings were read again; refused ones change nothing. */
+  'reloaded': { trigger: 'signal' | 'file', accepted: boolean, code?: string, reason?: string, graceMs?: number, directoryLifetimeMs?: number }
+  /** The store does not answer for this kind of object; `revision` is the newest that is known. */
+  'dependency-lost': { dependency: string, prefix: string, revision: number | undefined }
+  /** It answers again, here or to a peer. */
+  'dependency-regained': { dependency: string, prefix: string, revision: number | undefined }
+  /** A configuration is in force here from now on. */
+  'config-applied': { version: number, revision: number, routes: number }
+  /** A backend server is known. */
+  'backend-added': BackendFacts
+  /** Its entry changed. */
+  'backend-changed': BackendFacts
+  /** It is taken for gone. */
+  'backend-removed': BackendFacts
+  /** It failed too often and is left alone for a while. */
+  'backend-ejected': { backend: string, address: string }
+  /** A link to another instance is up. */
+  'peer-joined': { peer: string, incarnation: number }
+  /** Nothing was heard of it for too long, or it closed the link. */
+  'peer-lost': { peer: string }
+  /** Another instance orders models now. */
+  'holder-changed': { holder: string, fence: number }
+  /** This instance may soon order models. */
+  'lease-taken': { fence: number }
+  /** It may not any more. */
+  'lease-lost': { fence: number }
+  /** It leaves the lease to another, which must spare the servers that were ordered lately. */
+  'lease-handed-over': { fence: number, ordered: readonly string[] }
+  /** No place at once: `full`, `not-resident` or `no-backend`; `waiting` requests wait here. */
+  'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
+  /** The chosen server, what all instances have in hand there, how much of the prompt it has read, and the time left. */
+  'attempt-sent': { request: string, backend: string, send: number, running: number, prefillTokens: number, keptTokens: number, leftMs: number }
+  /** `ran` says whether the request may have run. */
+  'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
+  /** The stream is taken up at another server behind event `after`. */
+  'stream-resumed': { request: string, after: string | undefined }
+  /** The final answer, and for streams when the first event came and the longest pause. */
+  'request-ended': {
+    request: string | undefined
+    route: string
+    service: string
+    status: number
+    code: string
+    reason: string | undefined
+    ms: number
+    events?: number
+    firstMs?: number
+    longestPauseMs?: number
+  }
+  /** An order to a server; it is taken only if the server still has this `sequence`. */
+  'order-sent': OrderFacts & { sequence: number, fence: number }
+  /** What became of it: `taken`, `holds`, `uncertain` or `refused`. */
+  'order-settled': OrderFacts & { answer: string }
+}
+
+interface BackendFacts {
+  backend: string
+  address: string
+  draining: boolean
+  models: readonly string[] | undefined
+}
+
+interface OrderFacts {
+  backend: string
+  action: string
+  model: string
+  adapter: string | undefined
+}
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -1,4 +1,6 @@
-/** Every kind of decision that is logged; docs/OPERATIONS.md explains them. */
+import type { DecisionFacts } from './DecisionFacts.js'
+
+/** Every kind of decision that is logged; docs/log-lines.md lists what each tells. */
 export const DecisionKinds = {
   /** Life of the process. */
   STARTED: 'started',
@@ -31,12 +33,9 @@
 } as const
 export type DecisionKind = typeof DecisionKinds[keyof typeof DecisionKinds]
 
-/** Facts of one line: plain JSON, times in milliseconds. */
-export type DecisionFields = Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>
-
 /** Takes the lines; never fails and never holds its caller up. */
 export abstract class DecisionLog {
-  abstract record (kind: DecisionKind, fields: DecisionFields): void
+  abstract record<Kind extends DecisionKind> (kind: Kind, facts: DecisionFacts[Kind]): void
 }
 
 /** Takes lines and does nothing with them. */
--- a/timeline/decisions/src/JsonDecisionLog.ts
+++ b/timeline/decisions/src/JsonDecisionLog.ts
@@ -1,6 +1,7 @@
 import type { Writable } from 'node:stream'
 import bunyan from 'bunyan'
-import { DecisionLog, type DecisionFields, type DecisionKind } from './DecisionLog.js'
+import type { DecisionFacts } from './DecisionFacts.js'
+import { DecisionLog, type DecisionKind } from './DecisionLog.js'
 
 const MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -29,7 +30,7 @@
     return this.droppedCount
   }
 
-  record (kind: DecisionKind, fields: DecisionFields): void {
+  record<Kind extends DecisionKind> (kind: Kind, facts: DecisionFacts[Kind]): void {
     if (this.opts.output.writableLength > (this.opts.maxBufferedBytes ?? MAX_BUFFERED_BYTES)) {
       this.droppedCount++
       this.unreported++
@@ -39,6 +40,6 @@
       this.logger.warn({ dropped: this.unreported }, 'lines-dropped')
       this.unreported = 0
     }
-    this.logger.info(fields, kind)
+    this.logger.info(facts, kind)
   }
 }
--- a/timeline/decisions/test/JsonDecisionLog.test.ts
+++ b/timeline/decisions/test/JsonDecisionLog.test.ts
@@ -21,11 +21,13 @@
   }
 }
 
+const SENT = { backend: 'r1', send: 1, running: 0, prefillTokens: 0, keptTokens: 0, leftMs: 5 }
+
 describe('the log of decisions', () => {
   it('writes one JSON line with kind and facts', () => {
     const output = new StalledReader()
     output.release()
-    new JsonDecisionLog({ instance: 'e1', output }).record(DecisionKinds.ATTEMPT_SENT, { request: 'q', leftMs: 5 })
+    new JsonDecisionLog({ instance: 'e1', output }).record(DecisionKinds.ATTEMPT_SENT, { ...SENT, request: 'q' })
     const line = JSON.parse(output.lines[0] ?? '') as Record<string, unknown>
     assert.deepEqual([line['name'], line['msg'], line['request'], line['leftMs']], ['e1', 'attempt-sent', 'q', 5])
   })
@@ -33,13 +35,13 @@
   it('drops lines while its reader stands still, within its bound, and tells how many once it reads again', async () => {
     const output = new StalledReader()
     const log = new JsonDecisionLog({ instance: 'e1', output, maxBufferedBytes: 2_000 })
-    for (let i = 0; i < 1_000; i++) log.record(DecisionKinds.ATTEMPT_SENT, { request: `q${i}` })
+    for (let i = 0; i < 1_000; i++) log.record(DecisionKinds.ATTEMPT_SENT, { ...SENT, request: `q${i}` })
     assert.ok(output.writableLength < 2_500)
     const { dropped } = log
     assert.ok(dropped > 900)
     output.release()
     await new Promise((resolve) => setImmediate(resolve))
-    log.record(DecisionKinds.ATTEMPT_SENT, { request: 'last' })
+    log.record(DecisionKinds.ATTEMPT_SENT, { ...SENT, request: 'last' })
     await new Promise((resolve) => setImmediate(resolve))
     const told = output.lines.map((line) => JSON.parse(line) as { msg: string, dropped?: number }).find((line) => line.msg === 'lines-dropped')
     assert.equal(told?.dropped, dropped)
@@ -49,7 +51,7 @@
     const output = new StalledReader()
     const log = new JsonDecisionLog({ instance: 'e1', output })
     output.destroy(new Error('gone'))
-    log.record(DecisionKinds.STOPPED, {})
+    log.record(DecisionKinds.STOPPED, { cut: 0, ms: 1 })
     assert.equal(log.dropped, 0)
   })
 })
--- a/tools/scripts/write-docs.mts
+++ b/tools/scripts/write-docs.mts
@@ -1,8 +1,9 @@
-// Writes the pages that are made from the code: result codes, schemas of objects, and the table of CAPACITY.md.
+// Writes the pages that are made from the code: result codes, schemas of objects, and the lines of the log.
 import fs from 'node:fs'
 import path from 'node:path'
 import { createObjectJsonSchema, Kinds } from '../../config/objects/src/index.js'
 import { ResultCodes } from '../../core/errors/src/index.js'
+import { renderLogLines } from './renderLogLines.mjs'
 
 const CODES_HEAD = `# Result codes
 
@@ -27,4 +28,5 @@
 }
 
 writeCodes()
+fs.writeFileSync('docs/log-lines.md', renderLogLines())
 writeSchemas()
