--- a/timeline/decisions/src/JsonDecisionLog.ts
+++ b/timeline/decisions/src/JsonDecisionLog.ts
@@ -30,7 +30,7 @@
     return this.droppedCount
   }
 
-  record<Kind extends DecisionKind> (kind: Kind, facts: DecisionFacts[Kind]): void {
+  record<Kind extends DecisionKind> (kind: Kind, fields: DecisionFacts[Kind]): void {
     if (this.opts.output.writableLength > (this.opts.maxBufferedBytes ?? MAX_BUFFERED_BYTES)) {
       this.droppedCount++
       this.unreported++
@@ -40,6 +40,6 @@
       this.logger.warn({ dropped: this.unreported }, 'lines-dropped')
       this.unreported = 0
     }
-    this.logger.info(facts, kind)
+    this.logger.info(fields, kind)
   }
 }
