--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -73,6 +73,7 @@
 /** Hands out places at backend servers; requests wait here, the most urgent first, and not in the servers' own queues. */
 export class BackendQueue {
   private readonly waiting: Waiting[] = []
+  private isClosed = false
 
   constructor (private readonly opts: BackendQueueOptions) {
     opts.fleet.changes.subscribe(() => this.pump())
@@ -89,10 +90,17 @@
       if (place instanceof BackendPlace) return Promise.resolve(place)
       if (place === ChoiceFailures.NO_BACKEND) return Promise.reject(createRefusal(place))
     }
+    if (this.isClosed) return Promise.reject(createStopping())
     if (this.waiting.length >= MAX_WAITING) return Promise.reject(createRefusal(ChoiceFailures.FULL))
     return this.wait(work)
   }
 
+  /** Refuses those who wait, and lets nobody wait any more; whoever finds a place at once still gets it. */
+  close (): void {
+    this.isClosed = true
+    for (const item of [...this.waiting]) item.fail(createStopping())
+  }
+
   /** Gives places that came free to those who wait. */
   pump (): void {
     for (const item of [...this.waiting]) {
@@ -182,6 +190,11 @@
   }
 }
 
+/** Another instance may have a place; this one ends before it could finish the request. */
+function createStopping (): PulleystackError {
+  return new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request would get a place', { retryAfterSeconds: 0 })
+}
+
 function readFigures (work: RoutedWork): ServingFigures | undefined {
   return work.service.serving
 }
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -60,6 +60,7 @@
 /** Serves routed requests. */
 export class RoutedGateway {
   private active = 0
+  private readonly ends = new Set<RequestEnd>()
 
   constructor (private readonly opts: RoutedGatewayOptions) {}
 
@@ -68,6 +69,11 @@
     return this.active
   }
 
+  /** Gives every request its final answer now, or breaks off an answer that has begun, since the process is about to end. */
+  cancelAll (): void {
+    for (const end of this.ends) end.abandon()
+  }
+
   /** Serves one request to its end; never rejects. */
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const arrivedAt = this.opts.clock.readTime()
@@ -77,6 +83,7 @@
     let stream: StreamProgress | undefined
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const end = createRequestEnd(response)
+    this.ends.add(end)
     try {
       const table = this.findTable()
       const route = findRoute(table, request)
@@ -97,6 +104,7 @@
       client.sendError(error, facts.requestId)
     } finally {
       end.release()
+      this.ends.delete(end)
       this.active--
       this.noteEnd({ outcome, facts, response, arrivedAt, stream })
     }
@@ -163,6 +171,8 @@
   signal: AbortSignal
   /** The request's time is over. */
   expire: () => void
+  /** The instance ends before the request could. */
+  abandon: () => void
   /** The reason for which the request ended, or what went wrong by itself. */
   explain: (error: PulleystackError) => PulleystackError
   release: () => void
@@ -178,10 +188,12 @@
   return {
     signal: abort.signal,
     expire: () => abort.abort(new PulleystackError('DEADLINE_UNKNOWN', 'The time of the request is over')),
+    abandon: () => abort.abort(new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request could', { retryAfterSeconds: 0 })),
     explain: (error) => {
       const reason: unknown = abort.signal.reason
       if (!(reason instanceof PulleystackError)) return error
-      return new PulleystackError(reason.code, reason.message, { cause: error, ran: error.ran === Ran.NO ? Ran.NO : Ran.UNKNOWN })
+      const { retryAfterSeconds } = reason
+      return new PulleystackError(reason.code, reason.message, { cause: error, ran: error.ran === Ran.NO ? Ran.NO : Ran.UNKNOWN, retryAfterSeconds })
     },
     release: () => response.off('close', leave),
   }
--- a/program/entry/src/StopPlan.ts
+++ b/program/entry/src/StopPlan.ts
@@ -29,6 +29,11 @@
     return startedAt + Math.min(directoryLifetimeMs * LIFETIMES, graceMs - FINISH_MS)
   }
 
+  /** Requests that still wait for a place by then go to another instance, which may have more time for them. */
+  get waitsUntil (): number {
+    return Math.min(this.servesUntil, this.opts.startedAt + LONG_WORK_MS)
+  }
+
   get endsAt (): number {
     return this.opts.startedAt + this.opts.graceMs - LAST_MS
   }
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -44,6 +44,7 @@
   clock: Clock
   log: DecisionLog
   gateway: RoutedGateway
+  queue: BackendQueue
   mesh: InstanceMesh
   network: WebSocketNetwork
   residency: ResidencyService
@@ -134,7 +135,7 @@
     if (isChosen) serve()
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
-  return { settings, clock, log, gateway, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
+  return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
 /** Resolves with true once this instance is one of those that serve; with false when the signal ends before. */
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -4,10 +4,13 @@
 import { StopPlan } from './StopPlan.js'
 
 const POLL_MS = 50
+/** Milliseconds in which last answers leave; the process ends 300 ms after they are given (see `LAST_MS` of the plan and the adapter). */
+const FLUSH_MS = 150
 
 /**
  * Planned stop: leaves the list of addresses at once, goes on serving those who still come, refuses what could not be
- * finished any more, and resolves when nothing is in hand or the time is over; gives the number of requests cut.
+ * finished any more, and resolves when nothing is in hand or the time is over; gives the number of requests cut without an
+ * answer. What its backend server has not answered by then gets an answer that promises nothing.
  */
 export async function stopEntry (entry: Entry, listener: ClientListener): Promise<number> {
   const { clock, gateway, settings } = entry
@@ -16,9 +19,13 @@
   entry.leave(plan)
   void entry.residency.stop()
   listener.closeIdle()
+  await clock.wait(plan.waitsUntil - clock.readTime())
+  entry.queue.close()
   await clock.wait(plan.servesUntil - clock.readTime())
   entry.setPhase(EntryPhases.ENDING)
-  while (gateway.inFlight > 0 && clock.readTime() < plan.endsAt) await clock.wait(POLL_MS)
+  await waitUntilDone(entry, plan.endsAt)
+  gateway.cancelAll()
+  await waitUntilDone(entry, plan.endsAt + FLUSH_MS)
   const cut = gateway.inFlight
   entry.log.record(DecisionKinds.STOPPED, { cut, ms: Math.round(clock.readTime() - plan.startedAt) })
   entry.ended.abort()
@@ -26,3 +33,7 @@
   await entry.network.stop()
   return cut
 }
+
+async function waitUntilDone (entry: Entry, until: number): Promise<void> {
+  while (entry.gateway.inFlight > 0 && entry.clock.readTime() < until) await entry.clock.wait(POLL_MS)
+}
