--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -59,6 +59,7 @@
   private hasGap = false
   private isLost = false
   private regainedAt = -Infinity
+  private lostAt = -Infinity
   private backoffMs = MIN_BACKOFF_MS
   private wake: () => void = () => undefined
 
@@ -74,6 +75,11 @@
     return this.isLost ? 0 : this.opts.clock.readTime() - this.regainedAt
   }
 
+  /** Milliseconds since the store went away for this instance and those that it hears from; 0 while it answers. */
+  get lostMs (): number {
+    return this.isLost ? this.opts.clock.readTime() - this.lostAt : 0
+  }
+
   /** Follows the prefix until the signal ends. */
   start (signal: AbortSignal): void {
     const { network, prefix } = this.opts
@@ -191,12 +197,17 @@
   }
 
   private async backOff (signal: AbortSignal): Promise<void> {
-    if (!this.isLost) this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
-    this.isLost = true
+    if (!this.isLost) this.noteLost()
     await this.opts.clock.wait(this.backoffMs * (0.5 + this.opts.random.readFraction()), signal)
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
   }
 
+  private noteLost (): void {
+    this.isLost = true
+    this.lostAt = this.opts.clock.readTime()
+    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
+  }
+
   private noteAnswered (): void {
     this.backoffMs = MIN_BACKOFF_MS
     if (!this.isLost) return
--- a/config/routes/src/Route.ts
+++ b/config/routes/src/Route.ts
@@ -28,6 +28,8 @@
   targetLatencyMs: number
   /** Longest pause between events that still is of full use; undefined for plain answers. */
   longestPauseMs: number | undefined
+  /** Milliseconds after which clients give a stream up of which nothing comes, whatever their deadline; undefined when only the deadline counts. */
+  patienceMs?: number
   /** 0 is the most urgent. */
   priority: number
   /** Greatest number of backend servers on which one request may run. */
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -4,17 +4,22 @@
 import { ChoiceFailures, chooseBackend, nameWeights, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure, type ServingFigures } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { RoutedWork } from './RoutedWork.js'
+import { computeWaitBounds, type WaitBounds } from './WaitPolicy.js'
 
-/** Share of a request's time that it may wait here for a place. */
-const WAIT_SHARE = 0.4
 const QUEUE_SHARE = 1.5
-const RETRY_AFTER_SECONDS = 0.25
+/** When nothing better is known, clients come back after this time, in which a full server ends about a third of its streams. */
+const RETRY_AFTER_SECONDS = 0.6
+/** A waiting request asks so often whether its weights come by now. */
+const ASK_AGAIN_MS = 250
 const MAX_WAITING = 400
+/** Clients that are told to come back when weights are there come so much later at most, as a share of the time, and not all at once. */
+const RETRY_SPREAD = 0.5
 
 /** The right to have one request at one backend server; must be ended. */
 export class BackendPlace {
   private prefilling: number
   private ended = false
+  private hasBegun = false
 
   constructor (readonly choice: BackendChoice, private readonly work: RoutedWork, private readonly onChange: (isOver: boolean) => void) {
     this.prefilling = Math.max(0, (work.generation?.promptTokens ?? 0) - choice.keptTokens)
@@ -31,6 +36,16 @@
 
   /** The server has read the prompt. */
   notePrefilled (): void {
+    this.hasBegun = true
+    this.releasePrefill()
+  }
+
+  /** The server began to answer, so that the place was held for as long as the answer took. */
+  get wasServed (): boolean {
+    return this.hasBegun
+  }
+
+  private releasePrefill (): void {
     if (this.prefilling === 0) return
     this.backend.own.prefillTokens -= this.prefilling
     this.prefilling = 0
@@ -40,7 +55,7 @@
   end (): void {
     if (this.ended) return
     this.ended = true
-    this.notePrefilled()
+    this.releasePrefill()
     this.backend.own.running--
     this.backend.own.cacheTokens -= this.cacheTokens
     this.onChange(true)
@@ -54,11 +69,16 @@
 
 interface Waiting {
   work: RoutedWork
+  bounds: WaitBounds
+  /** Waits until so many milliseconds after its arrival from now on. */
+  extend: (untilMs: number) => void
   settle: (place: BackendPlace) => void
   fail: (error: PulleystackError) => void
-  /** Weights have been asked for, and are expected by then. */
-  askedAt: number | undefined
+  /** Monotone time from which on the weights may be asked for again. */
+  askAgainAt: number
   lastFailure: ChoiceFailure
+  /** When its client is told to come back. */
+  retryAfterSeconds: number
 }
 
 export interface BackendQueueOptions {
@@ -125,10 +145,21 @@
     if (typeof choice === 'string') return choice
     const { generation } = work
     if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
-    return new BackendPlace(choice, work, (isOver) => {
+    const takenAt = this.opts.clock.readTime()
+    const place: BackendPlace = new BackendPlace(choice, work, (isOver) => {
       this.opts.fleet.noteLoadChange()
-      if (isOver) this.pump()
+      if (!isOver) return
+      if (place.wasServed) this.noteHeld(work, takenAt)
+      this.pump()
     })
+    return place
+  }
+
+  private noteHeld (work: RoutedWork, takenAt: number): void {
+    const { generation, service } = work
+    if (!generation) return
+    const { model, adapter } = generation
+    this.opts.residency.noteHeld({ service: service.name, model, adapter }, this.opts.clock.readTime() - takenAt)
   }
 
   private wait (work: RoutedWork): Promise<BackendPlace> {
@@ -140,9 +171,18 @@
         const at = this.waiting.indexOf(item)
         if (at >= 0) this.waiting.splice(at, 1)
       }
+      const expire = (): void => item.fail(createRefusal(item.lastFailure, item.retryAfterSeconds))
+      const schedule = (untilMs: number): () => void => clock.setTimer(Math.max(0, work.arrivedAt + untilMs - clock.readTime()), expire)
+      const bounds = computeWaitBounds(work)
       const item: Waiting = {
         work,
-        askedAt: undefined,
+        bounds,
+        retryAfterSeconds: this.spreadRetry(RETRY_AFTER_SECONDS),
+        extend: (untilMs) => {
+          cancel()
+          cancel = schedule(untilMs)
+        },
+        askAgainAt: -Infinity,
         lastFailure: ChoiceFailures.FULL,
         settle: (place) => {
           leave()
@@ -154,7 +194,7 @@
         },
       }
       const abandon = (): void => item.fail(new PulleystackError('CALLER_GONE', 'The client went away while the request waited', { ran: Ran.NO }))
-      const cancel = clock.setTimer(findWaitMs(work, clock.readTime()), () => item.fail(createRefusal(item.lastFailure)))
+      let cancel = schedule(bounds.refuseAfterMs)
       work.signal.addEventListener('abort', abandon, { once: true })
       this.insert(item)
       if (work.signal.aborted) abandon()
@@ -163,6 +203,21 @@
     })
   }
 
+  /** Weights that come in time are waited for; otherwise the client is told when to come back. */
+  private waitForWeights (item: Waiting, expectedMs: number): void {
+    const readyMs = this.opts.clock.readTime() + expectedMs - item.work.arrivedAt
+    if (readyMs > item.bounds.weightsWithinMs) {
+      item.fail(new PulleystackError('NO_RUNNER', 'The model will be there too late', { retryAfterSeconds: item.retryAfterSeconds }))
+      return
+    }
+    item.extend(item.bounds.longestMs)
+    this.pump()
+  }
+
+  private spreadRetry (seconds: number): number {
+    return seconds * (1 + this.opts.random.readFraction() * RETRY_SPREAD)
+  }
+
   private noteWaiting (item: Waiting): void {
     const { generation, requestId, service } = item.work
     const weights = generation && nameWeights(generation.model, generation.adapter)
@@ -176,16 +231,15 @@
   }
 
   private askForWeights (item: Waiting, isMore: boolean): void {
-    if (item.askedAt !== undefined || !item.work.generation) return
     const { clock, residency } = this.opts
-    item.askedAt = clock.readTime()
+    if (!item.work.generation || clock.readTime() < item.askAgainAt) return
+    item.askAgainAt = clock.readTime() + ASK_AGAIN_MS
     const { model, adapter } = item.work.generation
-    const waitMs = findWaitMs(item.work, clock.readTime())
+    const waitMs = item.work.arrivedAt + item.bounds.longestMs - clock.readTime()
     void residency.requestWeights({ service: item.work.service.name, model, adapter, isMore, waitMs }).then((answer) => {
-      if (isMore) return
-      if (!answer.coming) item.fail(new PulleystackError('NO_RUNNER', `Nobody loads ${nameWeights(model, adapter)}: ${answer.reason}`, { retryAfterSeconds: RETRY_AFTER_SECONDS }))
-      else if (answer.expectedMs > waitMs) item.fail(new PulleystackError('NO_RUNNER', 'The model will be there too late', { retryAfterSeconds: answer.expectedMs / 1000 }))
-      else this.pump()
+      if (!answer.coming) return
+      item.retryAfterSeconds = this.spreadRetry(answer.expectedMs / 1000)
+      if (!isMore) this.waitForWeights(item, answer.expectedMs)
     })
   }
 }
@@ -199,16 +253,17 @@
   return work.service.serving
 }
 
-function findWaitMs (work: RoutedWork, now: number): number {
-  return Math.max(0, Math.min((work.deadline - work.arrivedAt) * WAIT_SHARE - (now - work.arrivedAt), work.deadline - now))
+/** The most urgent class first; in it those who came back after a refusal, then whoever would be late first. */
+function compareUrgency (a: RoutedWork, b: RoutedWork): number {
+  return a.route.priority - b.route.priority || Number(b.isReturning) - Number(a.isReturning) || findDueAt(a) - findDueAt(b)
 }
 
-function compareUrgency (a: RoutedWork, b: RoutedWork): number {
-  return a.route.priority - b.route.priority || a.deadline - b.deadline
+function findDueAt (work: RoutedWork): number {
+  return work.arrivedAt + work.route.targetLatencyMs
 }
 
-function createRefusal (failure: ChoiceFailure): PulleystackError {
-  const opts = { retryAfterSeconds: RETRY_AFTER_SECONDS }
+function createRefusal (failure: ChoiceFailure, retryAfterSeconds = RETRY_AFTER_SECONDS): PulleystackError {
+  const opts = { retryAfterSeconds }
   if (failure === ChoiceFailures.FULL) return new PulleystackError('OVERLOADED', 'All servers that could run the request are full', opts)
   return new PulleystackError('NO_RUNNER', `No server could run the request: ${failure}`, opts)
 }
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -8,6 +8,7 @@
 import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
+import { UsualWaits } from './UsualWaits.js'
 import { runRequest, type RunOptions } from './runRequest.js'
 
 const UNCONFIGURED_RETRY_SECONDS = 0.5
@@ -61,8 +62,11 @@
 export class RoutedGateway {
   private active = 0
   private readonly ends = new Set<RequestEnd>()
+  private readonly usualWaits: UsualWaits
 
-  constructor (private readonly opts: RoutedGatewayOptions) {}
+  constructor (private readonly opts: RoutedGatewayOptions) {
+    this.usualWaits = new UsualWaits(opts.clock)
+  }
 
   /** Requests that have not been answered whole. */
   get inFlight (): number {
@@ -94,8 +98,11 @@
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
-      this.noteDemand(work)
-      await runRequest(this.opts, work, client).finally(cancel)
+      const endInHand = this.noteDemand(work)
+      await runRequest(this.opts, work, client).finally(() => {
+        cancel()
+        endInHand()
+      })
     } catch (thrown) {
       const error = end.explain(convertToError(thrown))
       outcome.code = error.code
@@ -134,16 +141,23 @@
       arrivedAt: it.arrivedAt,
       deadline: it.deadline,
       generation: service.serving ? estimateGeneration(facts) : undefined,
+      isReturning: facts.waitMs !== undefined && this.usualWaits.noteWait(route.name, facts.waitMs),
       excluded: new Set(),
       stream: createStreamProgress(facts.lastEventId),
       signal: it.signal,
     }
   }
 
-  private noteDemand (work: RoutedWork): void {
-    this.opts.findBudget(work.service.name).noteRequest()
-    const { generation } = work
-    if (generation) this.opts.residency.noteDemand({ service: work.service.name, ...generation })
+  /** Counts a request; gives what is to be called at its end. */
+  private noteDemand (work: RoutedWork): () => void {
+    const { generation, service } = work
+    const { residency, findBudget } = this.opts
+    findBudget(service.name).noteRequest()
+    if (!generation) return () => undefined
+    const asked = { service: service.name, model: generation.model, adapter: generation.adapter }
+    // One that comes back was counted before.
+    if (!work.isReturning) residency.noteDemand(asked)
+    return residency.noteInHand(asked)
   }
 
   private noteEnd (it: EndedRequest): void {
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -21,6 +21,8 @@
   arrivedAt: number
   deadline: number
   generation: GenerationDemand | undefined
+  /** Its client was most likely refused before and came back. */
+  isReturning: boolean
   /** Servers that failed this request. */
   excluded: Set<string>
   /** How far its stream has come. */
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -78,6 +78,11 @@
     return [...this.linked].flatMap((instance) => this.known.get(instance) ?? [])
   }
 
+  /** Names of all other instances that may exist, linked or not. */
+  listOthers (): string[] {
+    return this.directory.list().map(({ instance }) => instance)
+  }
+
   /** The other instances that serve clients now; while this one stands by, also those that it only heard of. */
   listServing (): PeerIdentity[] {
     const serving = new Map(this.listLive().filter(isServing).map((identity) => [identity.instance, identity]))
--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -45,6 +45,11 @@
     return this.record !== undefined && this.opts.clock.readTime() < this.validUntil
   }
 
+  /** The lease was held and no other holder is known, though it may have run out. */
+  get isKept (): boolean {
+    return this.record !== undefined
+  }
+
   /** True when an order sent now reaches its engine before the lease can go to another, and after any former holder's. */
   get mayOrder (): boolean {
     const now = this.opts.clock.readTime()
@@ -55,6 +60,16 @@
     return this.record?.fence ?? 0
   }
 
+  /** Version of the record as last written or read. */
+  get recordVersion (): number {
+    return this.version
+  }
+
+  /** The holder told that it had written this version of the record; its lease counts from before now, if the version still stands when it is read. */
+  noteWritten (version: number): void {
+    if (this.seen === undefined || version > this.seen.version) this.seen = { version, since: this.opts.clock.readTime() }
+  }
+
   /** Monotone time after which no order of a former holder can arrive any more. */
   get quietSince (): number {
     return this.ordersFrom
@@ -86,9 +101,10 @@
     return true
   }
 
-  /** Renews the lease by writing the record as it stands. */
+  /** Renews the lease by writing the record as it stands; also one that ran out, when nobody has taken it since. */
   async renew (): Promise<Result<void, PulleystackError>> {
-    return this.update(() => undefined)
+    if (!this.record) return err(createLost(this.opts.shard))
+    return this.write(structuredClone(this.record))
   }
 
   /** Changes the record; on failure nothing is changed here, and after a conflict the lease is gone. */
--- a/placement/residency/src/ResidencyClient.ts
+++ b/placement/residency/src/ResidencyClient.ts
@@ -9,6 +9,9 @@
   waitMs: number
 }
 
+/** Weights that a request asks for. */
+export type AskedWeights = Pick<WeightsNeed, 'service' | 'model' | 'adapter'>
+
 /** What the one that places models says to a need. */
 export type NeedAnswer =
   | { coming: true, /** Milliseconds until a server will likely hold it. */ expectedMs: number }
@@ -18,6 +21,10 @@
 export abstract class ResidencyClient {
   /** Asks for weights; answers at once or soon that they won't come when nobody who could load them is known to be well. */
   abstract requestWeights (need: WeightsNeed): Promise<NeedAnswer>
-  /** Counts one request's demand. */
-  abstract noteDemand (demand: { service: string, model: string, adapter: string | undefined, promptTokens: number, outputTokens: number }): void
+  /** Counts one new request. */
+  abstract noteDemand (asked: AskedWeights): void
+  /** Counts a request that has a place at a server or waits for one, until the function that it gives is called. */
+  abstract noteInHand (asked: AskedWeights): () => void
+  /** Counts a request that left its place at a server, which it held for so many milliseconds. */
+  abstract noteHeld (asked: AskedWeights, heldMs: number): void
 }
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -1,48 +1,38 @@
 import type { ModelServing, RouteTable } from '@pulleystack/config.routes'
 import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
-import { DemandTracker, type DemandCount } from './DemandTracker.js'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
+import { DemandTracker } from './DemandTracker.js'
+import type { DemandReport, InheritedLoad } from './channels.js'
 import { LoadBucket } from './LoadBucket.js'
-import { computeCopyTargets, listLacking, planLoad, type CopyTargets, type PlanInput, type PlannedLoad } from './planResidency.js'
+import { planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
 import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ServerLoads, type HoldOff, type ServerLoadsOptions } from './ServerLoads.js'
 
+/** What an adapter takes that a server had lately; milliseconds, from the platform's days. */
 const ADAPTER_MS = 220
-const UNLOAD_MS = 150
 const MIN_PLANNED_AT_ONCE = 8
-const MAX_NEED_AGE_MS = 12_000
-/** Demand moves slowly against this; many needs at once must not each deal all places anew. */
-const TARGETS_MS = 250
 
 export interface ResidencyHolderOptions extends ServerLoadsOptions {
   readTable: () => RouteTable | undefined
 }
 
-/** A model or adapter that somebody waits for. */
-interface OpenNeed {
-  need: WeightsNeed
-  askedAt: number
-  /** Monotone time at which it will likely be there. */
-  readyAt: number
-  started: boolean
-}
-
 /** Decides and orders what the model servers hold, while this instance holds the lease. */
 export class ResidencyHolder {
   private readonly demands = new Map<string, DemandTracker>()
   private readonly buckets = new Map<string, LoadBucket>()
   private readonly loads: ServerLoads
-  private readonly needs = new Map<string, OpenNeed>()
-  private readonly targets = new Map<string, { computedAt: number, servers: number, targets: CopyTargets }>()
+  /** Adapters on their way, and the monotone time at which each will likely be there. */
+  private readonly adapters = new Map<string, number>()
 
   constructor (private readonly opts: ResidencyHolderOptions) {
     this.loads = new ServerLoads(opts)
   }
 
   /** Begins to order; what an earlier holder loaded is not known, so that loads begin slowly. */
-  begin (holdOff: HoldOff): void {
-    this.loads.begin(holdOff)
+  begin (holdOff: HoldOff, inherited: readonly InheritedLoad[] = []): void {
+    this.loads.begin(holdOff, inherited)
     for (const bucket of this.buckets.values()) bucket.drain()
-    this.needs.clear()
+    this.adapters.clear()
   }
 
   /** Servers ordered within a while, with the milliseconds since. */
@@ -50,91 +40,64 @@
     return this.loads.listOrdered(withinMs)
   }
 
+  /** Loads under way, for a successor. */
+  listRunning (): InheritedLoad[] {
+    return this.loads.listRunning()
+  }
+
   /** Takes what an instance was asked for. */
-  noteDemand (counts: readonly DemandCount[]): void {
-    for (const { service, model, adapter, workMs } of counts) {
-      const demand = this.findDemand(service)
-      demand.add(model, workMs)
-      if (adapter !== undefined) demand.add(nameWeights(model, adapter), workMs)
+  noteDemand (from: string, { counts, spanMs }: DemandReport): void {
+    for (const count of counts) {
+      const demand = this.findDemand(count.service)
+      demand.add(count.model, from, count, spanMs)
+      if (count.adapter !== undefined) demand.add(nameWeights(count.model, count.adapter), from, count, spanMs)
     }
   }
 
   /** Takes what somebody waits for; says when it will likely be there. */
   takeNeed (need: WeightsNeed): NeedAnswer {
     if (!this.opts.readRight()) return { coming: false, reason: 'the lease is not held' }
-    if (!this.findServing(need.service)) return { coming: false, reason: 'the service has no models' }
-    const now = this.opts.clock.readTime()
-    const name = `${need.service}|${nameWeights(need.model, need.adapter)}|${need.isMore}`
-    const present = this.needs.get(name)
-    if (present) return { coming: true, expectedMs: Math.max(0, present.readyAt - now) }
-    const open: OpenNeed = { need, askedAt: now, readyAt: Infinity, started: false }
-    this.needs.set(name, open)
-    this.serveNeed(name, open)
-    if (open.readyAt !== Infinity) return { coming: true, expectedMs: open.readyAt - now }
-    this.needs.delete(name)
-    return { coming: false, reason: 'no server can make room' }
-  }
-
-  /** Serves needs that could not be served at once. */
-  serveNeeds (): void {
-    const now = this.opts.clock.readTime()
-    for (const [name, open] of this.needs) {
-      if (now - open.askedAt > MAX_NEED_AGE_MS) this.needs.delete(name)
-      else if (!open.started) this.serveNeed(name, open)
-    }
+    const serving = this.findServing(need.service)
+    if (!serving) return { coming: false, reason: 'the service has no models' }
+    const holding = this.listHolding(need)
+    if (!need.isMore && holding.length > 0) return { coming: true, expectedMs: this.bringAdapter(serving, holding, need) }
+    this.findDemand(need.service).noteWaiting(need.model)
+    if (this.loads.findExpectedMs(need.model) === undefined) this.planService(need.service, serving)
+    const expectedMs = this.loads.findExpectedMs(need.model)
+    return expectedMs === undefined ? { coming: false, reason: 'other loads gain more now' } : { coming: true, expectedMs }
   }
 
-  /** Adds copies where demand lacks them. */
+  /** Begins the loads that save the most requests. */
   plan (): void {
     const table = this.opts.readTable()
     if (!table || !this.opts.readRight()) return
     for (const { name, serving } of table.config.services) {
-      if (!serving) continue
-      let input = this.buildInput(name, serving)
-      const targets = this.findTargets(name, input)
-      for (const model of listLacking(input, targets)) {
-        if (this.loads.size >= countAtOnce(serving)) break
-        const load = planLoad(input, model, targets)
-        if (!load || !this.mayBegin(name, load)) continue
-        void this.loads.run(serving, load)
-        input = this.buildInput(name, serving)
-      }
+      if (serving) this.planService(name, serving)
     }
   }
 
-  private serveNeed (name: string, open: OpenNeed): void {
-    const { need } = open
-    const serving = this.findServing(need.service)
-    if (!serving) return
-    const holding = this.listHolding(need).filter((backend) => !need.isMore || !backend.hasWeights(need.model, need.adapter))
-    if (holding.length > 0) {
-      open.started = true
-      open.readyAt = this.opts.clock.readTime() + ADAPTER_MS
-      const done = need.adapter === undefined ? Promise.resolve() : this.bringAdapter(serving, holding, need, need.adapter)
-      void done.finally(() => this.needs.delete(name))
-      return
+  private planService (service: string, serving: ModelServing): void {
+    const bucket = this.findBucket(service)
+    while (this.loads.size < countAtOnce(serving)) {
+      const load = planLoad(this.buildInput(service, serving), bucket.waitMs === 0)
+      if (!load || !this.mayBegin(service, load)) return
+      this.noteLoad(service, load)
+      void this.loads.run(serving, load)
     }
-    this.serveModelNeed(name, open, serving)
   }
 
-  private serveModelNeed (name: string, open: OpenNeed, serving: ModelServing): void {
-    const { need } = open
-    const now = this.opts.clock.readTime()
-    const running = need.isMore ? undefined : this.loads.findRunning(need.model)
-    if (running) {
-      open.readyAt = Math.min(open.readyAt, now + running.loadMs)
-      return
-    }
-    const input = this.buildInput(need.service, serving)
-    const load = planLoad(input, need.model, this.findTargets(need.service, input))
-    // A further copy must not be one too many, and is worth no load from the weight store.
-    if (!load || (need.isMore && load.fromStore)) return
-    const extraMs = load.victims.length * UNLOAD_MS + (need.adapter === undefined ? 0 : ADAPTER_MS)
-    open.readyAt = now + load.loadMs + extraMs + (load.fromStore ? this.findBucket(need.service).waitMs : 0)
-    if (!this.mayBegin(need.service, load)) return
-    void this.loads.run(serving, load).then(() => {
-      // The adapter is served once the directory shows its model.
-      if (need.adapter === undefined) this.needs.delete(name)
+  private noteLoad (service: string, load: PlannedLoad): void {
+    const { model, victims, fromStore } = load
+    const { requestsPerSecond, places } = this.findDemand(service).read(model)
+    const copies = this.listUsable(service).filter((backend) => this.loads.isKeeping(backend, model)).length
+    this.opts.log.record(DecisionKinds.LOAD_PLANNED, {
+      backend: load.server,
+      model,
+      victims,
+      fromStore,
+      requestsPerSecond: roundFigure(requestsPerSecond),
+      places: roundFigure(places),
+      copies,
     })
   }
 
@@ -142,9 +105,19 @@
     return !load.fromStore || this.findBucket(service).take()
   }
 
-  private bringAdapter (serving: ModelServing, holding: readonly Backend[], need: WeightsNeed, adapter: string): Promise<void> {
+  /** Brings an adapter to one of the servers that have its model; gives the milliseconds until it will likely be there. */
+  private bringAdapter (serving: ModelServing, holding: readonly Backend[], need: WeightsNeed): number {
+    const { model, adapter } = need
+    if (adapter === undefined) return 0
+    const now = this.opts.clock.readTime()
+    const name = `${need.service}|${nameWeights(model, adapter)}`
+    const readyAt = this.adapters.get(name)
+    if (readyAt !== undefined) return Math.max(0, readyAt - now)
+    this.adapters.set(name, now + ADAPTER_MS)
     const demand = this.findDemand(need.service)
-    return this.loads.bringAdapter({ serving, holding, model: need.model, adapter, readIdleMs: (name) => demand.readIdleMs(name) })
+    const done = this.loads.bringAdapter({ serving, holding, model, adapter, readIdleMs: (it) => demand.read(it).idleMs })
+    void done.finally(() => this.adapters.delete(name))
+    return ADAPTER_MS
   }
 
   private listHolding (need: WeightsNeed): Backend[] {
@@ -162,19 +135,10 @@
     return {
       serving,
       servers: this.listUsable(service).map((backend) => this.loads.describe(backend)),
-      readDemand: (model) => ({ rate: demand.readRate(model), idleMs: demand.readIdleMs(model) }),
+      readDemand: (model) => demand.read(model),
     }
   }
 
-  private findTargets (service: string, input: PlanInput): CopyTargets {
-    const now = this.opts.clock.readTime()
-    const present = this.targets.get(service)
-    if (present && present.servers === input.servers.length && now - present.computedAt < TARGETS_MS) return present.targets
-    const targets = computeCopyTargets(input)
-    this.targets.set(service, { computedAt: now, servers: input.servers.length, targets })
-    return targets
-  }
-
   private findServing (service: string): ModelServing | undefined {
     return this.opts.readTable()?.findService(service)?.serving
   }
@@ -196,6 +160,11 @@
   }
 }
 
+/** For people who read the log. */
+function roundFigure (value: number): number {
+  return Math.round(value * 100) / 100
+}
+
 /** As many loads as are under way when the weight store lets them begin at its full rate; more would only make each slower. */
 function countAtOnce (serving: ModelServing): number {
   const loadSeconds = Math.max(0, ...serving.models.map((model) => model.loadSeconds))
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -4,10 +4,11 @@
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { nameWeights, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { DEMAND, HANDOVER, HOLDER_BEAT, NEED, WEIGHTS, type Handover, type WeightsChange } from './channels.js'
-import { estimateWork, type DemandCount } from './DemandTracker.js'
-import type { NeedAnswer, WeightsNeed } from './ResidencyClient.js'
+import { DEMAND, HANDOVER, HOLDER_BEAT, NEED, WEIGHTS, type DemandReport, type Handover, type HolderBeat, type WeightsChange } from './channels.js'
+import type { DemandCount } from './DemandTracker.js'
+import type { AskedWeights, NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
+import type { OutageGrants } from './OutageGrants.js'
 import type { ResidencyHolder } from './ResidencyHolder.js'
 import type { HoldOff } from './ServerLoads.js'
 
@@ -17,13 +18,22 @@
   OTHER_TICK: 1 / 6,
   RENEW: 0.27,
   BEAT: 0.2,
-  PLAN: 1 / 3,
+  PLAN: 1 / 15,
   DEMAND: 0.15,
   /** A holder that was not heard for this long is not known to be well. */
   HOLDER_SILENT: 0.65,
   TAKE: 1 / 6,
-  /** An instance that handed over leaves the lease to others for this long. */
-  STAND_BACK: 2.5,
+  /** After an outage a holder that renews first goes on; the store answers, or another holder has taken the lease, well before. */
+  AFTER_OUTAGE: 0.5,
+  /** How often the others are asked for their word during an outage; three times in the life of a grant. */
+  ASK_GRANTS: 0.1,
+  /** A planned stop during an outage leaves the lease no later than this after its begin, when others still find the time to take it. */
+  STOP_LATEST: 2.5,
+  /**
+   * An instance that handed over leaves the lease to others for this long, or until one has taken it: they know its newest orders and need not
+   * wait for the lease to run out, while it may have restarted and forgotten them.
+   */
+  STAND_BACK: 7.5,
 } as const
 const CALL_MS = 500
 const CHANGE_KEPT_MS = 15_000
@@ -50,35 +60,43 @@
   /** Least time between orders of two holders to one server. */
   turnMs: number
   holder: ResidencyHolder
+  grants: OutageGrants
   /** Live instances that could hold the lease, this one among them while it can. */
   listCandidates: () => readonly HolderCandidate[]
   /** Something may be at a server now that requests wait for. */
   onChange: () => void
 }
 
-type Task = 'RENEW' | 'BEAT' | 'PLAN' | 'DEMAND' | 'TAKE'
+type Task = 'RENEW' | 'BEAT' | 'PLAN' | 'DEMAND' | 'TAKE' | 'ASK_GRANTS'
 
 /** Keeps exactly one instance ordering: takes the lease when it is this one's turn, and reaches the holder otherwise. */
 export class ResidencyService extends ResidencyClient {
   private readonly counts = new Map<string, DemandCount>()
+  private readonly inHand = new Map<string, { asked: AskedWeights, count: number }>()
   private heard: { instance: string, at: number } | undefined
   private wasHeld = false
   private stopping = false
   private renewing = false
   private hasOrdered = false
+  /** Monotone time up to which the holder was told of the demand. */
+  private demandToldAt: number
+  /** Monotone time at which the store was last known to be away. */
+  private outageAt = -Infinity
   private handover: (Handover & { from: string, at: number }) | undefined
-  private readonly lastDone: Record<Task, number> = { RENEW: -Infinity, BEAT: -Infinity, PLAN: -Infinity, DEMAND: -Infinity, TAKE: -Infinity }
+  private readonly lastDone = new Map<Task, number>()
 
   constructor (private readonly opts: ResidencyServiceOptions) {
     super()
+    this.demandToldAt = opts.clock.readTime()
   }
 
   /** Starts listening, renewing and planning; goes on until the signal ends. */
   start (signal: AbortSignal): void {
     const { network, holder } = this.opts
+    this.opts.grants.start()
     network.handleCalls(NEED, (_, need) => holder.takeNeed(need))
     const subscriptions = [
-      network.receive(DEMAND).subscribe(({ body }) => holder.noteDemand(body.counts)),
+      network.receive(DEMAND).subscribe(({ from, body }) => holder.noteDemand(from, body)),
       network.receive(HANDOVER).subscribe(({ from, body }) => this.noteHandover(from, body)),
       network.receive(HOLDER_BEAT).subscribe(({ from, body }) => this.noteBeat(from, body)),
       network.receive(WEIGHTS).subscribe(({ body }) => this.noteWeights(body)),
@@ -95,8 +113,9 @@
 
   /** Orders no more, leaves the newest orders to the successor and gives the lease up. */
   async stop (): Promise<void> {
+    await this.waitForOutageEnd()
     this.stopping = true
-    if (!this.opts.lease.isHeld) return
+    if (!this.opts.lease.isKept) return
     await this.opts.clock.wait(ORDERS_END_MS)
     this.handOver()
     await this.opts.lease.release()
@@ -104,7 +123,20 @@
 
   /** Whether this instance may order now. */
   get mayOrder (): boolean {
-    return !this.stopping && this.opts.lease.mayOrder
+    return !this.stopping && (this.opts.lease.mayOrder || this.isHoldingOn)
+  }
+
+  /** The lease could not be renewed for an outage of the store, in which nobody else can take it. */
+  private get isHoldingOn (): boolean {
+    const { lease, grants } = this.opts
+    return this.hasOrdered && lease.isKept && grants.isGranted
+  }
+
+  /** Nobody could take the lease while the store is away, so that a holder which is to stop goes on for a while. */
+  private async waitForOutageEnd (): Promise<void> {
+    const { clock, grants } = this.opts
+    const until = clock.readTime() + this.readShare('STOP_LATEST')
+    while (this.hasOrdered && grants.isLost && clock.readTime() < until) await clock.wait(this.readShare('ASK_GRANTS'))
   }
 
   /** The instance that orders, as far as this one knows; undefined while none is known to be well. */
@@ -120,13 +152,35 @@
     return answer.isOk() ? answer.value : { coming: false, reason: 'the holder did not answer' }
   }
 
-  override noteDemand (demand: { service: string, model: string, adapter: string | undefined, promptTokens: number, outputTokens: number }): void {
-    const { service, model, adapter, promptTokens, outputTokens } = demand
-    const key = `${service}|${nameWeights(model, adapter)}`
-    const count = this.counts.get(key) ?? { service, model, adapter, requests: 0, workMs: 0 }
-    count.requests++
-    count.workMs += estimateWork(promptTokens, outputTokens)
-    this.counts.set(key, count)
+  override noteDemand (asked: AskedWeights): void {
+    this.findCount(asked).requests++
+  }
+
+  override noteInHand (asked: AskedWeights): () => void {
+    const key = nameAsked(asked)
+    const held = this.inHand.get(key) ?? { asked, count: 0 }
+    this.inHand.set(key, held)
+    held.count++
+    return () => {
+      held.count--
+      if (held.count === 0) this.inHand.delete(key)
+    }
+  }
+
+  override noteHeld (asked: AskedWeights, heldMs: number): void {
+    const count = this.findCount(asked)
+    count.ended++
+    count.heldMs += heldMs
+  }
+
+  private findCount (asked: AskedWeights): DemandCount {
+    const { service, model, adapter } = asked
+    const key = nameAsked(asked)
+    const present = this.counts.get(key)
+    if (present) return present
+    const created: DemandCount = { service, model, adapter, requests: 0, ended: 0, heldMs: 0, inHand: 0 }
+    this.counts.set(key, created)
+    return created
   }
 
   private findHolder (): string | undefined {
@@ -135,7 +189,8 @@
   }
 
   private handOver (): void {
-    const handover = { holder: this.opts.life, fence: this.opts.lease.fence, ordered: this.opts.holder.listOrdered(this.opts.turnMs) }
+    const { holder, lease, turnMs } = this.opts
+    const handover: Handover = { holder: this.opts.life, fence: lease.fence, ordered: holder.listOrdered(turnMs), loads: holder.listRunning() }
     this.opts.log.record(DecisionKinds.LEASE_HANDED_OVER, { fence: handover.fence, ordered: handover.ordered.map(([backend]) => backend) })
     this.opts.network.broadcast(HANDOVER, handover)
     this.noteHandover(this.opts.instance, handover)
@@ -146,9 +201,11 @@
     if (this.heard?.instance === from) this.heard = undefined
   }
 
-  private noteBeat (from: string, beat: { fence: number }): void {
+  private noteBeat (from: string, beat: HolderBeat): void {
+    this.opts.lease.noteWritten(beat.recordVersion)
     if (this.heard?.instance !== from) this.opts.log.record(DecisionKinds.HOLDER_CHANGED, { holder: from, fence: beat.fence })
     this.heard = { instance: from, at: this.opts.clock.readTime() }
+    if (this.handover && beat.fence > this.handover.fence) this.handover = undefined
   }
 
   private noteWeights (change: WeightsChange): void {
@@ -166,25 +223,36 @@
 
   private async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.opts.lease.isHeld) await this.act()
+      if (this.isHolder) await this.act()
       else await this.tryTake()
       this.noteHolding()
       if (this.isDue('DEMAND')) this.sendDemand()
-      await this.opts.clock.wait(this.readShare(this.opts.lease.isHeld ? 'HOLDER_TICK' : 'OTHER_TICK'), signal)
+      await this.opts.clock.wait(this.readShare(this.isHolder ? 'HOLDER_TICK' : 'OTHER_TICK'), signal)
     }
   }
 
+  /** This instance has the lease, or had it when the store went away. */
+  private get isHolder (): boolean {
+    const { lease, grants } = this.opts
+    return lease.isHeld || (this.hasOrdered && lease.isKept && (grants.isLost || this.isAfterOutage))
+  }
+
+  private get isAfterOutage (): boolean {
+    return this.opts.clock.readTime() - this.outageAt < this.readShare('AFTER_OUTAGE')
+  }
+
   private async act (): Promise<void> {
-    const { lease, holder, network } = this.opts
+    const { lease, holder, network, grants } = this.opts
     if (this.stopping) return
+    if (grants.isLost) this.outageAt = this.opts.clock.readTime()
+    if (grants.isLost && this.isDue('ASK_GRANTS')) grants.ask()
     if (!this.renewing && this.isDue('RENEW')) void this.renew()
     if (!this.mayOrder) {
-      if (this.hasOrdered) await this.giveUp()
+      if (this.hasOrdered && !this.isAfterOutage) await this.giveUp()
       return
     }
     this.hasOrdered = true
-    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence })
-    holder.serveNeeds()
+    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence, recordVersion: lease.recordVersion })
     if (this.isDue('PLAN')) holder.plan()
   }
 
@@ -206,10 +274,12 @@
 
   /** Only the instance whose turn it is asks the store, and only while no holder is heard. */
   private async tryTake (): Promise<void> {
-    const { lease, instance } = this.opts
-    if (this.stopping || this.findHolder() !== undefined) return
+    const { lease, instance, grants } = this.opts
+    if (this.stopping || grants.isPromised || this.findHolder() !== undefined) return
     const standsBack = this.isStandingBack(this.handover)
-    const candidates = this.opts.listCandidates().filter((candidate) => !standsBack || candidate.instance !== this.handover?.from)
+    const silent = this.heard?.instance
+    const candidates = this.opts.listCandidates()
+      .filter((candidate) => candidate.instance !== silent && (!standsBack || candidate.instance !== this.handover?.from))
     if (chooseHolder(candidates) !== instance) return
     if (this.isDue('TAKE') && await lease.tryTake(this.handover)) this.begin()
   }
@@ -228,23 +298,30 @@
     } else if (lease.takenFrom === LeaseOrigins.RELEASED) {
       holdOff.notBefore = now + turnMs
     }
-    holder.begin(holdOff)
+    holder.begin(holdOff, lease.takenFrom === LeaseOrigins.HANDED_OVER ? handover?.loads : [])
   }
 
   private noteHolding (): void {
     const { lease, log } = this.opts
-    if (lease.isHeld === this.wasHeld) return
-    this.wasHeld = lease.isHeld
+    if (this.isHolder === this.wasHeld) return
+    this.wasHeld = this.isHolder
     log.record(this.wasHeld ? DecisionKinds.LEASE_TAKEN : DecisionKinds.LEASE_LOST, { fence: lease.fence })
     if (this.wasHeld) this.hasOrdered = false
   }
 
   private sendDemand (): void {
-    if (this.counts.size === 0) return
+    for (const { asked, count } of this.inHand.values()) this.findCount(asked).inHand = count
+    const now = this.opts.clock.readTime()
+    if (this.counts.size === 0) {
+      this.demandToldAt = now
+      return
+    }
     const counts = [...this.counts.values()]
+    const report: DemandReport = { counts, spanMs: now - this.demandToldAt }
     const holder = this.mayOrder ? undefined : this.findHolder()
-    if (this.opts.lease.isHeld) this.opts.holder.noteDemand(counts)
-    else if (holder === undefined || !this.opts.network.send(holder, DEMAND, { counts })) return
+    if (this.isHolder) this.opts.holder.noteDemand(this.opts.instance, report)
+    else if (holder === undefined || !this.opts.network.send(holder, DEMAND, report)) return
+    this.demandToldAt = now
     this.counts.clear()
   }
 
@@ -254,12 +331,16 @@
 
   private isDue (task: Task): boolean {
     const now = this.opts.clock.readTime()
-    if (now - this.lastDone[task] < this.readShare(task)) return false
-    this.lastDone[task] = now
+    if (now - (this.lastDone.get(task) ?? -Infinity) < this.readShare(task)) return false
+    this.lastDone.set(task, now)
     return true
   }
 }
 
+function nameAsked ({ service, model, adapter }: AskedWeights): string {
+  return `${service}|${nameWeights(model, adapter)}`
+}
+
 /** Planning for many servers takes processor time, so that one of the most capable holds the lease. */
 function chooseHolder (candidates: readonly HolderCandidate[]): string | undefined {
   const most = Math.max(...candidates.map((candidate) => candidate.capacity))
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -4,12 +4,19 @@
 import type { Backend, BackendFleet } from '@pulleystack/routing.fleet'
 import type { DecisionLog } from '@pulleystack/timeline.decisions'
 import { loadAdapter } from './AdapterKeeper.js'
-import type { WeightsChange } from './channels.js'
+import type { InheritedLoad, WeightsChange } from './channels.js'
 import { hasRoom } from './memory.js'
 import type { PlannedLoad, PlannedServer } from './planResidency.js'
 import { ServerOrders, type OrderRight } from './ServerOrders.js'
 
+/** Milliseconds after an unload order before the first look whether it is done; when nothing runs, it is. */
 const UNLOAD_WAIT_MS = 60
+/** An unload waits for the streams that run, which take this long at most on a server of the usual pace. */
+const UNLOAD_EXTRA_MS = 6_000
+/** A load of an earlier holder is taken for done or lost so long after it should have ended; the server's entry shows it by then. */
+const INHERITED_EXTRA_MS = 1_000
+/** A server at which a load came to nothing (it does other things, or can't be reached) is left alone for this long. */
+const FAILED_PAUSE_MS = 600
 const FRESH_MS = 5_000
 /** Order in which servers are asked for adapters: those with nothing to do come first. */
 const BUSY_PENALTY = 1_000
@@ -41,12 +48,20 @@
   onChange: (change: WeightsChange) => void
 }
 
+/** A load that is under way. */
+interface RunningLoad {
+  load: PlannedLoad
+  startedAt: number
+}
+
 /** Carries out loads of models and adapters, one after the other at each server. */
 export class ServerLoads {
   private readonly orders = new Map<string, ServerOrders>()
-  private readonly running = new Map<string, PlannedLoad>()
+  private readonly running = new Map<string, RunningLoad>()
   /** When each server's models were loaded, by server and model. */
   private readonly loadedAt = new Map<string, Map<string, number>>()
+  /** Monotone time until which servers are left alone. */
+  private readonly pausedUntil = new Map<string, number>()
   private holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
 
   constructor (private readonly opts: ServerLoadsOptions) {
@@ -55,6 +70,7 @@
       this.orders.delete(backend.id)
       this.running.delete(backend.id)
       this.loadedAt.delete(backend.id)
+      this.pausedUntil.delete(backend.id)
     })
   }
 
@@ -63,10 +79,25 @@
     return this.running.size
   }
 
-  /** Forgets what was known of sequences; servers are left alone as an earlier holder's orders ask. */
-  begin (holdOff: HoldOff): void {
+  /** Forgets what was known of sequences; servers are left alone as an earlier holder's orders ask, and its loads count as under way. */
+  begin (holdOff: HoldOff, inherited: readonly InheritedLoad[]): void {
     this.holdOff = holdOff
     this.orders.clear()
+    for (const { load, leftMs } of inherited) this.addInherited(load, leftMs)
+  }
+
+  /** Loads under way, for a successor. */
+  listRunning (): InheritedLoad[] {
+    return [...this.running].map(([backend, { load }]) => ({ load, leftMs: this.estimateBusyMs(backend) }))
+  }
+
+  private addInherited (load: PlannedLoad, leftMs: number): void {
+    if (this.running.has(load.server) || !this.opts.fleet.find(load.server)) return
+    const inherited = { load: { ...load, clearMs: 0, loadMs: leftMs }, startedAt: this.opts.clock.readTime() }
+    this.running.set(load.server, inherited)
+    this.opts.clock.setTimer(leftMs + INHERITED_EXTRA_MS, () => {
+      if (this.running.get(load.server) === inherited) this.running.delete(load.server)
+    })
   }
 
   /** Servers ordered within a while, with the milliseconds since. */
@@ -76,19 +107,23 @@
     return ordered.filter(([, agoMs]) => agoMs < withinMs)
   }
 
-  /** A load of the model that is under way somewhere. */
-  findRunning (model: string): PlannedLoad | undefined {
-    return [...this.running.values()].find((load) => load.model === model)
+  /** Milliseconds until a load of the model that is under way will likely end; undefined when there is none. */
+  findExpectedMs (model: string): number | undefined {
+    const now = this.opts.clock.readTime()
+    const left = [...this.running.values()]
+      .filter(({ load }) => load.model === model)
+      .map(({ load, startedAt }) => Math.max(0, startedAt + load.clearMs + load.loadMs - now))
+    return left.length === 0 ? undefined : Math.min(...left)
   }
 
   /** Whether a server has the model and keeps it. */
   isKeeping (backend: Backend, model: string): boolean {
-    return backend.hasWeights(model) && !this.running.get(backend.id)?.victims.includes(model)
+    return backend.hasWeights(model) && !this.running.get(backend.id)?.load.victims.includes(model)
   }
 
   /** A server as the plan sees it, with the load under way counted as done. */
   describe (backend: Backend): PlannedServer {
-    const load = this.running.get(backend.id)
+    const load = this.running.get(backend.id)?.load
     const now = this.opts.clock.readTime()
     const held = (backend.entry.models ?? []).map((model) => model.name).filter((name) => !load?.victims.includes(name))
     const loadedAt = [...this.loadedAt.get(backend.id) ?? []]
@@ -97,21 +132,32 @@
       models: load && !held.includes(load.model) ? [...held, load.model] : held,
       inMemory: backend.entry.inMemory,
       onDisk: backend.entry.onDisk,
-      busy: load !== undefined,
+      ...load ? { loading: load.model } : {},
+      busyMs: this.estimateBusyMs(backend.id),
       fresh: loadedAt.filter(([, at]) => at > now - FRESH_MS).map(([model]) => model),
       heldMs: Math.max(0, this.readHoldOff(backend.id) - now),
       running: backend.readLoad().running,
     }
   }
 
+  private estimateBusyMs (backend: string): number {
+    const now = this.opts.clock.readTime()
+    const pausedMs = (this.pausedUntil.get(backend) ?? -Infinity) - now
+    const running = this.running.get(backend)
+    if (!running) return Math.max(0, pausedMs)
+    // One that takes longer than expected may end at any time.
+    return Math.max(1, running.startedAt + running.load.clearMs + running.load.loadMs - now)
+  }
+
   /** Carries one planned load out. */
   async run (serving: ModelServing, load: PlannedLoad): Promise<void> {
     const backend = this.opts.fleet.find(load.server)
     if (!backend) return
-    this.running.set(load.server, load)
+    this.running.set(load.server, { load, startedAt: this.opts.clock.readTime() })
     const orders = this.findOrders(backend)
     try {
-      await orders.enqueue(() => this.carryOut(serving, load, orders))
+      const isLoaded = await orders.enqueue(() => this.carryOut(serving, load, orders))
+      if (!isLoaded) this.pausedUntil.set(load.server, this.opts.clock.readTime() + FAILED_PAUSE_MS)
     } finally {
       this.running.delete(load.server)
     }
@@ -128,20 +174,21 @@
   }
 
   /** Room first, as the server itself confirms, then the load. */
-  private async carryOut (serving: ModelServing, load: PlannedLoad, orders: ServerOrders): Promise<void> {
+  private async carryOut (serving: ModelServing, load: PlannedLoad, orders: ServerOrders): Promise<boolean> {
     let state = await orders.readSettled()
-    if (!state || state.busy || state.models.some((held) => held.name === load.model)) return
+    if (!state || state.busy || state.models.some((held) => held.name === load.model)) return false
     for (const victim of load.victims) {
       if (!state.models.some((held) => held.name === victim)) continue
-      if (!await this.unload(load.server, victim, orders)) return
-      state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS)
-      if (!state) return
+      if (!await this.unload(load.server, victim, orders)) return false
+      state = await orders.waitFor((now) => !now.models.some((held) => held.name === victim), UNLOAD_WAIT_MS, UNLOAD_EXTRA_MS)
+      if (!state) return false
     }
-    if (!hasRoom(serving, state, load.model, false)) return
-    if (!await orders.send('load', load.model, undefined)) return
+    if (!hasRoom(serving, state, load.model, false)) return false
+    if (!await orders.send('load', load.model, undefined)) return false
     const loaded = await orders.waitFor((now) => now.models.some((held) => held.name === load.model), load.loadMs)
     if (loaded) this.opts.onChange({ backend: load.server, model: load.model, adapter: undefined, present: true })
     this.noteLoaded(load.server, load.model)
+    return loaded !== undefined
   }
 
   /** The server refuses new requests for the model until those that run have ended, so that everybody is told first. */
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -4,7 +4,11 @@
 
 /** Reports lag by some hundred milliseconds; one read sooner after an order may not show it. */
 const REPORT_LAG_MS = 160
+/** First pause between two looks at a server's state, and the longest: what takes long is looked at less often, since each look has a price. */
 const POLL_MS = 60
+const MAX_POLL_MS = 400
+const POLL_GROWTH = 1.5
+/** What was ordered may take so much longer than expected. */
 const SETTLE_EXTRA_MS = 3_000
 const MAX_SENDS = 3
 
@@ -108,14 +112,14 @@
   }
 
   /** Waits until the server's state is as asked; undefined when it does not become so in time. */
-  async waitFor (isReached: (state: WeightsState) => boolean, expectedMs: number): Promise<WeightsState | undefined> {
+  async waitFor (isReached: (state: WeightsState) => boolean, expectedMs: number, extraMs = SETTLE_EXTRA_MS): Promise<WeightsState | undefined> {
     const { clock } = this.opts
-    const until = clock.readTime() + expectedMs + SETTLE_EXTRA_MS
+    const until = clock.readTime() + expectedMs + extraMs
     await clock.wait(expectedMs)
-    while (clock.readTime() < until) {
+    for (let pollMs = POLL_MS; clock.readTime() < until; pollMs = Math.min(MAX_POLL_MS, pollMs * POLL_GROWTH)) {
       const state = await this.readSettled()
       if (state && !state.busy && isReached(state)) return state
-      await clock.wait(POLL_MS)
+      await clock.wait(pollMs)
     }
     return undefined
   }
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -1,4 +1,6 @@
 import type { ModelServing, ServedModel } from '@pulleystack/config.routes'
+import { Allocation } from './Allocation.js'
+import type { ModelDemand } from './DemandTracker.js'
 
 /** One model server as the plan sees it. */
 export interface PlannedServer {
@@ -7,8 +9,10 @@
   models: readonly string[]
   inMemory: readonly string[]
   onDisk: readonly string[]
-  /** An order is under way, or what an earlier one did is not known yet. */
-  busy: boolean
+  /** The model that it is loading. */
+  loading?: string
+  /** Milliseconds until the orders under way will likely have ended; 0 when there are none. */
+  busyMs: number
   /** Models that came so lately that they are not to go again yet. */
   fresh: readonly string[]
   /** Milliseconds until it may be ordered. */
@@ -17,14 +21,6 @@
   running: number
 }
 
-/** How much a model is asked for. */
-export interface ModelDemand {
-  /** Servers that its demand would keep busy. */
-  rate: number
-  /** Milliseconds since it was last asked for. */
-  idleMs: number
-}
-
 export interface PlanInput {
   serving: ModelServing
   servers: readonly PlannedServer[]
@@ -38,137 +34,145 @@
   victims: readonly string[]
   /** Milliseconds from the load order to its end. */
   loadMs: number
+  /** Milliseconds until the load order, for what has to go first. */
+  clearMs: number
   /** It comes from the weight store, which bears few loads a second. */
   fromStore: boolean
 }
 
-/** Copies that models have and from which on one may go. */
-interface CopyCounts {
-  copies: ReadonlyMap<string, number>
-  kept: ReadonlyMap<string, number>
-}
-
-/** Share of a server's time that the demand for one model may fill before another copy is loaded. */
-const ADD_BUSY = 0.5
-/** Share up to which one copy fewer would still do; the difference keeps copies from coming and going by turns. */
-const KEEP_BUSY = 0.8
-/** What a model's first copy is worth against relief for busy copies of others. */
-const FIRST_COPY_WEIGHT = 3
-const FIRST_COPY_VALUE = 0.02
-const FORGOTTEN_MS = 30_000
-const MS_PER_VICTIM_IDLE_SECOND = 30
-const MAX_IDLE_SECONDS = 60
-const MS_PER_SERVER_RATE = 1_500
-const UNLOAD_MS = 150
-
-/** Copies that models should have at least, and the number from which on one is too many. */
-export interface CopyTargets {
-  wanted: ReadonlyMap<string, number>
-  kept: ReadonlyMap<string, number>
-}
-
-/** Deals the places out: to whatever gains most by one more copy, until places or gains run out. */
-export function computeCopyTargets (input: PlanInput): CopyTargets {
-  return { wanted: dealPlaces(input, ADD_BUSY), kept: dealPlaces(input, KEEP_BUSY) }
-}
-
-function dealPlaces (input: PlanInput, busy: number): Map<string, number> {
-  const asked = input.serving.models.flatMap(({ name }) => {
-    const { rate, idleMs } = input.readDemand(name)
-    return idleMs > FORGOTTEN_MS ? [] : [{ name, rate }]
-  })
-  // Each further copy of a model gains less than the one before, so that the best places are those of the largest gains.
-  const gains = asked.flatMap(({ name, rate }) => listGains(rate, input.servers.length, busy).map((gain) => ({ name, gain })))
-  gains.sort((a, b) => b.gain - a.gain)
-  const copies = new Map(asked.map(({ name }) => [name, 0]))
-  const places = input.servers.length * countPlaces(input.serving)
-  for (const { name } of gains.slice(0, places)) copies.set(name, (copies.get(name) ?? 0) + 1)
-  return copies
-}
-
-/** What the first, second, ... copy of a model gains, as far as they gain anything. */
-function listGains (rate: number, servers: number, busy: number): number[] {
-  const gains: number[] = []
-  for (let copies = 0; copies < servers; copies++) {
-    const gain = copies === 0 ? FIRST_COPY_VALUE + rate * FIRST_COPY_WEIGHT : rate / copies - busy
-    if (gain <= 0) break
-    gains.push(gain)
-  }
-  return gains
-}
-
-/** The best server for one more copy of a model; undefined when no server can make room for it. */
-export function planLoad (input: PlanInput, model: string, targets: CopyTargets): PlannedLoad | undefined {
-  const served = findServed(input.serving, model)
-  if (!served) return undefined
-  const copies = countCopies(input.servers)
-  let best: { load: PlannedLoad, cost: number } | undefined
-  for (const server of input.servers) {
-    if (server.busy || server.models.includes(model)) continue
-    const victims = chooseVictims(input, server, served, { copies, kept: targets.kept })
-    if (!victims) continue
-    const tier = chooseTier(server, served)
-    const cost = server.heldMs + tier.loadMs + victims.length * UNLOAD_MS + victims.reduce((sum, victim) => sum + rateVictim(input, victim), 0)
-      + rateServer(input, server, copies) * MS_PER_SERVER_RATE
-    if (!best || cost < best.cost) best = { cost, load: { server: server.id, model, victims, ...tier } }
+/**
+ * Milliseconds for which the demand that is seen now is thought to last. A load gains only for what is left of it once it is there, so
+ * that one from the store has to gain more than one from memory. On the users' days demand moves on every seven to ten seconds.
+ */
+const HORIZON_MS = 11_000
+/** Milliseconds from an unload order to the report that shows its end, when nothing runs. */
+const UNLOAD_MS = 300
+/**
+ * Requests a second that a load must save while it keeps its server from other orders. A server carries out one order at a time, so that a load
+ * that gains little must not stand before one that gains much.
+ */
+const ORDER_PRICE = 0.1
+/** Requests a second for which a load waits while its victims finish their streams, when victims are chosen. */
+const VICTIM_PRICE = 0.3
+/** Requests that a load must save over the horizon, beyond what its victims lose; below it models would come and go for nothing. */
+const LEAST_GAIN = 0.4
+/** Models with the greatest need that one plan weighs; bounds what a plan costs in a system of hundreds of models. */
+const WEIGHED_MODELS = 24
+/** Need, in requests a second, from which on a model is weighed at all. */
+const LEAST_NEED = 0.02
+
+interface WeighedLoad {
+  load: PlannedLoad
+  /** Requests that it saves over the horizon. */
+  gain: number
+  /** Its server has to end other orders first. */
+  isLater: boolean
+}
+
+/** The load that saves the most requests over the coming seconds; undefined when none saves enough. `mayUseStore` is false while the store bears none. */
+export function planLoad (input: PlanInput, mayUseStore: boolean, only?: string): PlannedLoad | undefined {
+  const allocation = new Allocation(input.serving.batchSlots, input.readDemand, input.servers)
+  let best: WeighedLoad | undefined
+  for (const served of listNeeded(input, allocation, only)) {
+    const weighed = chooseServer({ input, allocation, served })
+    if (!weighed || weighed.gain < LEAST_GAIN || weighed.isLater) continue
+    if (weighed.load.fromStore && !mayUseStore) continue
+    if (!best || weighed.gain > best.gain) best = weighed
   }
   return best?.load
 }
 
-/** Models that have fewer copies than they should, those whose copies are the busiest first. */
-export function listLacking (input: PlanInput, targets: CopyTargets): string[] {
-  const copies = countCopies(input.servers)
-  const lacking = [...targets.wanted].filter(([model, count]) => count > (copies.get(model) ?? 0)).map(([model]) => model)
-  const rateBusy = (model: string): number => input.readDemand(model).rate / Math.max(0.5, copies.get(model) ?? 0)
-  return lacking.sort((a, b) => rateBusy(b) - rateBusy(a))
+/** The server at which a load of a model saves the most, among them those that are busy now: one that has it on disk is often worth waiting for. */
+function chooseServer (it: ModelChoice): WeighedLoad | undefined {
+  let best: WeighedLoad | undefined
+  for (const server of it.input.servers) {
+    if (server.models.includes(it.served.name)) continue
+    const weighed = rateLoad({ ...it, server, tier: chooseTier(server, it.served) })
+    if (weighed && (!best || weighed.gain > best.gain)) best = weighed
+  }
+  return best
+}
+
+/** Models that lose requests, those that lose the most first. */
+function listNeeded (input: PlanInput, allocation: Allocation, only: string | undefined): ServedModel[] {
+  const models = only === undefined ? input.serving.models : input.serving.models.filter((model) => model.name === only)
+  const needed = models.map((served) => ({ served, need: allocation.computeNeed(served.name) })).filter(({ need }) => need > LEAST_NEED)
+  return needed.sort((a, b) => b.need - a.need).slice(0, WEIGHED_MODELS).map(({ served }) => served)
+}
+
+interface Tier {
+  loadMs: number
+  fromStore: boolean
+}
+
+interface ModelChoice {
+  input: PlanInput
+  allocation: Allocation
+  served: ServedModel
+}
+
+interface LoadChoice extends ModelChoice {
+  server: PlannedServer
+  tier: Tier
+}
+
+/** What a load at one server saves, less what goes for it. */
+function rateLoad (it: LoadChoice): WeighedLoad | undefined {
+  const { input, allocation, server, served, tier } = it
+  const victims = chooseVictims(it)
+  if (!victims) return undefined
+  const clearMs = Math.max(server.heldMs, server.busyMs) + victims.reduce((sum, victim) => sum + estimateUnloadMs(input, allocation, victim), 0)
+  const takesMs = clearMs + tier.loadMs
+  if (takesMs >= HORIZON_MS) return undefined
+  const lost = victims.reduce((sum, victim) => sum + allocation.computeLoss(victim, server.id), 0)
+  for (const victim of victims) allocation.remove(victim, server.id)
+  const saved = allocation.computeGain(served.name, server.id)
+  for (const victim of victims) allocation.add(victim, server.id)
+  const gain = (saved * (HORIZON_MS - takesMs) - lost * HORIZON_MS - ORDER_PRICE * takesMs) / 1000
+  return { gain, isLater: server.busyMs > 0, load: { server: server.id, model: served.name, victims, clearMs, ...tier } }
 }
 
-function chooseVictims (input: PlanInput, server: PlannedServer, served: ServedModel, it: CopyCounts): string[] | undefined {
+/** The models whose going loses the least, until there is room; undefined when there can't be. */
+function chooseVictims (it: LoadChoice): string[] | undefined {
+  const { input, server, served } = it
   let free = input.serving.weightsMb - server.models.reduce((sum, name) => sum + (findServed(input.serving, name)?.weightsMb ?? Infinity), 0)
-  const adapterMb = Math.max(0, ...input.serving.models.map((model) => model.adapterMb)) * input.serving.adapterSlots
-  const needed = served.weightsMb + adapterMb
+  const needed = served.weightsMb + computeAdapterMb(input.serving)
+  if (free >= needed) return []
+  const leaving = server.models
+    .filter((name) => !server.fresh.includes(name))
+    .map((name) => ({ name, price: rateVictim(it, name), idleMs: input.readDemand(name).idleMs }))
+  // Of those that nobody would miss now, the one that was not asked for in the longest time goes first.
+  leaving.sort((a, b) => a.price - b.price || b.idleMs - a.idleMs)
   const victims: string[] = []
-  // Those with more copies than they should have go first, then those that nobody has asked for in the longest time.
-  const order = [...server.models].sort((a, b) => rateSurplus(b, it) - rateSurplus(a, it) || input.readDemand(b).idleMs - input.readDemand(a).idleMs)
-  for (const name of order) {
-    if (free >= needed) break
-    if (rateSurplus(name, it) <= 0 || server.fresh.includes(name)) continue
+  for (const { name } of leaving) {
     victims.push(name)
     free += findServed(input.serving, name)?.weightsMb ?? 0
+    if (free >= needed) return victims
   }
-  return free >= needed ? victims : undefined
+  return undefined
 }
 
-/** Copies beyond those that are kept. */
-function rateSurplus (model: string, it: CopyCounts): number {
-  return (it.copies.get(model) ?? 0) - (it.kept.get(model) ?? 0)
+/** Requests that are lost by its going and by the wait for it. */
+function rateVictim ({ input, allocation, server }: LoadChoice, victim: string): number {
+  return (allocation.computeLoss(victim, server.id) * HORIZON_MS + VICTIM_PRICE * estimateUnloadMs(input, allocation, victim)) / 1000
 }
 
-function rateVictim (input: PlanInput, victim: string): number {
-  return (MAX_IDLE_SECONDS - Math.min(MAX_IDLE_SECONDS, input.readDemand(victim).idleMs / 1000)) * MS_PER_VICTIM_IDLE_SECOND
+/** An unload waits for the longest of the streams that run, which is longer the more there are. */
+function estimateUnloadMs (input: PlanInput, allocation: Allocation, victim: string): number {
+  return UNLOAD_MS + Math.log1p(allocation.computePlaces(victim)) * input.readDemand(victim).heldMs
 }
 
-function rateServer (input: PlanInput, server: PlannedServer, copies: ReadonlyMap<string, number>): number {
-  return server.models.reduce((sum, model) => sum + input.readDemand(model).rate / Math.max(1, copies.get(model) ?? 1), 0)
+/** Room that adapters may take beside the models. */
+function computeAdapterMb (serving: ModelServing): number {
+  return Math.max(0, ...serving.models.map((model) => model.adapterMb)) * serving.adapterSlots
 }
 
-function chooseTier (server: PlannedServer, served: ServedModel): { loadMs: number, fromStore: boolean } {
+function chooseTier (server: PlannedServer, served: ServedModel): Tier {
   if (server.inMemory.includes(served.name)) return { loadMs: served.memorySeconds * 1000, fromStore: false }
   if (server.onDisk.includes(served.name)) return { loadMs: served.diskSeconds * 1000, fromStore: false }
   return { loadMs: served.loadSeconds * 1000, fromStore: true }
 }
 
-function countPlaces (serving: ModelServing): number {
-  const largest = Math.max(1, ...serving.models.map((model) => model.weightsMb))
-  return Math.floor(serving.weightsMb / largest)
-}
-
-function countCopies (servers: readonly PlannedServer[]): Map<string, number> {
-  const copies = new Map<string, number>()
-  for (const model of servers.flatMap((server) => server.models)) copies.set(model, (copies.get(model) ?? 0) + 1)
-  return copies
-}
-
 function findServed (serving: ModelServing, name: string): ServedModel | undefined {
   return serving.models.find((model) => model.name === name)
 }
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -1,16 +1,16 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import { ok, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { OrderAnswers, WeightsClient, type OrderAnswer, type WeightsOrder, type WeightsState, type WeightsTarget } from '@pulleystack/backend.interfaces'
 import { RouteTable, type ModelServing } from '@pulleystack/config.routes'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
-import type { PulleystackError } from '@pulleystack/core.errors'
+import { PulleystackError } from '@pulleystack/core.errors'
 import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import { FakeHub } from '@pulleystack/membership.fake-network'
 import { ShardLease } from '@pulleystack/placement.ledger'
 import { BackendFleet } from '@pulleystack/routing.fleet'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
-import { ResidencyHolder, ResidencyService } from '../src/index.js'
+import { OutageGrants, ResidencyHolder, ResidencyService } from '../src/index.js'
 
 const TURN_MS = 3_000
 const LEASE_MS = 2_000
@@ -79,19 +79,23 @@
   ended: AbortController
 }
 
-/** The common store, which one instance may be cut off from. */
+/** The common store, which one instance may be cut off from, in silence or by refusals. */
 class CuttableStore extends MemoryObjectStore {
   isCut = false
+  /** Monotone time since which it refuses; undefined while it does not. */
+  refusesSince: number | undefined
 
   constructor (private readonly shared: MemoryObjectStore) {
     super({ clock: new ManualClock() })
   }
 
   override readObject (...args: Parameters<MemoryObjectStore['readObject']>): ReturnType<MemoryObjectStore['readObject']> {
+    if (this.refusesSince !== undefined) return Promise.resolve(err(new PulleystackError('STORE_UNAVAILABLE', 'The store is down')))
     return this.isCut ? new Promise(() => undefined) : this.shared.readObject(...args)
   }
 
   override writeObject (...args: Parameters<MemoryObjectStore['writeObject']>): ReturnType<MemoryObjectStore['writeObject']> {
+    if (this.refusesSince !== undefined) return Promise.resolve(err(new PulleystackError('STORE_UNAVAILABLE', 'The store is down')))
     return this.isCut ? new Promise(() => undefined) : this.shared.writeObject(...args)
   }
 }
@@ -101,6 +105,7 @@
   let servers: RecordingServers
   let nodes: Node[]
   let capacities: Map<string, number>
+  let hub: FakeHub
 
   const listHolders = (): string[] => nodes.filter((node) => node.service.mayOrder).map((node) => node.name)
   const ask = (node: Node, model: string): Promise<unknown> => node.service.requestWeights({ service: 's', model, adapter: undefined, isMore: false, waitMs: 3_000 })
@@ -128,9 +133,10 @@
     capacities = new Map()
     for (const id of ['r1', 'r2', 'r3']) servers.add(id, 'a', 'b', 'c')
     const shared = new MemoryObjectStore({ clock })
-    const hub = new FakeHub({ clock, random: new RandomSource(1) })
+    hub = new FakeHub({ clock, random: new RandomSource(1) })
     const listNames = (): string[] => nodes.filter((node) => !node.ended.signal.aborted).map((node) => node.name)
-    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames, readCapacity: (instance) => capacities.get(instance) ?? 1 }))
+    const listAll = (): string[] => nodes.map((node) => node.name)
+    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames, listAll, readCapacity: (instance) => capacities.get(instance) ?? 1 }))
     for (const node of nodes) node.service.start(node.ended.signal)
     await clock.advance(6_000)
   })
@@ -198,6 +204,88 @@
     assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
   })
 
+  describe('while the store is away', () => {
+    const cutOff = (node: Node): void => nodes.filter((other) => other !== node).forEach((other) => hub.cut(node.name, other.name))
+    const setDown = (down: readonly Node[]): void => {
+      for (const node of nodes) node.store.refusesSince = down.includes(node) ? node.store.refusesSince ?? clock.readTime() : undefined
+    }
+
+    it('go on under one holder for as long as nobody can take the lease from it', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      setDown(nodes)
+      await churn(50)
+      assert.deepEqual(listHolders(), [first.name])
+      const before = servers.arrived.length
+      await churn(10)
+      assert.ok(servers.arrived.length > before)
+      setDown([])
+      await churn(20)
+      assert.deepEqual(listHolders(), [first.name])
+      assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+    })
+
+    it('stop ordering when one of them falls silent, since it may reach the store', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      const silent = nodes.find((node) => node !== first) as Node
+      setDown(nodes)
+      await churn(20)
+      cutOff(silent)
+      await churn(8)
+      assert.deepEqual(listHolders(), [])
+    })
+
+    for (const reachable of [0, 1, 2]) {
+      it(`keep the bound between two holders when the store comes back to one of them alone (${reachable})`, async () => {
+        setDown(nodes)
+        await churn(20)
+        setDown(nodes.filter((_, at) => at !== reachable))
+        await churn(60)
+        setDown([])
+        await churn(40)
+        assert.equal(listHolders().length, 1)
+        assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+      })
+
+      it(`keep the bound when an instance that gave its word is cut off and then reaches the store (${reachable})`, async () => {
+        setDown(nodes)
+        await churn(15)
+        cutOff(nodes[reachable] as Node)
+        setDown(nodes.filter((_, at) => at !== reachable))
+        await churn(60)
+        assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+      })
+    }
+
+    it('let one that knows the newest orders take over from a holder that stopped, not the stopped one after its restart', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      await churn(5)
+      setDown(nodes)
+      await churn(5)
+      const stopping = first.service.stop()
+      await churn(30)
+      await stopping
+      await churn(10)
+      setDown([])
+      await clock.advance(1_500)
+      const [second] = listHolders()
+      assert.ok(second !== undefined && second !== first.name)
+    })
+
+    it('leave the lease in a planned stop', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      setDown(nodes)
+      await churn(15)
+      const stopping = first.service.stop()
+      await churn(40)
+      await stopping
+      first.ended.abort()
+      setDown([])
+      await churn(40)
+      assert.ok(nodes.some((node) => node !== first && node.service.mayOrder))
+      assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+    })
+  })
+
   it('never order a server over its memory', async () => {
     for (let round = 0; round < 40; round++) {
       for (const node of nodes) void ask(node, 'abcd'[round % 4] as string)
@@ -212,7 +300,9 @@
   servers: RecordingServers
   shared: MemoryObjectStore
   hub: FakeHub
+  /** Instances that live, and all that may. */
   listNames: () => string[]
+  listAll: () => string[]
   readCapacity: (instance: string) => number
 }
 
@@ -233,6 +323,14 @@
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
   const log = new SilentDecisionLog()
+  const network = it.hub.createNode({ instance: name, incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
+  const grants = new OutageGrants({
+    clock,
+    network,
+    listOthers: () => it.listAll().filter((other) => other !== name),
+    readStoreLostMs: () => store.refusesSince === undefined ? 0 : clock.readTime() - store.refusesSince,
+    turnMs: TURN_MS,
+  })
   const holder = new ResidencyHolder({
     clock,
     fleet,
@@ -245,7 +343,6 @@
     readRight: () => service.mayOrder ? { holder: name, fence: lease.fence } : undefined,
     onChange: (change) => service.spreadWeights(change),
   })
-  const network = it.hub.createNode({ instance: name, incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
   const service: ResidencyService = new ResidencyService({
     clock,
     network,
@@ -257,6 +354,7 @@
     life: `${name}@1`,
     turnMs: TURN_MS,
     holder,
+    grants,
     listCandidates: () => it.listNames().map((instance) => ({ instance, capacity: it.readCapacity(instance) })),
     onChange: () => undefined,
   })
@@ -282,7 +380,8 @@
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
     const log = new SilentDecisionLog()
     const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, readTable: () => table, readRight: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
-    holder.noteDemand(models.map(({ name }) => ({ service: 's', model: name, adapter: undefined, requests: 1, workMs: 100 })))
+    const counts = models.map(({ name }) => ({ service: 's', model: name, adapter: undefined, requests: 10, ended: 0, heldMs: 0, inHand: 10 }))
+    holder.noteDemand('e1', { counts, spanMs: 1_000 })
     for (let tick = 0; tick < 20; tick++) {
       holder.plan()
       await clock.advance(150)
--- a/placement/residency/test/planResidency.test.ts
+++ b/placement/residency/test/planResidency.test.ts
@@ -2,103 +2,147 @@
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
 import type { ModelServing } from '@pulleystack/config.routes'
-import { computeCopyTargets, listLacking, planLoad, type ModelDemand, type PlanInput, type PlannedServer } from '../src/index.js'
+import { planLoad, type ModelDemand, type PlanInput, type PlannedLoad, type PlannedServer } from '../src/index.js'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e', 'f']
+const HELD_MS = 2_000
 const SERVING: ModelServing = {
-  batchSlots: 8,
+  batchSlots: 40,
   cacheTokens: 100_000,
   weightsMb: 190,
   adapterSlots: 4,
   loadsPerSecond: 2,
-  models: NAMES.map((name) => ({ name, weightsMb: 60, adapterMb: 1, adapters: 4, loadSeconds: 4, diskSeconds: 0.8, memorySeconds: 0.4 })),
+  models: NAMES.map((name) => ({ name, weightsMb: 60, adapterMb: 1, adapters: 4, loadSeconds: 6, diskSeconds: 1.2, memorySeconds: 0.6 })),
 }
 
 function createServer (id: string, models: string[], changes: Partial<PlannedServer> = {}): PlannedServer {
-  return { id, models, inMemory: [], onDisk: [], busy: false, running: 0, fresh: [], heldMs: 0, ...changes }
+  return { id, models, inMemory: [], onDisk: [], busyMs: 0, running: 0, fresh: [], heldMs: 0, ...changes }
 }
 
+/** Rates are requests a second; each holds its place for two seconds. */
 function createInput (servers: PlannedServer[], rates: Record<string, number>): PlanInput {
-  return { serving: SERVING, servers, readDemand: (model): ModelDemand => ({ rate: rates[model] ?? 0, idleMs: model in rates ? 100 : Infinity }) }
+  const readDemand = (model: string): ModelDemand => {
+    const requestsPerSecond = rates[model] ?? 0
+    return { requestsPerSecond, places: requestsPerSecond * HELD_MS / 1000, heldMs: HELD_MS, idleMs: model in rates ? 100 : Infinity }
+  }
+  return { serving: SERVING, servers, readDemand }
+}
+
+/** Carries planned loads out at once, until none is planned any more; gives them in order. */
+function carryOutAll (input: PlanInput): PlannedLoad[] {
+  const loads: PlannedLoad[] = []
+  let servers = [...input.servers]
+  while (loads.length < 40) {
+    const load = planLoad({ ...input, servers }, true)
+    if (!load) return loads
+    loads.push(load)
+    servers = servers.map((server) => server.id === load.server
+      ? { ...server, models: [...server.models.filter((name) => !load.victims.includes(name)), load.model] }
+      : server)
+  }
+  return loads
 }
 
 describe('the plan of residency', () => {
-  it('gives a busy model more copies and every asked one at least one', () => {
-    const servers = ['r1', 'r2', 'r3'].map((id) => createServer(id, []))
-    const { wanted } = computeCopyTargets(createInput(servers, { a: 1.4, b: 0.1, c: 0.01 }))
-    assert.equal(wanted.get('a'), 3)
-    assert.equal(wanted.get('b'), 1)
-    assert.equal(wanted.get('c'), 1)
-  })
+  describe('what is loaded', () => {
+    it('is the model that loses the most requests', () => {
+      const input = createInput([createServer('r1', ['a']), createServer('r2', [])], { a: 5, b: 3, c: 0.5 })
+      assert.equal(planLoad(input, true)?.model, 'b')
+    })
 
-  it('deals the places as if each went to whatever gains most by it', () => {
-    const rates = fc.dictionary(fc.constantFrom(...NAMES), fc.double({ min: 0, max: 6, noNaN: true }))
-    fc.assert(fc.property(rates, fc.integer({ min: 1, max: 8 }), (rateOf, count) => {
-      const servers = Array.from({ length: count }, (_, at) => createServer(`r${at}`, []))
-      const { wanted } = computeCopyTargets(createInput(servers, rateOf))
-      const copies = new Map(Object.keys(rateOf).map((name) => [name, 0]))
-      const rateGain = (name: string): number => {
-        const [rate, held] = [rateOf[name] as number, copies.get(name) as number]
-        return held === 0 ? 0.02 + rate * 3 : held >= count ? 0 : rate / held - 0.5
-      }
-      for (let places = count * 3; places > 0; places--) {
-        const [best] = [...copies.keys()].sort((a, b) => rateGain(b) - rateGain(a))
-        if (best === undefined || rateGain(best) <= 0) break
-        copies.set(best, (copies.get(best) as number) + 1)
-      }
-      const sum = (dealt: ReadonlyMap<string, number>): number => [...dealt.values()].reduce((total, held) => total + held, 0)
-      assert.equal(sum(wanted), sum(copies))
-      // Equal gains may go to either of two models.
-      for (const [name, held] of copies) assert.ok(Math.abs((wanted.get(name) ?? 0) - held) <= 1)
-    }))
-  })
+    it('is a further copy when requests for a model fill its servers, before a model that few ask for', () => {
+      const input = createInput([createServer('r1', ['a']), createServer('r2', ['b'])], { a: 30, b: 0.1, c: 0.2 })
+      const load = planLoad(input, true)
+      assert.deepEqual([load?.model, load?.server], ['a', 'r2'])
+    })
 
-  it('loads from the place that is fastest', () => {
-    const input = createInput([createServer('r1', []), createServer('r2', [], { onDisk: ['a'] }), createServer('r3', [], { inMemory: ['a'] })], { a: 0.1 })
-    const load = planLoad(input, 'a', computeCopyTargets(input))
-    assert.equal(load?.server, 'r3')
-    assert.equal(load.fromStore, false)
-  })
+    it('is nothing when all that is asked for is served with room to spare', () => {
+      const input = createInput([createServer('r1', ['a', 'b']), createServer('r2', ['a', 'c'])], { a: 5, b: 2, c: 2 })
+      assert.equal(planLoad(input, true), undefined)
+    })
 
-  it('removes what nobody asks for, and never the last copy of what somebody does', () => {
-    const input = createInput([createServer('r1', ['a', 'b', 'c'])], { a: 0.3, b: 0.3, d: 0.3 })
-    assert.deepEqual(planLoad(input, 'd', computeCopyTargets(input))?.victims, ['c'])
-    const full = createInput([createServer('r1', ['a', 'b', 'c'])], { a: 0.3, b: 0.3, c: 0.3, d: 0.01 })
-    assert.equal(planLoad(full, 'd', computeCopyTargets(full)), undefined)
+    it('is nothing that the weight store would have to bring while it bears no more', () => {
+      const input = createInput([createServer('r1', [])], { a: 5 })
+      assert.equal(planLoad(input, true)?.fromStore, true)
+      assert.equal(planLoad(input, false), undefined)
+    })
   })
 
-  it('leaves a model that has just come where it is', () => {
-    const input = createInput([createServer('r1', ['a', 'b', 'c'], { fresh: ['c'] })], { a: 0.3, b: 0.3, d: 0.3 })
-    assert.equal(planLoad(input, 'd', computeCopyTargets(input)), undefined)
-  })
+  describe('where it is loaded', () => {
+    it('is the server that has it soonest', () => {
+      const servers = [createServer('r1', []), createServer('r2', [], { onDisk: ['a'] }), createServer('r3', [], { inMemory: ['a'] })]
+      const load = planLoad(createInput(servers, { a: 1 }), true)
+      assert.equal(load?.server, 'r3')
+      assert.equal(load.fromStore, false)
+    })
 
-  it('does not add and remove by turns while the demand stands still', () => {
-    for (const rate of [0.45, 0.55, 0.95, 1.05]) {
-      const servers = ['r1', 'r2', 'r3'].map((id) => createServer(id, []))
-      const input = createInput(servers, { a: rate })
-      const { wanted, kept } = computeCopyTargets(input)
-      assert.ok((kept.get('a') ?? 0) <= (wanted.get('a') ?? 0))
-    }
+    it('is not the weight store\'s business while a server that has it on disk is busy for a moment', () => {
+      const servers = [createServer('r1', []), createServer('r2', [], { onDisk: ['a'], busyMs: 800 })]
+      assert.equal(planLoad(createInput(servers, { a: 1 }), true), undefined)
+      servers[1] = createServer('r2', [], { onDisk: ['a'], busyMs: 9_000 })
+      assert.equal(planLoad(createInput(servers, { a: 1 }), true)?.server, 'r1')
+    })
+
+    it('is where fewer requests run, of two that have it equally soon', () => {
+      const servers = [createServer('r1', ['b']), createServer('r2', ['c'])]
+      assert.equal(planLoad(createInput(servers, { a: 5, b: 12, c: 1 }), true)?.server, 'r2')
+    })
   })
 
-  it('puts the model with the busiest copies first', () => {
-    const input = createInput([createServer('r1', ['a', 'b']), createServer('r2', []), createServer('r3', [])], { a: 0.9, b: 1.2, c: 0.4 })
-    assert.deepEqual(listLacking(input, computeCopyTargets(input)).slice(0, 2), ['b', 'a'])
+  describe('what goes for it', () => {
+    it('is what nobody asks for, and never what more requests would miss', () => {
+      const input = createInput([createServer('r1', ['a', 'b', 'c'])], { a: 2, b: 2, d: 2 })
+      assert.deepEqual(planLoad(input, true)?.victims, ['c'])
+      const full = createInput([createServer('r1', ['a', 'b', 'c'])], { a: 2, b: 2, c: 2, d: 0.5 })
+      assert.equal(planLoad(full, true), undefined)
+    })
+
+    it('is not a model that has just come', () => {
+      const input = createInput([createServer('r1', ['a', 'b', 'c'], { fresh: ['c'] })], { a: 2, b: 2, d: 1 })
+      assert.equal(planLoad(input, true), undefined)
+    })
+
+    it('is not the only copy that serves while another one is on its way', () => {
+      const servers = [createServer('r1', ['a', 'b', 'c']), createServer('r2', ['a', 'e', 'f'], { loading: 'a', busyMs: 5_000, fresh: ['e', 'f'] })]
+      const load = planLoad(createInput(servers, { a: 4, b: 4, c: 4, d: 1 }), true)
+      assert.equal(load, undefined)
+    })
+
+    it('is what has fewer streams to wait for, of two that nobody would miss', () => {
+      const servers = [createServer('r1', ['a', 'b', 'c']), createServer('r2', ['a', 'b'])]
+      const load = planLoad(createInput(servers, { a: 6, b: 0.2, d: 6 }), true)
+      assert.deepEqual(load?.victims, [])
+      const tight = [createServer('r1', ['a', 'b', 'c'], { fresh: ['c'] }), createServer('r2', ['a', 'b', 'e'], { fresh: ['e', 'a', 'b'] })]
+      assert.deepEqual(planLoad(createInput(tight, { a: 6, b: 0.2, c: 1, d: 6, e: 1 }), true)?.victims, ['b'])
+    })
   })
 
-  it('never plans more into a server than it holds, whatever the state', () => {
-    const server = fc.record({ models: fc.uniqueArray(fc.constantFrom(...NAMES), { maxLength: 3 }), busy: fc.boolean() })
-    const demand = fc.dictionary(fc.constantFrom(...NAMES), fc.double({ min: 0, max: 3, noNaN: true }))
-    fc.assert(fc.property(fc.array(server, { minLength: 1, maxLength: 5 }), demand, (servers, rates) => {
-      const input = createInput(servers.map(({ models, busy }, at) => createServer(`r${at}`, models, { busy })), rates)
-      for (const model of NAMES) {
-        const load = planLoad(input, model, computeCopyTargets(input))
-        if (!load) continue
-        const target = input.servers.find((it) => it.id === load.server) as PlannedServer
+  describe('over many loads', () => {
+    const servers = fc.array(fc.record({
+      models: fc.uniqueArray(fc.constantFrom(...NAMES), { maxLength: 3 }),
+      busyMs: fc.constantFrom(0, 0, 500, 5_000),
+      onDisk: fc.uniqueArray(fc.constantFrom(...NAMES), { maxLength: 3 }),
+    }), { minLength: 1, maxLength: 5 })
+    const rates = fc.dictionary(fc.constantFrom(...NAMES), fc.double({ min: 0, max: 30, noNaN: true }))
+
+    it('never puts more into a server than it holds, and never orders a busy one', () => {
+      fc.assert(fc.property(servers, rates, (states, rateOf) => {
+        const input = createInput(states.map((state, at) => createServer(`r${at}`, state.models, state)), rateOf)
+        const load = planLoad(input, true)
+        if (!load) return
+        const target = input.servers.find((server) => server.id === load.server) as PlannedServer
         const left = target.models.filter((name) => !load.victims.includes(name))
-        assert.ok(!target.busy)
+        assert.equal(target.busyMs, 0)
+        assert.ok(!target.models.includes(load.model))
         assert.ok((left.length + 1) * 60 <= SERVING.weightsMb)
-      }
-    }), { numRuns: 300, seed: 9 })
+      }), { numRuns: 500, seed: 9 })
+    })
+
+    it('comes to an end while the demand stands still', () => {
+      fc.assert(fc.property(servers, rates, (states, rateOf) => {
+        const input = createInput(states.map((state, at) => createServer(`r${at}`, state.models, { onDisk: state.onDisk })), rateOf)
+        assert.ok(carryOutAll(input).length < 40)
+      }), { numRuns: 300, seed: 9 })
+    })
   })
 })
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
+import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
@@ -8,7 +9,7 @@
 import { InstanceMesh } from '@pulleystack/membership.mesh'
 import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
 import { ShardLease } from '@pulleystack/placement.ledger'
-import { ResidencyHolder, ResidencyService } from '@pulleystack/placement.residency'
+import { OutageGrants, ResidencyHolder, ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { WindowBudget } from '@pulleystack/routing.retries'
@@ -79,16 +80,22 @@
   const ended = new AbortController()
   // Every task of the instance waits for this signal.
   setMaxListeners(0, ended.signal)
-  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined } = {
+  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feed: StoreFeed | undefined } = {
     table: undefined,
     phase: EntryPhases.STARTING,
     stopPlan: undefined,
+    feed: undefined,
   }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
   const parts = { settings, deps, clock, log, fleet, network, mesh, readTable }
-  const residency = createResidency({ ...parts, orderDelayMs: it.orderDelayMs, onChange: () => queue.pump() })
+  const residency = createResidency({
+    ...parts,
+    orderDelayMs: it.orderDelayMs,
+    readStoreLostMs: () => state.feed?.lostMs ?? 0,
+    onChange: () => queue.pump(),
+  })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
@@ -111,33 +118,46 @@
     if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
   }
   fleet.changes.subscribe(noteReady)
-  const serve = (): void => {
-    mesh.announce({ standby: false })
-    watchSources({
-      clock,
-      random,
-      store: deps.store,
-      network,
-      instance: settings.instance,
-      listCandidates: () => [settings.instance, ...mesh.listServing().map((identity) => identity.instance)],
-      sources: deps.sources,
-      fleet,
-      log,
-      signal: ended.signal,
-      onTable: (table) => {
-        state.table = table
-        noteReady()
-        queue.pump()
-      },
-    })
+  const takeTable = (table: RouteTable): void => {
+    state.table = table
+    noteReady()
+    queue.pump()
   }
   void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
-    if (isChosen) serve()
+    if (isChosen) state.feed = beginServing({ ...parts, random, ended, onTable: takeTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
   return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
+interface ServingParts extends Parts {
+  random: RandomSource
+  fleet: BackendFleet
+  network: WebSocketNetwork
+  mesh: InstanceMesh
+  ended: AbortController
+  onTable: (table: RouteTable) => void
+}
+
+/** Follows the store and tells the others that this instance serves; gives the feed of the backend servers. */
+function beginServing (parts: ServingParts): StoreFeed {
+  const { settings, deps, clock, log, random, fleet, network, mesh, ended, onTable } = parts
+  mesh.announce({ standby: false })
+  return watchSources({
+    clock,
+    random,
+    store: deps.store,
+    network,
+    instance: settings.instance,
+    listCandidates: () => [settings.instance, ...mesh.listServing().map((identity) => identity.instance)],
+    sources: deps.sources,
+    fleet,
+    log,
+    signal: ended.signal,
+    onTable,
+  })
+}
+
 /** Resolves with true once this instance is one of those that serve; with false when the signal ends before. */
 async function waitUntilChosen (clock: Clock, mesh: InstanceMesh, signal: AbortSignal): Promise<boolean> {
   while (!signal.aborted) {
@@ -192,6 +212,7 @@
   mesh: InstanceMesh
   orderDelayMs: number | undefined
   readTable: () => RouteTable | undefined
+  readStoreLostMs: () => number
   onChange: () => void
 }
 
@@ -220,6 +241,8 @@
     readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
     onChange: (change) => residency.spreadWeights(change),
   })
+  const { readStoreLostMs } = parts
+  const grants = new OutageGrants({ clock, network, listOthers: () => mesh.listOthers(), readStoreLostMs, turnMs: settings.bounds.leaseMs })
   const residency: ResidencyService = new ResidencyService({
     clock,
     network,
@@ -231,6 +254,7 @@
     life,
     turnMs: settings.bounds.leaseMs,
     holder,
+    grants,
     listCandidates: () => [mesh.self, ...mesh.listServing()]
       .filter((identity) => !identity.leaving)
       .map(({ instance, capacity = 1 }) => ({ instance, capacity })),
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -23,10 +23,10 @@
   signal: AbortSignal
 }
 
-/** Follows the configuration and the backend servers in the store until the signal ends. */
-export function watchSources (opts: WatchSourcesOptions): void {
+/** Follows the configuration and the backend servers in the store until the signal ends; gives the feed of the servers. */
+export function watchSources (opts: WatchSourcesOptions): StoreFeed {
   followConfig(opts)
-  followBackends(opts)
+  return followBackends(opts)
 }
 
 function followConfig (opts: WatchSourcesOptions): void {
@@ -43,7 +43,7 @@
   follow(opts, configPrefix, { onListing: (objects) => objects.forEach(take), onChanges: (changes) => changes.forEach(take) })
 }
 
-function followBackends (opts: WatchSourcesOptions): void {
+function followBackends (opts: WatchSourcesOptions): StoreFeed {
   const { fleet, log, sources } = opts
   const noteChange = fleet.changes.subscribe(({ kind, backend }) => {
     const { id, entry } = backend
@@ -68,6 +68,7 @@
       else take(change)
     }),
   })
+  return feed
 }
 
 function readName (prefix: string, object: { key: string }): string {
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -105,6 +105,14 @@
   override noteDemand (): void {
     // Nothing is placed for plain services.
   }
+
+  override noteInHand (): () => void {
+    return () => undefined
+  }
+
+  override noteHeld (): void {
+    // Nothing is placed for plain services.
+  }
 }
 
 function buildConfig (core: Core): RoutingConfig {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -55,6 +55,16 @@
     firstMs?: number
     longestPauseMs?: number
   }
+  /** The holder begins a load, since at a server so much of the demand for the model finds no place; `victims` go first. */
+  'load-planned': {
+    backend: string
+    model: string
+    victims: readonly string[]
+    fromStore: boolean
+    requestsPerSecond: number
+    places: number
+    copies: number
+  }
   /** An order to a server; it is taken only if the server still has this `sequence`. */
   'order-sent': OrderFacts & { sequence: number, fence: number }
   /** What became of it: `taken`, `holds`, `uncertain` or `refused`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -28,6 +28,7 @@
   STREAM_RESUMED: 'stream-resumed',
   REQUEST_ENDED: 'request-ended',
   /** Placement. */
+  LOAD_PLANNED: 'load-planned',
   ORDER_SENT: 'order-sent',
   ORDER_SETTLED: 'order-settled',
 } as const
