Hold prompts back while a server reads many; a policy file that switches mechanisms off

Cause: streams that were late now mostly paused for over 250 ms. Ruled out: the batch (17 and 19 running), the servers (paused streams on all of them).

Change: a server with prompts to read takes no further one beyond half the longest pause of the route in reading time; the request waits for moments, and is sent all the same when its time for that is over.

--- a/config/settings/src/index.ts
+++ b/config/settings/src/index.ts
@@ -1,3 +1,5 @@
-export { parseSettings, readSettingsFile } from './parseSettings.js'
+export { parsePolicy, parseSettings, readPolicyFile, readSettingsFile } from './parseSettings.js'
+export { DEFAULT_POLICY, policySchema } from './policySchema.js'
+export type { Policy } from './policySchema.js'
 export { settingsSchema } from './settingsSchema.js'
 export type { Settings, OperatorSetting } from './settingsSchema.js'
--- a/config/settings/src/parseSettings.ts
+++ b/config/settings/src/parseSettings.ts
@@ -2,6 +2,8 @@
 import { PulleystackError } from '@pulleystack/core.errors'
 import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
 import { err, ok, type Result } from 'neverthrow'
+import type { z } from 'zod'
+import { policySchema, type Policy } from './policySchema.js'
 import { settingsSchema, type Settings } from './settingsSchema.js'
 
 type Environment = Readonly<Record<string, string | undefined>>
@@ -29,8 +31,28 @@
   }
 }
 
+/** Reads and checks a policy file. */
+export async function readPolicyFile (file: string): Promise<Result<Policy, PulleystackError>> {
+  try {
+    return parsePolicy(await readFile(file, 'utf8'))
+  } catch (cause) {
+    return err(new PulleystackError('SETTINGS_UNREADABLE', `Policy file ${file} cannot be read`, { cause, hint: 'Give an existing file with --policy.' }))
+  }
+}
+
+/** Checks the text of a policy file; what it leaves out is on. */
+export function parsePolicy (text: string): Result<Policy, PulleystackError> {
+  const hint = `It is one of ${Object.keys(policySchema.shape).join(', ')}, each true or false.`
+  return parseObject(text).andThen((value) => checkValue(policySchema, value, hint))
+}
+
 /** Checks the text of a settings file; the error names the field, its value and what is allowed. */
 export function parseSettings (text: string, environment: Environment = {}): Result<Settings, PulleystackError> {
+  const hint = 'examples/settings.jsonc shows every setting with what it takes.'
+  return parseObject(text).andThen((value) => checkValue(settingsSchema, applyOverrides(value, environment), hint))
+}
+
+function parseObject (text: string): Result<JsonMap, PulleystackError> {
   const problems: ParseError[] = []
   const value: unknown = parse(text, problems, { allowTrailingComma: true })
   const problem = problems[0]
@@ -39,11 +61,11 @@
     return err(new PulleystackError('SETTINGS_UNREADABLE', `Settings are not JSON with comments: ${printParseErrorCode(problem.error)} in line ${line}`))
   }
   if (typeof value !== 'object' || value === null) return err(new PulleystackError('SETTINGS_UNREADABLE', 'Settings must be one JSON object'))
-  return checkSettings(applyOverrides(value as JsonMap, environment))
+  return ok(value as JsonMap)
 }
 
-function checkSettings (value: JsonMap): Result<Settings, PulleystackError> {
-  const checked = settingsSchema.safeParse(value)
+function checkValue<Schema extends z.ZodType> (schema: Schema, value: JsonMap, hint: string): Result<z.infer<Schema>, PulleystackError> {
+  const checked = schema.safeParse(value)
   if (checked.success) return ok(checked.data)
   const issue = checked.error.issues[0]
   const path = issue?.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0] as string] : issue?.path ?? []
@@ -51,7 +73,7 @@
   const shown = JSON.stringify(readPath(value, path)) ?? 'absent'
   return err(new PulleystackError('SETTING_INVALID', `Setting "${field}" has the value ${shown}: ${issue?.message ?? 'not allowed'}`, {
     field,
-    hint: 'examples/settings.jsonc shows every setting with what it takes.',
+    hint,
   }))
 }
 
--- /dev/null
+++ b/config/settings/src/policySchema.ts
@@ -0,0 +1,29 @@
+import { z } from 'zod'
+
+/**
+ * Mechanisms that decide where requests run and which models sit where. Each can be switched off, to its plain alternative, so that what it is worth
+ * can be measured and a suspicion during an incident can be tried out.
+ */
+export const policySchema = z.strictObject({
+  earlyRefusal: z.boolean().default(true)
+    .describe('Refuse a new request within a fifth of its latency target, with the time to come back. Off: it waits for as long as one that came back.'),
+  patienceBound: z.boolean().default(true)
+    .describe('No wait outlasts the time after which clients give a silent stream up. Off: only the deadline bounds it.'),
+  pacedReading: z.boolean().default(true)
+    .describe('Hold prompts back for moments while a server reads so many that its streams would pause. Off: send them as they come.'),
+  prefixAffinity: z.boolean().default(true)
+    .describe('Prefer servers that have read the beginning of the prompt. Off: every prompt counts as unread.'),
+  failureAvoidance: z.boolean().default(true)
+    .describe('Leave out servers that fail clearly more often than their like. Off: only consecutive failures take a server out.'),
+  demandTrend: z.boolean().default(true)
+    .describe('Plan loads for a rise or fall of demand to go on. Off: for the mean of the last seconds.'),
+  waitForDisk: z.boolean().default(true)
+    .describe('Wait for a busy server that has the model in memory or on disk. Off: load from the weight store at a free server.'),
+  ordersInOutage: z.boolean().default(true)
+    .describe('The holder of the lease orders on while all instances have lost the store. Off: it stops when the lease runs out.'),
+})
+
+export type Policy = z.infer<typeof policySchema>
+
+/** All mechanisms on. */
+export const DEFAULT_POLICY: Policy = Object.freeze(policySchema.parse({}))
--- a/config/settings/test/parseSettings.test.ts
+++ b/config/settings/test/parseSettings.test.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import path from 'node:path'
 import { describe, it } from 'node:test'
-import { parseSettings } from '../src/index.js'
+import { DEFAULT_POLICY, parsePolicy, parseSettings } from '../src/index.js'
 
 const EXAMPLE = readFileSync(path.join(import.meta.dirname, '../../../examples/settings.jsonc'), 'utf8')
 
@@ -37,3 +37,29 @@
     assert.equal(parseSettings(EXAMPLE, { PULLEYSTACK_OBJECT_API: 'nowhere' })._unsafeUnwrapErr().field, 'platform.objectApi')
   })
 })
+
+describe('parsePolicy', () => {
+  it('switches everything on that is left out', () => {
+    assert.deepEqual(parsePolicy('{ /* nothing */ }')._unsafeUnwrap(), DEFAULT_POLICY)
+    assert.ok(Object.values(DEFAULT_POLICY).every((value) => value))
+    assert.equal(parsePolicy('{ "earlyRefusal": false, }')._unsafeUnwrap().earlyRefusal, false)
+  })
+
+  it('refuses a name that does not exist, and says which there are', () => {
+    const error = parsePolicy('{ "earlyRefusals": false }')._unsafeUnwrapErr()
+    assert.equal(error.code, 'SETTING_INVALID')
+    assert.equal(error.field, 'earlyRefusals')
+    assert.match(String(error.hint), /earlyRefusal, patienceBound/)
+  })
+
+  it('refuses a value that is neither true nor false', () => {
+    const error = parsePolicy('{ "pacedReading": "no" }')._unsafeUnwrapErr()
+    assert.equal(error.field, 'pacedReading')
+    assert.match(error.message, /"no"/)
+  })
+
+  it('takes the policy that is deployed', () => {
+    const deployed = readFileSync(path.join(import.meta.dirname, '../../../deploy/policy.jsonc'), 'utf8')
+    assert.ok(parsePolicy(deployed).isOk())
+  })
+})
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -1,7 +1,8 @@
+import type { Policy } from '@pulleystack/config.settings'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
-import { ChoiceFailures, chooseBackend, nameWeights, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure, type ServingFigures } from '@pulleystack/routing.fleet'
+import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { RoutedWork } from './RoutedWork.js'
 import { computeWaitBounds, type WaitBounds } from './WaitPolicy.js'
@@ -9,25 +10,39 @@
 const QUEUE_SHARE = 1.5
 /** When nothing better is known, clients come back after this time, in which a full server ends about a third of its streams. */
 const RETRY_AFTER_SECONDS = 0.6
+/**
+ * Share of the longest pause that a route allows in which prompts may be read beside its streams. Streams that paused for too long had twelve
+ * prompts come to their server within 200 ms at the median, the others six (logs of the users' days trouble-1 and scale-1).
+ */
+const READING_SHARE = 0.5
 /** A waiting request asks so often whether its weights come by now. */
 const ASK_AGAIN_MS = 250
 const MAX_WAITING = 400
 /** Clients that are told to come back when weights are there come so much later at most, as a share of the time, and not all at once. */
 const RETRY_SPREAD = 0.5
 
+/** What changed about a place. */
+const PlaceChanges = {
+  TAKEN: 'taken',
+  /** The server has read the prompt. */
+  READ: 'read',
+  ENDED: 'ended',
+} as const
+type PlaceChange = typeof PlaceChanges[keyof typeof PlaceChanges]
+
 /** The right to have one request at one backend server; must be ended. */
 export class BackendPlace {
   private prefilling: number
   private ended = false
   private hasBegun = false
 
-  constructor (readonly choice: BackendChoice, private readonly work: RoutedWork, private readonly onChange: (isOver: boolean) => void) {
+  constructor (readonly choice: BackendChoice, private readonly work: RoutedWork, private readonly onChange: (change: PlaceChange) => void) {
     this.prefilling = Math.max(0, (work.generation?.promptTokens ?? 0) - choice.keptTokens)
     const { own } = choice.backend
     own.running++
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
-    onChange(false)
+    onChange(PlaceChanges.TAKEN)
   }
 
   get backend (): Backend {
@@ -49,7 +64,7 @@
     if (this.prefilling === 0) return
     this.backend.own.prefillTokens -= this.prefilling
     this.prefilling = 0
-    this.onChange(false)
+    this.onChange(PlaceChanges.READ)
   }
 
   end (): void {
@@ -58,7 +73,7 @@
     this.releasePrefill()
     this.backend.own.running--
     this.backend.own.cacheTokens -= this.cacheTokens
-    this.onChange(true)
+    this.onChange(PlaceChanges.ENDED)
   }
 
   private get cacheTokens (): number {
@@ -88,6 +103,7 @@
   residency: ResidencyClient
   log: DecisionLog
   dataHall: string
+  policy: Policy
 }
 
 /** Hands out places at backend servers; requests wait here, the most urgent first, and not in the servers' own queues. */
@@ -127,18 +143,25 @@
       if (!this.waiting.includes(item)) continue
       const place = this.tryPlace(item.work)
       if (place instanceof BackendPlace) item.settle(place)
-      else item.lastFailure = place
+      else this.noteFailure(item, place)
       if (place === ChoiceFailures.NO_BACKEND) item.fail(createRefusal(place))
       if (place === ChoiceFailures.NOT_RESIDENT) this.askForWeights(item, false)
       if (place === ChoiceFailures.FULL) this.askForWeights(item, true)
     }
   }
 
-  private tryPlace (work: RoutedWork): BackendPlace | ChoiceFailure {
+  private noteFailure (item: Waiting, failure: ChoiceFailure): void {
+    // Servers read prompts within moments, so that a wait for them is no reason to send a client away.
+    if (failure === ChoiceFailures.READING && item.lastFailure !== failure) item.extend(item.bounds.weightsWithinMs)
+    item.lastFailure = failure
+  }
+
+  private tryPlace (work: RoutedWork, readingLimit = this.computeReadingLimit(work)): BackendPlace | ChoiceFailure {
     const choice = chooseBackend({
       backends: this.opts.fleet.list(work.service.name),
-      demand: { dataHall: this.opts.dataHall, excluded: work.excluded, generation: work.generation, queueShare: QUEUE_SHARE },
-      figures: readFigures(work),
+      demand: { dataHall: this.opts.dataHall, excluded: work.excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit },
+      figures: work.service.serving,
+      policy: this.opts.policy,
       random: this.opts.random,
       now: this.opts.clock.readTime(),
     })
@@ -146,15 +169,20 @@
     const { generation } = work
     if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
     const takenAt = this.opts.clock.readTime()
-    const place: BackendPlace = new BackendPlace(choice, work, (isOver) => {
+    const place: BackendPlace = new BackendPlace(choice, work, (change) => {
       this.opts.fleet.noteLoadChange()
-      if (!isOver) return
-      if (place.wasServed) this.noteHeld(work, takenAt)
+      if (change === PlaceChanges.TAKEN) return
+      if (change === PlaceChanges.ENDED && place.wasServed) this.noteHeld(work, takenAt)
       this.pump()
     })
     return place
   }
 
+  private computeReadingLimit (work: RoutedWork): number {
+    const pauseMs = this.opts.policy.pacedReading ? work.route.longestPauseMs ?? Infinity : Infinity
+    return pauseMs * READING_SHARE * PREFILL_TOKENS_PER_MS
+  }
+
   private noteHeld (work: RoutedWork, takenAt: number): void {
     const { generation, service } = work
     if (!generation) return
@@ -171,9 +199,14 @@
         const at = this.waiting.indexOf(item)
         if (at >= 0) this.waiting.splice(at, 1)
       }
-      const expire = (): void => item.fail(createRefusal(item.lastFailure, item.retryAfterSeconds))
+      const expire = (): void => {
+        // Beside many other prompts is better than not at all.
+        const place = item.lastFailure === ChoiceFailures.READING ? this.tryPlace(work, Infinity) : undefined
+        if (place instanceof BackendPlace) item.settle(place)
+        else item.fail(createRefusal(item.lastFailure, item.retryAfterSeconds))
+      }
       const schedule = (untilMs: number): () => void => clock.setTimer(Math.max(0, work.arrivedAt + untilMs - clock.readTime()), expire)
-      const bounds = computeWaitBounds(work)
+      const bounds = computeWaitBounds(work, this.opts.policy)
       const item: Waiting = {
         work,
         bounds,
@@ -249,10 +282,6 @@
   return new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request would get a place', { retryAfterSeconds: 0 })
 }
 
-function readFigures (work: RoutedWork): ServingFigures | undefined {
-  return work.service.serving
-}
-
 /** The most urgent class first; in it those who came back after a refusal, then whoever would be late first. */
 function compareUrgency (a: RoutedWork, b: RoutedWork): number {
   return a.route.priority - b.route.priority || Number(b.isReturning) - Number(a.isReturning) || findDueAt(a) - findDueAt(b)
--- a/gateway/routed/src/WaitPolicy.ts
+++ b/gateway/routed/src/WaitPolicy.ts
@@ -1,3 +1,4 @@
+import type { Policy } from '@pulleystack/config.settings'
 import type { RoutedWork } from './RoutedWork.js'
 
 /** Share of a request's whole time that it may wait here for a place; what is left is for its run and one more attempt. */
@@ -26,11 +27,12 @@
  * A new request that can't be served in time is better refused at once, so that its client comes back when there is a place. One that
  * was refused before waits as long as its client does.
  */
-export function computeWaitBounds (work: RoutedWork): WaitBounds {
+export function computeWaitBounds (work: RoutedWork, policy: Policy): WaitBounds {
   const { route } = work
   const wholeMs = work.deadline - work.arrivedAt
-  const longestMs = Math.max(0, Math.min(wholeMs * DEADLINE_SHARE, (route.patienceMs ?? Infinity) * PATIENCE_SHARE))
-  if (!work.generation || work.isReturning) return { refuseAfterMs: longestMs, weightsWithinMs: longestMs, longestMs }
+  const patienceMs = policy.patienceBound ? route.patienceMs ?? Infinity : Infinity
+  const longestMs = Math.max(0, Math.min(wholeMs * DEADLINE_SHARE, patienceMs * PATIENCE_SHARE))
+  if (!policy.earlyRefusal || !work.generation || work.isReturning) return { refuseAfterMs: longestMs, weightsWithinMs: longestMs, longestMs }
   return {
     refuseAfterMs: Math.min(longestMs, route.targetLatencyMs * EARLY_SHARE),
     weightsWithinMs: Math.min(longestMs, route.targetLatencyMs * IN_TIME_SHARE),
--- a/placement/residency/src/DemandTracker.ts
+++ b/placement/residency/src/DemandTracker.ts
@@ -54,7 +54,7 @@
   private readonly waitedAt = new Map<string, number>()
   private heldMs = FIRST_HELD_MS
 
-  constructor (private readonly clock: Clock) {}
+  constructor (private readonly clock: Clock, private readonly followsTrend = true) {}
 
   /** Takes what one instance counted over the last `spanMs`. */
   add (name: string, from: string, count: Pick<DemandCount, 'requests' | 'ended' | 'heldMs' | 'inHand'>, spanMs: number): void {
@@ -82,7 +82,8 @@
     if (!held) return { requestsPerSecond: least, places: least * this.heldMs / 1000, heldMs: this.heldMs, idleMs: isWaiting ? 0 : Infinity }
     const agoMs = now - held.updatedAt
     const slow = fade(held.slow, agoMs, SLOW_HALF_LIFE_MS) * computeRate(SLOW_HALF_LIFE_MS)
-    const requestsPerSecond = Math.max(least, estimateRate(slow, fade(held.fast, agoMs, FAST_HALF_LIFE_MS)))
+    const expected = this.followsTrend ? estimateRate(slow, fade(held.fast, agoMs, FAST_HALF_LIFE_MS)) : slow
+    const requestsPerSecond = Math.max(least, expected)
     const heldMs = held.heldMs ?? this.heldMs
     // Streams that have just begun tell of more to come; while all servers are full the long ones have not ended yet and count for too little.
     const places = Math.max(requestsPerSecond * heldMs / 1000, sumInHand(held, now))
--- a/placement/residency/src/OutageGrants.ts
+++ b/placement/residency/src/OutageGrants.ts
@@ -14,6 +14,8 @@
   readStoreLostMs: () => number
   /** Least time between orders of two holders to one server. */
   turnMs: number
+  /** Off: nobody asks and nobody grants. */
+  isEnabled: boolean
 }
 
 /**
@@ -38,12 +40,12 @@
 
   /** The store does not answer this instance, nor one that tells it of changes. */
   get isLost (): boolean {
-    return this.opts.readStoreLostMs() > 0
+    return this.opts.isEnabled && this.opts.readStoreLostMs() > 0
   }
 
   /** The store has been lost for long enough to speak of an outage. */
   get isOutage (): boolean {
-    return this.opts.readStoreLostMs() >= LOST_MS
+    return this.opts.isEnabled && this.opts.readStoreLostMs() >= LOST_MS
   }
 
   /** This instance has promised a holder to leave the lease alone. */
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -1,4 +1,5 @@
 import type { ModelServing, RouteTable } from '@pulleystack/config.routes'
+import type { Policy } from '@pulleystack/config.settings'
 import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { DemandTracker } from './DemandTracker.js'
@@ -14,6 +15,7 @@
 
 export interface ResidencyHolderOptions extends ServerLoadsOptions {
   readTable: () => RouteTable | undefined
+  policy: Policy
 }
 
 /** Decides and orders what the model servers hold, while this instance holds the lease. */
@@ -134,6 +136,7 @@
     const demand = this.findDemand(service)
     return {
       serving,
+      policy: this.opts.policy,
       servers: this.listUsable(service).map((backend) => this.loads.describe(backend)),
       readDemand: (model) => demand.read(model),
     }
@@ -146,7 +149,7 @@
   private findDemand (service: string): DemandTracker {
     const present = this.demands.get(service)
     if (present) return present
-    const created = new DemandTracker(this.opts.clock)
+    const created = new DemandTracker(this.opts.clock, this.opts.policy.demandTrend)
     this.demands.set(service, created)
     return created
   }
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -1,4 +1,5 @@
 import type { ModelServing, ServedModel } from '@pulleystack/config.routes'
+import type { Policy } from '@pulleystack/config.settings'
 import { Allocation } from './Allocation.js'
 import type { ModelDemand } from './DemandTracker.js'
 
@@ -23,6 +24,7 @@
 
 export interface PlanInput {
   serving: ModelServing
+  policy: Policy
   servers: readonly PlannedServer[]
   readDemand: (model: string) => ModelDemand
 }
@@ -87,6 +89,7 @@
   let best: WeighedLoad | undefined
   for (const server of it.input.servers) {
     if (server.models.includes(it.served.name)) continue
+    if (server.busyMs > 0 && !it.input.policy.waitForDisk) continue
     const weighed = rateLoad({ ...it, server, tier: chooseTier(server, it.served) })
     if (weighed && (!best || weighed.gain > best.gain)) best = weighed
   }
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { OrderAnswers, WeightsClient, type OrderAnswer, type WeightsOrder, type WeightsState, type WeightsTarget } from '@pulleystack/backend.interfaces'
 import { RouteTable, type ModelServing } from '@pulleystack/config.routes'
+import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
@@ -330,12 +331,14 @@
     listOthers: () => it.listAll().filter((other) => other !== name),
     readStoreLostMs: () => store.refusesSince === undefined ? 0 : clock.readTime() - store.refusesSince,
     turnMs: TURN_MS,
+    isEnabled: true,
   })
   const holder = new ResidencyHolder({
     clock,
     fleet,
     weights: servers,
     log,
+    policy: DEFAULT_POLICY,
     readTable: () => {
       refresh()
       return table
@@ -379,7 +382,7 @@
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
     const log = new SilentDecisionLog()
-    const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, readTable: () => table, readRight: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
+    const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: DEFAULT_POLICY, readTable: () => table, readRight: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
     const counts = models.map(({ name }) => ({ service: 's', model: name, adapter: undefined, requests: 10, ended: 0, heldMs: 0, inHand: 10 }))
     holder.noteDemand('e1', { counts, spanMs: 1_000 })
     for (let tick = 0; tick < 20; tick++) {
--- a/placement/residency/test/planResidency.test.ts
+++ b/placement/residency/test/planResidency.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
+import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import type { ModelServing } from '@pulleystack/config.routes'
 import { planLoad, type ModelDemand, type PlanInput, type PlannedLoad, type PlannedServer } from '../src/index.js'
 
@@ -25,7 +26,7 @@
     const requestsPerSecond = rates[model] ?? 0
     return { requestsPerSecond, places: requestsPerSecond * HELD_MS / 1000, heldMs: HELD_MS, idleMs: model in rates ? 100 : Infinity }
   }
-  return { serving: SERVING, servers, readDemand }
+  return { serving: SERVING, policy: DEFAULT_POLICY, servers, readDemand }
 }
 
 /** Carries planned loads out at once, until none is planned any more; gives them in order. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -2,6 +2,7 @@
 import { setMaxListeners } from 'node:events'
 import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
+import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
 import { createLogger } from '@pulleystack/core.logging'
@@ -62,6 +63,7 @@
 /** What a start takes beside settings and dependencies; tests choose more of it. */
 export interface StartOptions {
   log: DecisionLog
+  policy?: Policy
   clock?: Clock
   random?: RandomSource
   /** Longest time that an order takes to reach a server. */
@@ -76,7 +78,7 @@
 ): Promise<Entry> {
   const clock = it.clock ?? new SystemClock()
   const random = it.random ?? new RandomSource()
-  const { log } = it
+  const { log, policy = DEFAULT_POLICY } = it
   const ended = new AbortController()
   // Every task of the instance waits for this signal.
   setMaxListeners(0, ended.signal)
@@ -89,14 +91,14 @@
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
-  const parts = { settings, deps, clock, log, fleet, network, mesh, readTable }
+  const parts = { settings, deps, clock, log, policy, fleet, network, mesh, readTable }
   const residency = createResidency({
     ...parts,
     orderDelayMs: it.orderDelayMs,
     readStoreLostMs: () => state.feed?.lostMs ?? 0,
     onChange: () => queue.pump(),
   })
-  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall })
+  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
@@ -207,6 +209,7 @@
 }
 
 interface ResidencyParts extends Parts {
+  policy: Policy
   fleet: BackendFleet
   network: WebSocketNetwork
   mesh: InstanceMesh
@@ -237,12 +240,20 @@
     fleet,
     weights: deps.weights,
     log,
+    policy: parts.policy,
     readTable: parts.readTable,
     readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
     onChange: (change) => residency.spreadWeights(change),
   })
-  const { readStoreLostMs } = parts
-  const grants = new OutageGrants({ clock, network, listOthers: () => mesh.listOthers(), readStoreLostMs, turnMs: settings.bounds.leaseMs })
+  const { policy, readStoreLostMs } = parts
+  const grants = new OutageGrants({
+    clock,
+    network,
+    listOthers: () => mesh.listOthers(),
+    readStoreLostMs,
+    turnMs: settings.bounds.leaseMs,
+    isEnabled: policy.ordersInOutage,
+  })
   const residency: ResidencyService = new ResidencyService({
     clock,
     network,
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http'
+import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { OwnRoutedProtocol, assignAttempt } from '@pulleystack/backend.http'
 import { Kinds, type ConfigObject } from '@pulleystack/config.objects'
 import { RouteTable, type Route, type RoutingConfig } from '@pulleystack/config.routes'
@@ -42,7 +43,7 @@
   const fleet = new BackendFleet()
   const log = new SilentDecisionLog()
   const residency = new NoResidency()
-  const queue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall })
+  const queue = new BackendQueue({ clock, random, fleet, residency, log, policy: DEFAULT_POLICY, dataHall: settings.dataHall })
   const state: { table: RouteTable } = { table: new RouteTable(buildConfig(core)) }
   const refresh = (): void => {
     state.table = new RouteTable(buildConfig(core))
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -1,3 +1,4 @@
+import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
 import { dropFailing, listUsable } from '@pulleystack/routing.retries'
 import type { Backend } from './Backend.js'
@@ -22,6 +23,8 @@
   generation: GenerationDemand | undefined
   /** Most requests at a time over the server's own slots that this request puts up with. */
   queueShare: number
+  /** Prompt tokens that a server may have to read at a time, this request's among them; a server that reads nothing takes any prompt. */
+  readingLimit: number
 }
 
 /** Why no backend server was chosen. */
@@ -32,6 +35,8 @@
   NOT_RESIDENT: 'not-resident',
   /** All that hold it are full. */
   FULL: 'full',
+  /** Some that hold it have room, but read so many prompts that one more would hold up the streams beside it. */
+  READING: 'reading',
 } as const
 export type ChoiceFailure = typeof ChoiceFailures[keyof typeof ChoiceFailures]
 
@@ -48,7 +53,8 @@
   batchSlots: number
 }
 
-const PREFILL_TOKENS_PER_MS = 30
+/** Prompt tokens that a server reads in a millisecond, beside streams; the users' sheets say 38 to 41 for an idle one. */
+export const PREFILL_TOKENS_PER_MS = 30
 // Each further request in the batch makes every token of the others a little later.
 const BATCH_MS_PER_REQUEST = 4
 // Reading a prompt holds up every stream that runs beside it; each such stream counts this share of the reading time.
@@ -63,6 +69,7 @@
   figures: ServingFigures | undefined
   random: RandomSource
   now: number
+  policy: Policy
 }): BackendChoice | ChoiceFailure {
   const { demand, now } = opts
   const present = opts.backends.filter((backend) => !backend.entry.draining && backend.isReachable(now))
@@ -73,8 +80,10 @@
   const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
   const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
   if (fresh.length === 0) return generation ? ChoiceFailures.NOT_RESIDENT : ChoiceFailures.NO_BACKEND
-  const rated = dropFailing(fresh, now).flatMap((backend) => rateBackend(backend, opts) ?? [])
-  if (rated.length === 0) return ChoiceFailures.FULL
+  const sound = opts.policy.failureAvoidance ? dropFailing(fresh, now) : fresh
+  const judged = sound.map((backend) => rateBackend(backend, opts))
+  const rated = judged.filter((it) => typeof it === 'object')
+  if (rated.length === 0) return judged.includes(ChoiceFailures.READING) ? ChoiceFailures.READING : ChoiceFailures.FULL
   return rated.reduce((best, it) => it.cost < best.cost ? it : best)
 }
 
@@ -82,22 +91,33 @@
   cost: number
 }
 
-function rateBackend (backend: Backend, opts: { demand: BackendDemand, figures: ServingFigures | undefined, random: RandomSource }): RatedBackend | undefined {
+interface RateOptions {
+  demand: BackendDemand
+  figures: ServingFigures | undefined
+  random: RandomSource
+  policy: Policy
+}
+
+/** What a server would cost the request, or why it can't take it. */
+function rateBackend (backend: Backend, opts: RateOptions): RatedBackend | ChoiceFailure {
   const { demand, figures } = opts
   const load = backend.readLoad()
   const hallMs = backend.entry.dataHall === demand.dataHall ? 0 : OTHER_HALL_MS
   // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
   const jitter = opts.random.readFraction()
   if (!demand.generation || !figures) {
-    if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return undefined
+    if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return ChoiceFailures.FULL
     return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + hallMs + jitter }
   }
   const { generation } = demand
-  const keptTokens = backend.prefixes.countKept(nameWeights(generation.model, generation.adapter), generation.parts)
-  if (load.running >= figures.batchSlots) return undefined
+  const weights = nameWeights(generation.model, generation.adapter)
+  const keptTokens = opts.policy.prefixAffinity ? backend.prefixes.countKept(weights, generation.parts) : 0
+  if (load.running >= figures.batchSlots) return ChoiceFailures.FULL
   const needed = generation.promptTokens + generation.outputTokens
-  if (load.running > 0 && load.cacheTokens + needed > figures.cacheTokens * CACHE_SHARE) return undefined
-  const ownMs = (generation.promptTokens - keptTokens) / PREFILL_TOKENS_PER_MS
+  if (load.running > 0 && load.cacheTokens + needed > figures.cacheTokens * CACHE_SHARE) return ChoiceFailures.FULL
+  const unread = generation.promptTokens - keptTokens
+  if (load.prefillTokens > 0 && load.prefillTokens + unread > demand.readingLimit) return ChoiceFailures.READING
+  const ownMs = unread / PREFILL_TOKENS_PER_MS
   const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
   const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
   return { backend, keptTokens, cost: waitMs + ownMs + batchMs + hallMs + jitter }
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
+import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { RandomSource } from '@pulleystack/core.clock'
 import { BackendFleet, ChoiceFailures, chooseBackend, type BackendChoice, type BackendEntry, type ChoiceFailure, type GenerationDemand } from '../src/index.js'
 
@@ -23,12 +24,14 @@
 
 describe('the choice of a backend server', () => {
   let fleet: BackendFleet
+  let readingLimit: number
   const choose = (demand: Partial<GenerationDemand> = {}, excluded: string[] = [], now = 0): BackendChoice | ChoiceFailure => chooseBackend({
     backends: fleet.list('s'),
-    demand: { dataHall: 'z1', excluded: new Set(excluded), generation: { ...DEMAND, ...demand }, queueShare: 1 },
+    demand: { dataHall: 'z1', excluded: new Set(excluded), generation: { ...DEMAND, ...demand }, queueShare: 1, readingLimit },
     figures: FIGURES,
     random: new RandomSource(1),
     now,
+    policy: DEFAULT_POLICY,
   })
   const chooseId = (...args: Parameters<typeof choose>): string => {
     const choice = choose(...args)
@@ -38,6 +41,7 @@
 
   beforeEach(() => {
     fleet = new BackendFleet()
+    readingLimit = Infinity
     fleet.replaceAll([createEntry({ id: 'r1' }), createEntry({ id: 'r2', dataHall: 'z2' })])
   })
 
@@ -50,6 +54,38 @@
     assert.equal(chooseId(), 'r2')
   })
 
+  describe('while servers read prompts', () => {
+    beforeEach(() => {
+      readingLimit = 5_000
+    })
+
+    it('takes one that has little to read', () => {
+      find('r1').own.prefillTokens = 2_500
+      assert.equal(chooseId(), 'r2')
+    })
+
+    it('takes none when one more prompt would hold up the streams of each', () => {
+      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 2_500
+      assert.equal(choose(), ChoiceFailures.READING)
+    })
+
+    it('counts only what a server has not read before', () => {
+      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 2_500
+      find('r2').prefixes.note('m', DEMAND.parts)
+      assert.equal(chooseId(), 'r2')
+    })
+
+    it('gives a server that reads nothing a prompt of any length', () => {
+      find('r1').own.prefillTokens = 2_500
+      assert.equal(chooseId({ promptTokens: 50_000 }), 'r2')
+    })
+
+    it('says that servers are full when they have no places, whatever they read', () => {
+      for (const id of ['r1', 'r2']) Object.assign(find(id).own, { prefillTokens: 2_500, running: FIGURES.batchSlots })
+      assert.equal(choose(), ChoiceFailures.FULL)
+    })
+  })
+
   it('passes over a server that leaves, from the moment that it is known', () => {
     fleet.put(createEntry({ id: 'r1', draining: true }))
     assert.equal(chooseId(), 'r2')
