Count the time that servers read prompts; let long prompts in beside short ones; keep the lease when an outage shows late

Now a prompt counts for half of the limit at most, and a model's demand is the larger of its places and the time that its prompts take to read.

It now waits 0.7 s and looks again. The test failed before.

The holder of a large system has a test file of its own, and the recording servers are shared.

--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -172,7 +172,7 @@
     const place: BackendPlace = new BackendPlace(choice, work, (change) => {
       this.opts.fleet.noteLoadChange()
       if (change === PlaceChanges.TAKEN) return
-      if (change === PlaceChanges.ENDED && place.wasServed) this.noteHeld(work, takenAt)
+      if (change === PlaceChanges.ENDED && place.wasServed) this.noteEnded(place, work, takenAt)
       this.pump()
     })
     return place
@@ -183,11 +183,12 @@
     return pauseMs * READING_SHARE * PREFILL_TOKENS_PER_MS
   }
 
-  private noteHeld (work: RoutedWork, takenAt: number): void {
+  private noteEnded (place: BackendPlace, work: RoutedWork, takenAt: number): void {
     const { generation, service } = work
     if (!generation) return
     const { model, adapter } = generation
-    this.opts.residency.noteHeld({ service: service.name, model, adapter }, this.opts.clock.readTime() - takenAt)
+    const took = { heldMs: this.opts.clock.readTime() - takenAt, readTokens: Math.max(0, generation.promptTokens - place.choice.keptTokens) }
+    this.opts.residency.noteEnded({ service: service.name, model, adapter }, took)
   }
 
   private wait (work: RoutedWork): Promise<BackendPlace> {
--- a/placement/residency/src/Allocation.ts
+++ b/placement/residency/src/Allocation.ts
@@ -87,7 +87,8 @@
   /** What all servers together cost less when a model is at other servers than now. */
   private compareCosts (model: string, before: readonly string[], after: readonly string[]): number {
     const touched = new Set([...before, ...after])
-    const { requestsPerSecond, places } = this.readDemand(model)
+    const { requestsPerSecond } = this.readDemand(model)
+    const places = this.computeAllPlaces(model)
     let saved = 0
     for (const id of touched) {
       const share = this.readShare(id)
@@ -99,13 +100,20 @@
   }
 
   private addShares (model: string, servers: readonly string[], part: number): void {
-    const { requestsPerSecond, places } = this.readDemand(model)
+    const { requestsPerSecond } = this.readDemand(model)
+    const places = this.computeAllPlaces(model)
     for (const id of servers) {
       const share = this.readShare(id)
       this.shares.set(id, { requestsPerSecond: share.requestsPerSecond + requestsPerSecond * part, places: share.places + places * part })
     }
   }
 
+  /** Places that the requests hold, or those that a server full of streams would have in the time that it spends reading their prompts. */
+  private computeAllPlaces (model: string): number {
+    const { places, readingMs } = this.readDemand(model)
+    return Math.max(places, readingMs / 1000 * this.batchSlots)
+  }
+
   private readShare (server: string): ServerShare {
     return this.shares.get(server) ?? { requestsPerSecond: 0, places: 0 }
   }
--- a/placement/residency/src/DemandTracker.ts
+++ b/placement/residency/src/DemandTracker.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { PREFILL_TOKENS_PER_MS } from '@pulleystack/routing.fleet'
 
 /** What one instance saw of one model, with or without an adapter, since it last told. */
 export interface DemandCount {
@@ -10,6 +11,8 @@
   /** Requests that left their place at a server, and the milliseconds for which they held it, all together. */
   ended: number
   heldMs: number
+  /** Prompt tokens that their servers had to read for them. */
+  readTokens: number
   /** Requests that have a place at a server or wait for one, now. */
   inHand: number
 }
@@ -19,6 +22,8 @@
   requestsPerSecond: number
   /** Places at servers that the requests hold at a time, or would if there were enough. */
   places: number
+  /** Milliseconds a second that a server would spend reading their prompts. */
+  readingMs: number
   /** Milliseconds for which one request holds a place at a server. */
   heldMs: number
   /** Milliseconds since it was last asked for; infinite when it never was. */
@@ -43,6 +48,8 @@
   updatedAt: number
   lastAskedAt: number
   heldMs: number | undefined
+  /** Prompt tokens that a server reads for one request. */
+  readTokens: number
   /** What each instance has in hand, and when it said so. */
   inHand: Map<string, { count: number, at: number }>
 }
@@ -57,15 +64,15 @@
   constructor (private readonly clock: Clock, private readonly followsTrend = true) {}
 
   /** Takes what one instance counted over the last `spanMs`. */
-  add (name: string, from: string, count: Pick<DemandCount, 'requests' | 'ended' | 'heldMs' | 'inHand'>, spanMs: number): void {
+  add (name: string, from: string, count: Pick<DemandCount, 'requests' | 'ended' | 'heldMs' | 'readTokens' | 'inHand'>, spanMs: number): void {
     const now = this.clock.readTime()
-    const held = this.tracked.get(name) ?? { slow: 0, fast: 0, updatedAt: now, lastAskedAt: -Infinity, heldMs: undefined, inHand: new Map() }
+    const held = this.tracked.get(name) ?? { slow: 0, fast: 0, updatedAt: now, lastAskedAt: -Infinity, heldMs: undefined, readTokens: 0, inHand: new Map() }
     held.slow = fade(held.slow, now - held.updatedAt, SLOW_HALF_LIFE_MS) + fadeOver(count.requests, spanMs, SLOW_HALF_LIFE_MS)
     held.fast = fade(held.fast, now - held.updatedAt, FAST_HALF_LIFE_MS) + fadeOver(count.requests, spanMs, FAST_HALF_LIFE_MS)
     held.updatedAt = now
     if (count.requests > 0) held.lastAskedAt = now
     held.inHand.set(from, { count: count.inHand, at: now })
-    if (count.ended > 0) this.noteHeld(held, count.heldMs / count.ended, count.ended)
+    if (count.ended > 0) this.noteEnded(held, count)
     this.tracked.set(name, held)
   }
 
@@ -79,7 +86,7 @@
     const now = this.clock.readTime()
     const isWaiting = now - (this.waitedAt.get(name) ?? -Infinity) < IN_HAND_KEPT_MS
     const least = isWaiting ? computeRate(SLOW_HALF_LIFE_MS) : 0
-    if (!held) return { requestsPerSecond: least, places: least * this.heldMs / 1000, heldMs: this.heldMs, idleMs: isWaiting ? 0 : Infinity }
+    if (!held) return { requestsPerSecond: least, places: least * this.heldMs / 1000, readingMs: 0, heldMs: this.heldMs, idleMs: isWaiting ? 0 : Infinity }
     const agoMs = now - held.updatedAt
     const slow = fade(held.slow, agoMs, SLOW_HALF_LIFE_MS) * computeRate(SLOW_HALF_LIFE_MS)
     const expected = this.followsTrend ? estimateRate(slow, fade(held.fast, agoMs, FAST_HALF_LIFE_MS)) : slow
@@ -87,11 +94,14 @@
     const heldMs = held.heldMs ?? this.heldMs
     // Streams that have just begun tell of more to come; while all servers are full the long ones have not ended yet and count for too little.
     const places = Math.max(requestsPerSecond * heldMs / 1000, sumInHand(held, now))
-    return { requestsPerSecond, places, heldMs, idleMs: now - held.lastAskedAt }
+    const readingMs = requestsPerSecond * held.readTokens / PREFILL_TOKENS_PER_MS
+    return { requestsPerSecond, places, readingMs, heldMs, idleMs: now - held.lastAskedAt }
   }
 
-  private noteHeld (held: Tracked, meanMs: number, ended: number): void {
-    const weight = 1 - (1 - HELD_WEIGHT) ** ended
+  private noteEnded (held: Tracked, count: Pick<DemandCount, 'ended' | 'heldMs' | 'readTokens'>): void {
+    const weight = 1 - (1 - HELD_WEIGHT) ** count.ended
+    const meanMs = count.heldMs / count.ended
+    held.readTokens = held.readTokens * (1 - weight) + count.readTokens / count.ended * weight
     held.heldMs = (held.heldMs ?? meanMs) * (1 - weight) + meanMs * weight
     this.heldMs = this.heldMs * (1 - weight) + meanMs * weight
   }
--- a/placement/residency/src/ResidencyClient.ts
+++ b/placement/residency/src/ResidencyClient.ts
@@ -25,6 +25,6 @@
   abstract noteDemand (asked: AskedWeights): void
   /** Counts a request that has a place at a server or waits for one, until the function that it gives is called. */
   abstract noteInHand (asked: AskedWeights): () => void
-  /** Counts a request that left its place at a server, which it held for so many milliseconds. */
-  abstract noteHeld (asked: AskedWeights, heldMs: number): void
+  /** Counts a request that left its place at a server, which it held for so many milliseconds and which read so many tokens of its prompt. */
+  abstract noteEnded (asked: AskedWeights, took: { heldMs: number, readTokens: number }): void
 }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -39,6 +39,8 @@
 const CHANGE_KEPT_MS = 15_000
 /** Orders that were under way when the right to order ended are answered or given up by then. */
 const ORDERS_END_MS = 400
+/** An outage of the store shows to all instances within this time after a holder could renew no more; orders under way have ended by then too. */
+const GIVE_UP_MS = 700
 
 /** An instance that could hold the lease. */
 export interface HolderCandidate {
@@ -167,10 +169,11 @@
     }
   }
 
-  override noteHeld (asked: AskedWeights, heldMs: number): void {
+  override noteEnded (asked: AskedWeights, took: { heldMs: number, readTokens: number }): void {
     const count = this.findCount(asked)
     count.ended++
-    count.heldMs += heldMs
+    count.heldMs += took.heldMs
+    count.readTokens += took.readTokens
   }
 
   private findCount (asked: AskedWeights): DemandCount {
@@ -178,7 +181,7 @@
     const key = nameAsked(asked)
     const present = this.counts.get(key)
     if (present) return present
-    const created: DemandCount = { service, model, adapter, requests: 0, ended: 0, heldMs: 0, inHand: 0 }
+    const created: DemandCount = { service, model, adapter, requests: 0, ended: 0, heldMs: 0, readTokens: 0, inHand: 0 }
     this.counts.set(key, created)
     return created
   }
@@ -258,9 +261,10 @@
 
   /** The store takes no renewals from this instance; another may reach it, and need not wait for the lease to run out. */
   private async giveUp (): Promise<void> {
+    await this.opts.clock.wait(GIVE_UP_MS)
+    // That the store is away for all may show only now; nobody could take the lease then.
+    if (this.mayOrder || this.opts.grants.isLost) return
     this.hasOrdered = false
-    await this.opts.clock.wait(ORDERS_END_MS)
-    if (this.mayOrder) return
     this.handOver()
     this.opts.lease.abandon()
   }
--- a/placement/residency/test/DemandTracker.test.ts
+++ b/placement/residency/test/DemandTracker.test.ts
@@ -7,8 +7,8 @@
   let clock: ManualClock
   let tracker: DemandTracker
 
-  const tell = (count: { requests?: number, ended?: number, heldMs?: number, inHand?: number }, from = 'e1', spanMs = 250): void => {
-    tracker.add('a', from, { requests: 0, ended: 0, heldMs: 0, inHand: 0, ...count }, spanMs)
+  const tell = (count: Partial<Parameters<DemandTracker['add']>[2]>, from = 'e1', spanMs = 250): void => {
+    tracker.add('a', from, { requests: 0, ended: 0, heldMs: 0, readTokens: 0, inHand: 0, ...count }, spanMs)
   }
   const askSteadily = async (requestsPerSecond: number, seconds: number): Promise<void> => {
     for (let tick = 0; tick < seconds * 4; tick++) {
@@ -64,6 +64,13 @@
     assert.ok(tracker.read('a').places > 24)
   })
 
+  it('learns how long servers read its prompts', async () => {
+    for (let at = 0; at < 60; at++) tell({ requests: 1, ended: 1, readTokens: 3_000 })
+    await askSteadily(10, 20)
+    const { readingMs, requestsPerSecond } = tracker.read('a')
+    assert.ok(Math.abs(readingMs - requestsPerSecond * 100) < 5, `${readingMs}`)
+  })
+
   it('counts what all instances have in hand, and forgets what one that fell silent had', async () => {
     tell({ inHand: 30 }, 'e1')
     tell({ inHand: 20 }, 'e2')
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import { err, ok, type Result } from 'neverthrow'
-import { OrderAnswers, WeightsClient, type OrderAnswer, type WeightsOrder, type WeightsState, type WeightsTarget } from '@pulleystack/backend.interfaces'
-import { RouteTable, type ModelServing } from '@pulleystack/config.routes'
+import { err } from 'neverthrow'
+import { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
@@ -12,65 +11,12 @@
 import { BackendFleet } from '@pulleystack/routing.fleet'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import { OutageGrants, ResidencyHolder, ResidencyService } from '../src/index.js'
+import { RecordingServers, SERVING } from './RecordingServers.js'
 
 const TURN_MS = 3_000
 const LEASE_MS = 2_000
 const DELAY_MS = 1_000
 
-const SERVING: ModelServing = {
-  batchSlots: 8,
-  cacheTokens: 100_000,
-  weightsMb: 200,
-  adapterSlots: 2,
-  loadsPerSecond: 10,
-  models: ['a', 'b', 'c', 'd'].map((name) => ({ name, weightsMb: 60, adapterMb: 1, adapters: 4, loadSeconds: 0.1, diskSeconds: 0.1, memorySeconds: 0.1 })),
-}
-
-interface ArrivedOrder {
-  at: number
-  server: string
-  holder: string
-  fence: number
-}
-
-/** Servers that count their own memory, refuse nothing that a holder could get wrong, and note who ordered when. */
-class RecordingServers extends WeightsClient {
-  readonly arrived: ArrivedOrder[] = []
-  readonly held = new Map<string, { models: Set<string>, sequence: number }>()
-  overcommitted = false
-
-  constructor (private readonly clock: ManualClock) {
-    super()
-  }
-
-  add (id: string, ...models: string[]): void {
-    this.held.set(id, { models: new Set(models), sequence: 0 })
-  }
-
-  override async readState (target: WeightsTarget): Promise<Result<WeightsState, PulleystackError>> {
-    const server = this.held.get(target.backendId)
-    return ok({
-      sequence: server?.sequence ?? 0,
-      busy: false,
-      models: [...server?.models ?? []].map((name) => ({ name, adapters: [] })),
-      comingAdapters: [],
-      inMemory: [],
-      onDisk: [],
-    })
-  }
-
-  override async sendOrder (target: WeightsTarget, order: WeightsOrder): Promise<Result<OrderAnswer, PulleystackError>> {
-    this.arrived.push({ at: this.clock.readTime(), server: target.backendId, holder: order.holder, fence: order.fence })
-    const server = this.held.get(target.backendId)
-    if (!server || order.expectedSequence !== server.sequence) return ok(OrderAnswers.CONFLICT)
-    server.sequence++
-    if (order.action === 'load') server.models.add(order.model)
-    else server.models.delete(order.model)
-    if (server.models.size > 3) this.overcommitted = true
-    return ok(OrderAnswers.TAKEN)
-  }
-}
-
 interface Node {
   name: string
   lease: ShardLease
@@ -107,6 +53,7 @@
   let nodes: Node[]
   let capacities: Map<string, number>
   let hub: FakeHub
+  let noticeMs: number
 
   const listHolders = (): string[] => nodes.filter((node) => node.service.mayOrder).map((node) => node.name)
   const ask = (node: Node, model: string): Promise<unknown> => node.service.requestWeights({ service: 's', model, adapter: undefined, isMore: false, waitMs: 3_000 })
@@ -132,12 +79,13 @@
     clock = new ManualClock()
     servers = new RecordingServers(clock)
     capacities = new Map()
+    noticeMs = 0
     for (const id of ['r1', 'r2', 'r3']) servers.add(id, 'a', 'b', 'c')
     const shared = new MemoryObjectStore({ clock })
     hub = new FakeHub({ clock, random: new RandomSource(1) })
     const listNames = (): string[] => nodes.filter((node) => !node.ended.signal.aborted).map((node) => node.name)
     const listAll = (): string[] => nodes.map((node) => node.name)
-    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames, listAll, readCapacity: (instance) => capacities.get(instance) ?? 1 }))
+    nodes = ['n1', 'n2', 'n3'].map((name) => createNode(name, { clock, servers, shared, hub, listNames, listAll, readCapacity: (instance) => capacities.get(instance) ?? 1, readNoticeMs: () => noticeMs }))
     for (const node of nodes) node.service.start(node.ended.signal)
     await clock.advance(6_000)
   })
@@ -225,6 +173,14 @@
       assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
     })
 
+    it('keep the lease with the holder when the outage is noticed only after the right to order has run out', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      noticeMs = 1_000
+      setDown(nodes)
+      await churn(30)
+      assert.deepEqual(listHolders(), [first.name])
+    })
+
     it('stop ordering when one of them falls silent, since it may reach the store', async () => {
       const first = nodes.find((node) => node.service.mayOrder) as Node
       const silent = nodes.find((node) => node !== first) as Node
@@ -305,6 +261,8 @@
   listNames: () => string[]
   listAll: () => string[]
   readCapacity: (instance: string) => number
+  /** Milliseconds after which an instance notices that the store is down. */
+  readNoticeMs: () => number
 }
 
 function createNode (name: string, it: NodeParts): Node {
@@ -329,7 +287,7 @@
     clock,
     network,
     listOthers: () => it.listAll().filter((other) => other !== name),
-    readStoreLostMs: () => store.refusesSince === undefined ? 0 : clock.readTime() - store.refusesSince,
+    readStoreLostMs: () => store.refusesSince === undefined ? 0 : Math.max(0, clock.readTime() - store.refusesSince - it.readNoticeMs()),
     turnMs: TURN_MS,
     isEnabled: true,
   })
@@ -363,33 +321,3 @@
   })
   return { name, lease, service, fleet, store, ended: new AbortController() }
 }
-
-describe('the holder of a large system whose servers come back empty', () => {
-  const SERVERS = 30
-  const RATE = 20
-  const LOAD_SECONDS = 4
-
-  it('loads at as many servers at once as the weight store\'s rate allows', async () => {
-    const clock = new ManualClock()
-    const servers = new RecordingServers(clock)
-    const models = Array.from({ length: SERVERS }, (_, at) => ({ name: `m${at}`, weightsMb: 60, adapterMb: 1, adapters: 0, loadSeconds: LOAD_SECONDS, diskSeconds: LOAD_SECONDS, memorySeconds: LOAD_SECONDS }))
-    const serving: ModelServing = { ...SERVING, loadsPerSecond: RATE, models }
-    const fleet = new BackendFleet()
-    for (let at = 0; at < SERVERS; at++) {
-      servers.add(`r${at}`)
-      fleet.put({ id: `r${at}`, service: 's', address: `r${at}:1`, dataHall: 'z', slots: 8, draining: false, models: [], inMemory: [], onDisk: [] })
-    }
-    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
-    const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
-    const log = new SilentDecisionLog()
-    const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: DEFAULT_POLICY, readTable: () => table, readRight: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
-    const counts = models.map(({ name }) => ({ service: 's', model: name, adapter: undefined, requests: 10, ended: 0, heldMs: 0, inHand: 10 }))
-    holder.noteDemand('e1', { counts, spanMs: 1_000 })
-    for (let tick = 0; tick < 20; tick++) {
-      holder.plan()
-      await clock.advance(150)
-    }
-    const ordered = new Set(servers.arrived.map((order) => order.server))
-    assert.ok(ordered.size > 20, `${ordered.size} servers were ordered within three seconds`)
-  })
-})
--- a/placement/residency/test/planResidency.test.ts
+++ b/placement/residency/test/planResidency.test.ts
@@ -20,11 +20,13 @@
   return { id, models, inMemory: [], onDisk: [], busyMs: 0, running: 0, fresh: [], heldMs: 0, ...changes }
 }
 
-/** Rates are requests a second; each holds its place for two seconds. */
-function createInput (servers: PlannedServer[], rates: Record<string, number>): PlanInput {
+/** Rates are requests a second; each holds its place for two seconds. Reading is the share of a server's time that their prompts take. */
+function createInput (servers: PlannedServer[], rates: Record<string, number>, reading: Record<string, number> = {}): PlanInput {
   const readDemand = (model: string): ModelDemand => {
     const requestsPerSecond = rates[model] ?? 0
-    return { requestsPerSecond, places: requestsPerSecond * HELD_MS / 1000, heldMs: HELD_MS, idleMs: model in rates ? 100 : Infinity }
+    const places = requestsPerSecond * HELD_MS / 1000
+    const readingMs = (reading[model] ?? 0) * 1000
+    return { requestsPerSecond, places, readingMs, heldMs: HELD_MS, idleMs: model in rates ? 100 : Infinity }
   }
   return { serving: SERVING, policy: DEFAULT_POLICY, servers, readDemand }
 }
@@ -57,6 +59,13 @@
       assert.deepEqual([load?.model, load?.server], ['a', 'r2'])
     })
 
+    it('is a further copy when a server does little but read the prompts for a model', () => {
+      const servers = [createServer('r1', ['a']), createServer('r2', ['b'])]
+      assert.equal(planLoad(createInput(servers, { a: 5, b: 0.1 }), true), undefined)
+      const load = planLoad(createInput(servers, { a: 5, b: 0.1 }, { a: 1.2 }), true)
+      assert.deepEqual([load?.model, load?.server], ['a', 'r2'])
+    })
+
     it('is nothing when all that is asked for is served with room to spare', () => {
       const input = createInput([createServer('r1', ['a', 'b']), createServer('r2', ['a', 'c'])], { a: 5, b: 2, c: 2 })
       assert.equal(planLoad(input, true), undefined)
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -111,7 +111,7 @@
     return () => undefined
   }
 
-  override noteHeld (): void {
+  override noteEnded (): void {
     // Nothing is placed for plain services.
   }
 }
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -65,12 +65,17 @@
     })
 
     it('takes none when one more prompt would hold up the streams of each', () => {
-      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 2_500
+      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 3_500
       assert.equal(choose(), ChoiceFailures.READING)
     })
 
+    it('lets a long prompt in beside a short one, so that it is not held back for ever', () => {
+      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 800
+      assert.equal(chooseId({ promptTokens: 50_000 }), 'r1')
+    })
+
     it('counts only what a server has not read before', () => {
-      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 2_500
+      for (const id of ['r1', 'r2']) find(id).own.prefillTokens = 3_500
       find('r2').prefixes.note('m', DEMAND.parts)
       assert.equal(chooseId(), 'r2')
     })
