Hand the lease over soon when the store refuses its holder alone

Another instance that reached the store after the holder lost it now says so, and the holder hands over. Instances may notice an outage 0.3 s apart without contradicting each other. The test failed before.

--- a/placement/residency/src/OutageGrants.ts
+++ b/placement/residency/src/OutageGrants.ts
@@ -1,10 +1,13 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { HOLD_ON } from './channels.js'
+import { HOLD_ON, type HoldOnAnswer } from './channels.js'
 
 /** Milliseconds for which the store must be lost to an instance before it says so; one lost answer is no outage. */
 const LOST_MS = 400
 
+/** Instances may notice one outage so far apart without contradicting each other, in milliseconds. */
+const AGREEMENT_MS = 300
+
 export interface OutageGrantsOptions {
   clock: Clock
   network: PeerNetwork
@@ -12,6 +15,8 @@
   listOthers: () => readonly string[]
   /** Milliseconds since this instance lost the store; 0 while it, or a peer for it, reaches the store. */
   readStoreLostMs: () => number
+  /** Milliseconds since the store was last known to answer. */
+  readStoreAgeMs: () => number
   /** Least time between orders of two holders to one server. */
   turnMs: number
   /** Off: nobody asks and nobody grants. */
@@ -30,12 +35,13 @@
   /** Monotone time at which the newest grant of each instance was asked for. */
   private readonly grantedAt = new Map<string, number>()
   private promisedUntil = -Infinity
+  private contradictedAt = -Infinity
 
   constructor (private readonly opts: OutageGrantsOptions) {}
 
   /** Answers holders that ask. */
   start (): void {
-    this.opts.network.handleCalls(HOLD_ON, () => ({ granted: this.tryGrant() }))
+    this.opts.network.handleCalls(HOLD_ON, (_, { lostMs }) => this.answerHolder(lostMs))
   }
 
   /** The store does not answer this instance, nor one that tells it of changes. */
@@ -48,6 +54,11 @@
     return this.opts.isEnabled && this.opts.readStoreLostMs() >= LOST_MS
   }
 
+  /** Another instance reaches the store, which only this one has lost. */
+  get isContradicted (): boolean {
+    return this.opts.clock.readTime() - this.contradictedAt < this.validMs
+  }
+
   /** This instance has promised a holder to leave the lease alone. */
   get isPromised (): boolean {
     return this.opts.clock.readTime() < this.promisedUntil
@@ -63,14 +74,21 @@
   ask (): void {
     const { clock, network, listOthers } = this.opts
     const askedAt = clock.readTime()
+    const lostMs = this.opts.readStoreLostMs()
     for (const instance of listOthers()) {
-      void network.call(instance, HOLD_ON, {}, this.validMs).then((answer) => {
-        if (answer.isOk() && answer.value.granted) this.grantedAt.set(instance, askedAt)
-        else if (answer.isOk()) this.grantedAt.delete(instance)
+      void network.call(instance, HOLD_ON, { lostMs }, this.validMs).then((answer) => {
+        if (answer.isErr()) return
+        if (answer.value.granted) this.grantedAt.set(instance, askedAt)
+        else this.grantedAt.delete(instance)
+        if (answer.value.reachesStore) this.contradictedAt = clock.readTime()
       })
     }
   }
 
+  private answerHolder (lostMs: number): HoldOnAnswer {
+    return { granted: this.tryGrant(), reachesStore: this.opts.readStoreAgeMs() < lostMs - AGREEMENT_MS }
+  }
+
   private tryGrant (): boolean {
     if (!this.isOutage) return false
     // The holder's last order lies within the grant, and the first order of this instance a turn after that.
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -251,7 +251,7 @@
     if (grants.isLost && this.isDue('ASK_GRANTS')) grants.ask()
     if (!this.renewing && this.isDue('RENEW')) void this.renew()
     if (!this.mayOrder) {
-      if (this.hasOrdered && !this.isAfterOutage) await this.giveUp()
+      if (this.hasOrdered && (!this.isAfterOutage || grants.isContradicted)) await this.giveUp()
       return
     }
     this.hasOrdered = true
@@ -261,9 +261,11 @@
 
   /** The store takes no renewals from this instance; another may reach it, and need not wait for the lease to run out. */
   private async giveUp (): Promise<void> {
+    const { grants } = this.opts
+    const { isContradicted } = grants
     await this.opts.clock.wait(GIVE_UP_MS)
     // That the store is away for all may show only now; nobody could take the lease then.
-    if (this.mayOrder || this.opts.grants.isLost) return
+    if (this.mayOrder || (grants.isLost && !isContradicted)) return
     this.hasOrdered = false
     this.handOver()
     this.opts.lease.abandon()
--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -55,5 +55,13 @@
 /** The lease holder tells what came to a server or is to go. */
 export const WEIGHTS = defineChannel<WeightsChange>('residency.weights')
 
-/** The holder asks another instance to leave the lease alone while the store is away for both. */
-export const HOLD_ON = defineChannel<Record<string, never>, { granted: boolean }>('residency.hold-on')
+/** What an instance says to a holder that has lost the store. */
+export interface HoldOnAnswer {
+  /** It has lost the store too, and leaves the lease alone for a while. */
+  granted: boolean
+  /** The store answered it, or one that tells it of changes, after the holder had lost it. */
+  reachesStore: boolean
+}
+
+/** The holder, which lost the store so long ago, asks another instance to leave the lease alone. */
+export const HOLD_ON = defineChannel<{ lostMs: number }, HoldOnAnswer>('residency.hold-on')
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -181,6 +181,14 @@
       assert.deepEqual(listHolders(), [first.name])
     })
 
+    it('hand over soon when the store refuses the holder alone, though the holder hears from nobody that reaches it', async () => {
+      const first = nodes.find((node) => node.service.mayOrder) as Node
+      setDown([first])
+      await churn(15)
+      assert.ok(nodes.some((node) => node !== first && node.service.mayOrder))
+      assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+    })
+
     it('stop ordering when one of them falls silent, since it may reach the store', async () => {
       const first = nodes.find((node) => node.service.mayOrder) as Node
       const silent = nodes.find((node) => node !== first) as Node
@@ -288,6 +296,7 @@
     network,
     listOthers: () => it.listAll().filter((other) => other !== name),
     readStoreLostMs: () => store.refusesSince === undefined ? 0 : Math.max(0, clock.readTime() - store.refusesSince - it.readNoticeMs()),
+    readStoreAgeMs: () => store.refusesSince === undefined ? 0 : clock.readTime() - store.refusesSince,
     turnMs: TURN_MS,
     isEnabled: true,
   })
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -96,6 +96,7 @@
     ...parts,
     orderDelayMs: it.orderDelayMs,
     readStoreLostMs: () => state.feed?.lostMs ?? 0,
+    readStoreAgeMs: () => state.feed?.ageMs ?? Infinity,
     onChange: () => queue.pump(),
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
@@ -216,6 +217,7 @@
   orderDelayMs: number | undefined
   readTable: () => RouteTable | undefined
   readStoreLostMs: () => number
+  readStoreAgeMs: () => number
   onChange: () => void
 }
 
@@ -245,12 +247,13 @@
     readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
     onChange: (change) => residency.spreadWeights(change),
   })
-  const { policy, readStoreLostMs } = parts
+  const { policy, readStoreLostMs, readStoreAgeMs } = parts
   const grants = new OutageGrants({
     clock,
     network,
     listOthers: () => mesh.listOthers(),
     readStoreLostMs,
+    readStoreAgeMs,
     turnMs: settings.bounds.leaseMs,
     isEnabled: policy.ordersInOutage,
   })
