--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -245,7 +245,7 @@
   }
 
   private async act (): Promise<void> {
-    const { lease, holder, network, grants } = this.opts
+    const { holder, grants } = this.opts
     if (this.stopping) return
     if (grants.isLost) this.outageAt = this.opts.clock.readTime()
     if (grants.isLost && this.isDue('ASK_GRANTS')) grants.ask()
@@ -255,10 +255,15 @@
       return
     }
     this.hasOrdered = true
-    if (this.isDue('BEAT')) network.broadcast(HOLDER_BEAT, { fence: lease.fence, recordVersion: lease.recordVersion })
+    if (this.isDue('BEAT')) this.tellBeat()
     if (this.isDue('PLAN')) holder.plan()
   }
 
+  private tellBeat (): void {
+    const { lease, network } = this.opts
+    network.broadcast(HOLDER_BEAT, { fence: lease.fence, recordVersion: lease.recordVersion })
+  }
+
   /** The store takes no renewals from this instance; another may reach it, and need not wait for the lease to run out. */
   private async giveUp (): Promise<void> {
     const { grants } = this.opts
@@ -274,8 +279,10 @@
   // Two renewals at once would conflict with each other.
   private async renew (): Promise<void> {
     this.renewing = true
-    await this.opts.lease.renew()
+    const renewed = await this.opts.lease.renew()
     this.renewing = false
+    // A successor counts from the newest version that it was told of, so that it is told of each at once.
+    if (renewed.isOk() && this.mayOrder) this.tellBeat()
   }
 
   /** Only the instance whose turn it is asks the store, and only while no holder is heard. */
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -251,6 +251,17 @@
     })
   })
 
+  it('take over from a holder that falls silent as soon as the bound allows, counted from its last word', async () => {
+    const first = nodes.find((node) => node.service.mayOrder) as Node
+    await churn(5)
+    first.ended.abort()
+    first.store.isCut = true
+    // Life of the lease, drift, and the delay of an order twice; instances look every third of a second.
+    await churn(Math.ceil((LEASE_MS * 1.05 + 2 * DELAY_MS + 500) / 200))
+    assert.ok(nodes.some((node) => node !== first && node.service.mayOrder))
+    assert.ok(findShortestTurn() >= TURN_MS, `turn of ${findShortestTurn()} ms`)
+  })
+
   it('never order a server over its memory', async () => {
     for (let round = 0; round < 40; round++) {
       for (const node of nodes) void ask(node, 'abcd'[round % 4] as string)
