Keep a renewal on its way from bringing back a lease that was given up; count adapters' requests as their model's

What an instance had in hand was told by model and adapter, and the last adapter's figure stood for the model.

--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -36,6 +36,8 @@
   private version = 0
   private validUntil = -Infinity
   private ordersFrom = Infinity
+  /** How often the lease was given up or lost; a write that was on its way then must not bring it back. */
+  private drops = 0
   private seen: { version: number, since: number } | undefined
 
   constructor (private readonly opts: ShardLeaseOptions) {}
@@ -129,6 +131,7 @@
   }
 
   private drop (): void {
+    this.drops++
     this.record = undefined
     this.validUntil = -Infinity
     this.ordersFrom = Infinity
@@ -149,6 +152,7 @@
 
   private async write (next: ShardRecord): Promise<Result<void, PulleystackError>> {
     const sentAt = this.opts.clock.readTime()
+    const { drops } = this
     next.operation = this.opts.createOperation()
     const written = await this.opts.store.writeObject(this.key, next, this.version)
     const settled = written.isErr() && written.error.code === 'STORE_OUTCOME_UNKNOWN' ? await this.readBack(next.operation) : written
@@ -156,6 +160,7 @@
       if (settled.error.code === 'STORE_CONFLICT') this.drop()
       return err(settled.error)
     }
+    if (this.drops !== drops) return err(createLost(this.opts.shard))
     this.version = settled.value
     this.record = next
     this.validUntil = sentAt + this.opts.leaseMs
--- a/placement/ledger/test/ledger.test.ts
+++ b/placement/ledger/test/ledger.test.ts
@@ -47,6 +47,17 @@
     assert.deepEqual(await Promise.all([one.tryTake(), two.tryTake()]), [true, false])
   })
 
+  it('is not brought back by a renewal that was on its way when it was given up', async () => {
+    const { one, two } = createLeases()
+    await one.tryTake()
+    const renewing = one.renew()
+    one.abandon()
+    assert.ok((await renewing).isErr())
+    assert.equal(one.isHeld, false)
+    assert.equal(await two.tryTake({ holder: 'one', fence: 1 }), true)
+    assert.equal(one.mayOrder, false)
+  })
+
   it('goes to a successor only after the lease and the longest delay of an order', async () => {
     const { clock, one, two } = createLeases()
     await one.tryTake()
--- a/placement/residency/src/DemandTracker.ts
+++ b/placement/residency/src/DemandTracker.ts
@@ -17,6 +17,22 @@
   inHand: number
 }
 
+/** One count for each model, with all its adapters in it. */
+export function sumByModel (counts: readonly DemandCount[]): DemandCount[] {
+  const sums = new Map<string, DemandCount>()
+  for (const count of counts) {
+    const key = `${count.service}|${count.model}`
+    const sum = sums.get(key) ?? { ...count, adapter: undefined, requests: 0, ended: 0, heldMs: 0, readTokens: 0, inHand: 0 }
+    sum.requests += count.requests
+    sum.ended += count.ended
+    sum.heldMs += count.heldMs
+    sum.readTokens += count.readTokens
+    sum.inHand += count.inHand
+    sums.set(key, sum)
+  }
+  return [...sums.values()]
+}
+
 /** How much a model is asked for. */
 export interface ModelDemand {
   requestsPerSecond: number
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -2,7 +2,7 @@
 import type { Policy } from '@pulleystack/config.settings'
 import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
-import { DemandTracker } from './DemandTracker.js'
+import { DemandTracker, sumByModel } from './DemandTracker.js'
 import type { DemandReport, InheritedLoad } from './channels.js'
 import { LoadBucket } from './LoadBucket.js'
 import { planLoad, type PlanInput, type PlannedLoad } from './planResidency.js'
@@ -49,10 +49,9 @@
 
   /** Takes what an instance was asked for. */
   noteDemand (from: string, { counts, spanMs }: DemandReport): void {
+    for (const count of sumByModel(counts)) this.findDemand(count.service).add(count.model, from, count, spanMs)
     for (const count of counts) {
-      const demand = this.findDemand(count.service)
-      demand.add(count.model, from, count, spanMs)
-      if (count.adapter !== undefined) demand.add(nameWeights(count.model, count.adapter), from, count, spanMs)
+      if (count.adapter !== undefined) this.findDemand(count.service).add(nameWeights(count.model, count.adapter), from, count, spanMs)
     }
   }
 
--- a/placement/residency/src/index.ts
+++ b/placement/residency/src/index.ts
@@ -1,6 +1,6 @@
 export { ResidencyClient } from './ResidencyClient.js'
 export type { AskedWeights, NeedAnswer, WeightsNeed } from './ResidencyClient.js'
-export { DemandTracker } from './DemandTracker.js'
+export { DemandTracker, sumByModel } from './DemandTracker.js'
 export type { DemandCount, ModelDemand } from './DemandTracker.js'
 export { Allocation } from './Allocation.js'
 export { LoadBucket } from './LoadBucket.js'
--- a/placement/residency/test/DemandTracker.test.ts
+++ b/placement/residency/test/DemandTracker.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 import { ManualClock } from '@pulleystack/core.clock'
-import { DemandTracker } from '../src/index.js'
+import { DemandTracker, sumByModel } from '../src/index.js'
 
 describe('the demand for a model', () => {
   let clock: ManualClock
@@ -81,6 +81,13 @@
     assert.equal(tracker.read('a').places, 25)
   })
 
+  it('counts requests for all adapters of a model as requests for the model', () => {
+    const none = { service: 's', model: 'a', requests: 1, ended: 1, heldMs: 500, readTokens: 100, inHand: 4 }
+    const [sum, ...others] = sumByModel([{ ...none, adapter: undefined }, { ...none, adapter: 'a1' }, { ...none, adapter: 'a2' }])
+    assert.deepEqual(others, [])
+    assert.deepEqual(sum, { service: 's', model: 'a', adapter: undefined, requests: 3, ended: 3, heldMs: 1_500, readTokens: 300, inHand: 12 })
+  })
+
   it('counts one who waits until the counts come that tell of it', async () => {
     tracker.noteWaiting('a')
     assert.ok(tracker.read('a').requestsPerSecond > 0.1)
