Work out once for a plan what all its loads need; bound the processor time of plans

The decisions are the same: demand, models by name and what may go from each server are looked up once. Plans take a twentieth of the processor's time at most.

--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -12,6 +12,8 @@
 /** What an adapter takes that a server had lately; milliseconds, from the platform's days. */
 const ADAPTER_MS = 220
 const MIN_PLANNED_AT_ONCE = 8
+/** Share of the processor's time that plans may take; in a system of hundreds of servers they come less often for it. */
+const PLAN_SHARE = 0.05
 
 export interface ResidencyHolderOptions extends ServerLoadsOptions {
   readTable: () => RouteTable | undefined
@@ -26,6 +28,8 @@
   /** Adapters on their way, and the monotone time at which each will likely be there. */
   private readonly adapters = new Map<string, number>()
 
+  private planAgainAt = -Infinity
+
   constructor (private readonly opts: ResidencyHolderOptions) {
     this.loads = new ServerLoads(opts)
   }
@@ -78,6 +82,15 @@
   }
 
   private planService (service: string, serving: ModelServing): void {
+    const { clock } = this.opts
+    const startedAt = clock.readTime()
+    if (startedAt < this.planAgainAt) return
+    this.beginLoads(service, serving)
+    const now = clock.readTime()
+    this.planAgainAt = now + (now - startedAt) * (1 / PLAN_SHARE - 1)
+  }
+
+  private beginLoads (service: string, serving: ModelServing): void {
     const bucket = this.findBucket(service)
     while (this.loads.size < countAtOnce(serving)) {
       const load = planLoad(this.buildInput(service, serving), bucket.waitMs === 0)
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -73,10 +73,10 @@
 
 /** The load that saves the most requests over the coming seconds; undefined when none saves enough. `mayUseStore` is false while the store bears none. */
 export function planLoad (input: PlanInput, mayUseStore: boolean, only?: string): PlannedLoad | undefined {
-  const allocation = new Allocation(input.serving.batchSlots, input.readDemand, input.servers)
+  const context = createContext(input)
   let best: WeighedLoad | undefined
-  for (const served of listNeeded(input, allocation, only)) {
-    const weighed = chooseServer({ input, allocation, served })
+  for (const served of listNeeded(context, only)) {
+    const weighed = chooseServer(context, served)
     if (!weighed || weighed.gain < LEAST_GAIN || weighed.isLater) continue
     if (weighed.load.fromStore && !mayUseStore) continue
     if (!best || weighed.gain > best.gain) best = weighed
@@ -85,19 +85,19 @@
 }
 
 /** The server at which a load of a model saves the most, among them those that are busy now: one that has it on disk is often worth waiting for. */
-function chooseServer (it: ModelChoice): WeighedLoad | undefined {
+function chooseServer (context: PlanContext, served: ServedModel): WeighedLoad | undefined {
   let best: WeighedLoad | undefined
-  for (const server of it.input.servers) {
-    if (server.models.includes(it.served.name)) continue
-    if (server.busyMs > 0 && !it.input.policy.waitForDisk) continue
-    const weighed = rateLoad({ ...it, server, tier: chooseTier(server, it.served) })
+  for (const server of context.input.servers) {
+    if (server.models.includes(served.name)) continue
+    if (server.busyMs > 0 && !context.input.policy.waitForDisk) continue
+    const weighed = rateLoad(context, server, served)
     if (weighed && (!best || weighed.gain > best.gain)) best = weighed
   }
   return best
 }
 
 /** Models that lose requests, those that lose the most first. */
-function listNeeded (input: PlanInput, allocation: Allocation, only: string | undefined): ServedModel[] {
+function listNeeded ({ input, allocation }: PlanContext, only: string | undefined): ServedModel[] {
   const models = only === undefined ? input.serving.models : input.serving.models.filter((model) => model.name === only)
   const needed = models.map((served) => ({ served, need: allocation.computeNeed(served.name) })).filter(({ need }) => need > LEAST_NEED)
   return needed.sort((a, b) => b.need - a.need).slice(0, WEIGHED_MODELS).map(({ served }) => served)
@@ -108,21 +108,40 @@
   fromStore: boolean
 }
 
-interface ModelChoice {
+/** What one plan works out once for all loads that it weighs. */
+interface PlanContext {
   input: PlanInput
   allocation: Allocation
-  served: ServedModel
-}
-
-interface LoadChoice extends ModelChoice {
-  server: PlannedServer
-  tier: Tier
+  models: ReadonlyMap<string, ServedModel>
+  /** Megabytes that adapters may take beside the models of a server. */
+  adapterMb: number
+  /** Models that may go from a server, by its id, those that would be missed the least first. */
+  leaving: Map<string, readonly string[]>
+}
+
+function createContext (given: PlanInput): PlanContext {
+  const demands = new Map<string, ModelDemand>()
+  const readDemand = (model: string): ModelDemand => {
+    const demand = demands.get(model) ?? given.readDemand(model)
+    demands.set(model, demand)
+    return demand
+  }
+  const input = { ...given, readDemand }
+  const { serving, servers } = given
+  return {
+    input,
+    allocation: new Allocation(serving.batchSlots, readDemand, servers),
+    models: new Map(serving.models.map((model) => [model.name, model])),
+    adapterMb: Math.max(0, ...serving.models.map((model) => model.adapterMb)) * serving.adapterSlots,
+    leaving: new Map(),
+  }
 }
 
 /** What a load at one server saves, less what goes for it. */
-function rateLoad (it: LoadChoice): WeighedLoad | undefined {
-  const { input, allocation, server, served, tier } = it
-  const victims = chooseVictims(it)
+function rateLoad (context: PlanContext, server: PlannedServer, served: ServedModel): WeighedLoad | undefined {
+  const { input, allocation } = context
+  const tier = chooseTier(server, served)
+  const victims = chooseVictims(context, server, served)
   if (!victims) return undefined
   const clearMs = Math.max(server.heldMs, server.busyMs) + victims.reduce((sum, victim) => sum + estimateUnloadMs(input, allocation, victim), 0)
   const takesMs = clearMs + tier.loadMs
@@ -136,27 +155,35 @@
 }
 
 /** The models whose going loses the least, until there is room; undefined when there can't be. */
-function chooseVictims (it: LoadChoice): string[] | undefined {
-  const { input, server, served } = it
-  let free = input.serving.weightsMb - server.models.reduce((sum, name) => sum + (findServed(input.serving, name)?.weightsMb ?? Infinity), 0)
-  const needed = served.weightsMb + computeAdapterMb(input.serving)
+function chooseVictims (context: PlanContext, server: PlannedServer, served: ServedModel): string[] | undefined {
+  const { input, models, adapterMb } = context
+  let free = input.serving.weightsMb - server.models.reduce((sum, name) => sum + (models.get(name)?.weightsMb ?? Infinity), 0)
+  const needed = served.weightsMb + adapterMb
   if (free >= needed) return []
-  const leaving = server.models
-    .filter((name) => !server.fresh.includes(name))
-    .map((name) => ({ name, price: rateVictim(it, name), idleMs: input.readDemand(name).idleMs }))
-  // Of those that nobody would miss now, the one that was not asked for in the longest time goes first.
-  leaving.sort((a, b) => a.price - b.price || b.idleMs - a.idleMs)
   const victims: string[] = []
-  for (const { name } of leaving) {
+  for (const name of listLeaving(context, server)) {
     victims.push(name)
-    free += findServed(input.serving, name)?.weightsMb ?? 0
+    free += models.get(name)?.weightsMb ?? 0
     if (free >= needed) return victims
   }
   return undefined
 }
 
+function listLeaving (context: PlanContext, server: PlannedServer): readonly string[] {
+  const present = context.leaving.get(server.id)
+  if (present) return present
+  const leaving = server.models
+    .filter((name) => !server.fresh.includes(name))
+    .map((name) => ({ name, price: rateVictim(context, server, name), idleMs: context.input.readDemand(name).idleMs }))
+  // Of those that nobody would miss now, the one that was not asked for in the longest time goes first.
+  leaving.sort((a, b) => a.price - b.price || b.idleMs - a.idleMs)
+  const names = leaving.map(({ name }) => name)
+  context.leaving.set(server.id, names)
+  return names
+}
+
 /** Requests that are lost by its going and by the wait for it. */
-function rateVictim ({ input, allocation, server }: LoadChoice, victim: string): number {
+function rateVictim ({ input, allocation }: PlanContext, server: PlannedServer, victim: string): number {
   return (allocation.computeLoss(victim, server.id) * HORIZON_MS + VICTIM_PRICE * estimateUnloadMs(input, allocation, victim)) / 1000
 }
 
@@ -165,17 +192,8 @@
   return UNLOAD_MS + Math.log1p(allocation.computePlaces(victim)) * input.readDemand(victim).heldMs
 }
 
-/** Room that adapters may take beside the models. */
-function computeAdapterMb (serving: ModelServing): number {
-  return Math.max(0, ...serving.models.map((model) => model.adapterMb)) * serving.adapterSlots
-}
-
 function chooseTier (server: PlannedServer, served: ServedModel): Tier {
   if (server.inMemory.includes(served.name)) return { loadMs: served.memorySeconds * 1000, fromStore: false }
   if (server.onDisk.includes(served.name)) return { loadMs: served.diskSeconds * 1000, fromStore: false }
   return { loadMs: served.loadSeconds * 1000, fromStore: true }
 }
-
-function findServed (serving: ModelServing, name: string): ServedModel | undefined {
-  return serving.models.find((model) => model.name === name)
-}
