--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -64,7 +64,7 @@
 export interface StartOptions {
   log: DecisionLog
   policy?: Policy
-  clock?: Clock
+  clock?: Clock | undefined
   random?: RandomSource
   /** Longest time that an order takes to reach a server. */
   orderDelayMs?: number
