--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -2,13 +2,13 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { nameWeights, type BackendFleet } from '@pulleystack/routing.fleet'
+import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { DEMAND, HANDOVER, HOLDER_BEAT, NEED, WEIGHTS, type DemandReport, type Handover, type HolderBeat, type WeightsChange } from './channels.js'
-import type { DemandCount } from './DemandTracker.js'
+import { DEMAND, HANDOVER, HOLDER_BEAT, NEED, WEIGHTS, type Handover, type HolderBeat, type WeightsChange } from './channels.js'
 import type { AskedWeights, NeedAnswer, WeightsNeed } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
 import type { OutageGrants } from './OutageGrants.js'
+import { OwnDemand } from './OwnDemand.js'
 import type { ResidencyHolder } from './ResidencyHolder.js'
 import type { HoldOff } from './ServerLoads.js'
 
@@ -75,15 +75,12 @@
 
 /** Keeps exactly one instance ordering: takes the lease when it is this one's turn, and reaches the holder otherwise. */
 export class ResidencyService extends ResidencyClient {
-  private readonly counts = new Map<string, DemandCount>()
-  private readonly inHand = new Map<string, { asked: AskedWeights, count: number }>()
+  private readonly demand: OwnDemand
   private heard: { instance: string, at: number } | undefined
   private wasHeld = false
   private stopping = false
   private renewing = false
   private hasOrdered = false
-  /** Monotone time up to which the holder was told of the demand. */
-  private demandToldAt: number
   /** Monotone time at which the store was last known to be away. */
   private outageAt = -Infinity
   private handover: (Handover & { from: string, at: number }) | undefined
@@ -91,7 +88,7 @@
 
   constructor (private readonly opts: ResidencyServiceOptions) {
     super()
-    this.demandToldAt = opts.clock.readTime()
+    this.demand = new OwnDemand(opts.clock)
   }
 
   /** Starts listening, renewing and planning; goes on until the signal ends. */
@@ -157,35 +154,15 @@
   }
 
   override noteDemand (asked: AskedWeights): void {
-    this.findCount(asked).requests++
+    this.demand.noteDemand(asked)
   }
 
   override noteInHand (asked: AskedWeights): () => void {
-    const key = nameAsked(asked)
-    const held = this.inHand.get(key) ?? { asked, count: 0 }
-    this.inHand.set(key, held)
-    held.count++
-    return () => {
-      held.count--
-      if (held.count === 0) this.inHand.delete(key)
-    }
+    return this.demand.noteInHand(asked)
   }
 
   override noteEnded (asked: AskedWeights, took: { heldMs: number, readTokens: number }): void {
-    const count = this.findCount(asked)
-    count.ended++
-    count.heldMs += took.heldMs
-    count.readTokens += took.readTokens
-  }
-
-  private findCount (asked: AskedWeights): DemandCount {
-    const { service, model, adapter } = asked
-    const key = nameAsked(asked)
-    const present = this.counts.get(key)
-    if (present) return present
-    const created: DemandCount = { service, model, adapter, requests: 0, ended: 0, heldMs: 0, readTokens: 0, inHand: 0 }
-    this.counts.set(key, created)
-    return created
+    this.demand.noteEnded(asked, took)
   }
 
   private findHolder (): string | undefined {
@@ -325,19 +302,12 @@
   }
 
   private sendDemand (): void {
-    for (const { asked, count } of this.inHand.values()) this.findCount(asked).inHand = count
-    const now = this.opts.clock.readTime()
-    if (this.counts.size === 0) {
-      this.demandToldAt = now
-      return
-    }
-    const counts = [...this.counts.values()]
-    const report: DemandReport = { counts, spanMs: now - this.demandToldAt }
+    const report = this.demand.buildReport()
+    if (!report) return
     const holder = this.mayOrder ? undefined : this.findHolder()
     if (this.isHolder) this.opts.holder.noteDemand(this.opts.instance, report)
     else if (holder === undefined || !this.opts.network.send(holder, DEMAND, report)) return
-    this.demandToldAt = now
-    this.counts.clear()
+    this.demand.clear()
   }
 
   private readShare (name: keyof typeof Shares): number {
@@ -352,10 +322,6 @@
   }
 }
 
-function nameAsked ({ service, model, adapter }: AskedWeights): string {
-  return `${service}|${nameWeights(model, adapter)}`
-}
-
 /** Planning for many servers takes processor time, so that one of the most capable holds the lease. */
 function chooseHolder (candidates: readonly HolderCandidate[]): string | undefined {
   const most = Math.max(...candidates.map((candidate) => candidate.capacity))
