--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,8 +1,10 @@
 import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import type { PulleystackError } from '@pulleystack/core.errors'
 import { findOwner } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { CopyStates, type CopyState } from './CopyWatch.js'
 
 /** All changes under the prefix after revision `from`, up to revision `to`; none are listed when nothing changed. */
 interface FeedNews {
@@ -58,6 +60,7 @@
   private freshAt = -Infinity
   private hasGap = false
   private isLost = false
+  private isAsking = false
   private regainedAt = -Infinity
   private lostAt = -Infinity
   private backoffMs = MIN_BACKOFF_MS
@@ -80,6 +83,23 @@
     return this.isLost ? this.opts.clock.readTime() - this.lostAt : 0
   }
 
+  /** Newest revision that this instance has had; 0 before the first listing. */
+  get newestRevision (): number {
+    return this.newest
+  }
+
+  /** What the feed does about its copy now. */
+  get state (): CopyState {
+    if (this.isLost) return CopyStates.STORE_LOST
+    if (this.isAsking) return CopyStates.ASKING
+    return this.hasGap ? CopyStates.GAP : CopyStates.LISTENING
+  }
+
+  /** Whether this instance watches the store for the others. */
+  isWatcher (): boolean {
+    return findOwner(`feed/${this.opts.prefix}`, this.opts.listCandidates()) === this.opts.instance
+  }
+
   /** Follows the prefix until the signal ends. */
   start (signal: AbortSignal): void {
     const { network, prefix } = this.opts
@@ -103,10 +123,6 @@
     return this.hasGap || this.ageMs >= QUIET_MS || this.isWatcher()
   }
 
-  private isWatcher (): boolean {
-    return findOwner(`feed/${this.opts.prefix}`, this.opts.listCandidates()) === this.opts.instance
-  }
-
   /** Waits until this instance has to ask for itself. */
   private async rest (signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
@@ -124,7 +140,7 @@
       return
     }
     await this.askPeers()
-    if (this.revision === undefined) await this.backOff(signal)
+    if (this.revision === undefined) await this.backOff(signal, listing.error)
   }
 
   /** With the store away, what a peer has is better than nothing. */
@@ -145,11 +161,13 @@
     const isWatcher = this.isWatcher()
     const waitMs = isWatcher ? WATCHER_WAIT_MS : OWN_WAIT_MS
     const askedAt = clock.readTime()
+    this.isAsking = true
     const batch = await store.waitForChanges(prefix, from, waitMs, signal)
+    this.isAsking = false
     if (signal.aborted) return
     if (batch.isErr()) {
       if (batch.error.code === 'STORE_COMPACTED') this.revision = undefined
-      else await this.backOff(signal)
+      else await this.backOff(signal, batch.error)
       return
     }
     this.noteAnswered()
@@ -196,16 +214,17 @@
     this.opts.onListing(snapshot.objects)
   }
 
-  private async backOff (signal: AbortSignal): Promise<void> {
-    if (!this.isLost) this.noteLost()
+  private async backOff (signal: AbortSignal, cause: PulleystackError): Promise<void> {
+    if (!this.isLost) this.noteLost(cause)
     await this.opts.clock.wait(this.backoffMs * (0.5 + this.opts.random.readFraction()), signal)
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
   }
 
-  private noteLost (): void {
+  private noteLost (cause: PulleystackError): void {
     this.isLost = true
     this.lostAt = this.opts.clock.readTime()
-    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
+    const { code, message } = cause
+    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision, code, reason: message })
   }
 
   private noteAnswered (): void {
--- a/config/feed/src/index.ts
+++ b/config/feed/src/index.ts
@@ -1,2 +1,3 @@
+export { CopyWatch } from './CopyWatch.js'
 export { StoreFeed } from './StoreFeed.js'
 export type { StoreFeedOptions } from './StoreFeed.js'
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -1,5 +1,5 @@
 import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
-import { StoreFeed, type StoreFeedOptions } from '@pulleystack/config.feed'
+import { CopyWatch, StoreFeed, type StoreFeedOptions } from '@pulleystack/config.feed'
 import { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
@@ -79,5 +79,6 @@
   const { clock, random, store, network, log, instance, listCandidates } = opts
   const feed = new StoreFeed({ clock, random, store, network, log, prefix, instance, listCandidates, ...take })
   feed.start(opts.signal)
+  new CopyWatch({ clock, log, feed, prefix }).start(opts.signal)
   return feed
 }
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -8,10 +8,16 @@
   'stopped': { cut: number, ms: number }
   /** Settings were read again; refused ones change nothing. */
   'reloaded': { trigger: 'signal' | 'file', accepted: boolean, code?: string, reason?: string, graceMs?: number, directoryLifetimeMs?: number }
-  /** The store does not answer for this kind of object; `revision` is the newest that is known. */
-  'dependency-lost': { dependency: string, prefix: string, revision: number | undefined }
+  /** The store does not answer for this kind of object; `revision` is the newest that is known, `code` and `reason` say how the call failed. */
+  'dependency-lost': { dependency: string, prefix: string, revision: number | undefined, code: string, reason: string }
   /** It answers again, here or to a peer. */
   'dependency-regained': { dependency: string, prefix: string, revision: number | undefined }
+  /** The copy of this kind of object was not confirmed for `ageMs`; `cause`: `store-lost`, `asking`, `gap` or `listening`. */
+  'copy-stale': { prefix: string, ageMs: number | undefined, revision: number, isWatcher: boolean, cause: string }
+  /** It is confirmed again; it was over the limit for `staleMs`. */
+  'copy-current': { prefix: string, staleMs: number, revision: number }
+  /** This instance watches the store for the others from now on, or no longer. */
+  'watcher-changed': { prefix: string, isWatcher: boolean }
   /** A configuration is in force here from now on. */
   'config-applied': { version: number, revision: number, routes: number }
   /** A backend server is known. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -10,6 +10,9 @@
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
   /** What the process believes. */
+  COPY_STALE: 'copy-stale',
+  COPY_CURRENT: 'copy-current',
+  WATCHER_CHANGED: 'watcher-changed',
   CONFIG_APPLIED: 'config-applied',
   BACKEND_ADDED: 'backend-added',
   BACKEND_CHANGED: 'backend-changed',
