--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -83,6 +83,10 @@
     return this.isLost ? this.opts.clock.readTime() - this.lostAt : 0
   }
 
+  get prefix (): string {
+    return this.opts.prefix
+  }
+
   /** Newest revision that this instance has had; 0 before the first listing. */
   get newestRevision (): number {
     return this.newest
--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -20,6 +20,8 @@
   onIdentity: (link: PeerLink) => void
   onClose: (link: PeerLink) => void
   onSend: (from: string, channel: string, body: unknown) => void
+  /** A frame was left out since too much waits to leave. */
+  onUnsent: (link: PeerLink) => void
   onCall: (from: string, channel: string, body: unknown) => Promise<unknown>
 }
 
@@ -65,14 +67,23 @@
     return this.proven && this.opts.socket.readyState === this.opts.socket.OPEN
   }
 
+  /** Bytes that wait to leave. */
+  get backlogBytes (): number {
+    return this.opts.socket.bufferedAmount
+  }
+
   send (channel: string, body: unknown): boolean {
     return this.sendEncoded(encodeFrame({ t: 'send', channel, body }))
   }
 
   /** Sends a frame that was encoded for several peers. */
   sendEncoded (bytes: Buffer): boolean {
+    if (!this.isOpen) return false
     // A peer that does not read gets less, not more; digests mend what it missed.
-    if (!this.isOpen || this.opts.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
+    if (this.backlogBytes > MAX_BUFFERED_BYTES) {
+      this.opts.onUnsent(this)
+      return false
+    }
     this.lastUsed = this.opts.clock.readTime()
     this.writeBytes(bytes)
     return true
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -11,6 +11,7 @@
 import { MAX_FRAME_BYTES, encodeFrame } from './frames.js'
 import { PeerLink } from './PeerLink.js'
 import { PeerNetwork, type CallHandler, type PeerEvent, type PeerIdentity, type Received } from './PeerNetwork.js'
+import { UnsentFrames, type UnsentReport } from './UnsentFrames.js'
 
 const MAX_DIAL_WAIT_MS = 4_000
 const DIAL_TIMEOUT_MS = 2_000
@@ -38,6 +39,8 @@
   /** Nobody but peers can reach the listener. */
   privateNetwork?: boolean
   tls?: { ca: string, cert: string, key: string }
+  /** Told at most once per peer and second. */
+  onUnsent?: (report: UnsentReport) => void
 }
 
 /** The peer network over WebSockets: one task for each peer keeps its link open, one timer sends heartbeats. */
@@ -53,9 +56,11 @@
   private readonly stopped = new AbortController()
   private server: http.Server | undefined
   private sentByClosed = 0
+  private readonly unsent: UnsentFrames
 
   constructor (private readonly opts: WebSocketNetworkOptions) {
     super()
+    this.unsent = new UnsentFrames(opts.clock, (report) => this.reportUnsent(report))
   }
 
   /** Listens; gives the port taken. */
@@ -76,6 +81,7 @@
 
   async stop (): Promise<void> {
     this.stopped.abort()
+    this.unsent.stop()
     for (const abort of this.dialling.values()) abort.abort()
     for (const link of this.all) link.close()
     this.server?.closeAllConnections()
@@ -92,6 +98,18 @@
     return sum
   }
 
+  /** Bytes that wait to leave, over all links. */
+  get backlogBytes (): number {
+    let sum = 0
+    for (const link of this.all) sum += link.backlogBytes
+    return sum
+  }
+
+  /** Frames since the start that were left out because too much waited to leave for their peer. */
+  get unsentFrames (): number {
+    return this.unsent.total
+  }
+
   get peerEvents (): Observable<PeerEvent> {
     return this.events
   }
@@ -241,6 +259,7 @@
       },
       onIdentity: (known) => this.reportHeard(known),
       onClose: (closed) => this.dropLink(closed),
+      onUnsent: (full) => this.unsent.note(full.identity?.instance ?? '', full.backlogBytes),
       onSend: (from, channel, body) => this.received.next({ from, channel, body }),
       onCall: (from, channel, body) => this.answerCall(from, channel, body),
     })
@@ -286,6 +305,11 @@
     if (link.identity) this.events.next({ kind: 'heard', identity: link.identity })
   }
 
+  private reportUnsent (report: UnsentReport): void {
+    this.opts.logger.warn(report, 'frames to a peer were not sent')
+    this.opts.onUnsent?.(report)
+  }
+
   private async keepBeating (): Promise<void> {
     const { clock, heartbeatMs, suspectAfterMs } = this.opts
     while (!this.stopped.signal.aborted) {
--- a/membership/peers/src/index.ts
+++ b/membership/peers/src/index.ts
@@ -3,4 +3,5 @@
 export { defineChannel } from './Channel.js'
 export type { Channel } from './Channel.js'
 export { WebSocketNetwork } from './WebSocketNetwork.js'
+export type { UnsentReport } from './UnsentFrames.js'
 export type { WebSocketNetworkOptions } from './WebSocketNetwork.js'
--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -1,10 +1,23 @@
 import type { RoutedOutcome } from '@pulleystack/gateway.routed'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 5, 10, 15]
 
+/** What the figures are read from. */
+export interface EntryMetricsOptions {
+  fleet: Pick<BackendFleet, 'listAll'>
+  mesh: Pick<InstanceMesh, 'listLive'>
+  network: Pick<WebSocketNetwork, 'backlogBytes' | 'unsentFrames'>
+  readConfigVersion: () => number
+  readWaiting: () => number
+  /** The copies that this instance holds; none before it serves. */
+  listCopies: () => readonly { prefix: string, ageMs: number }[]
+  readTimerDelayMs: () => number
+}
+
 /** Figures of one entry instance; gauges are read when asked for. */
 export class EntryMetrics {
   readonly registry = new Registry()
@@ -23,11 +36,15 @@
     registers: [this.registry],
   })
 
-  constructor (opts: { fleet: BackendFleet, mesh: InstanceMesh, readConfigVersion: () => number, readWaiting: () => number }) {
+  constructor (opts: EntryMetricsOptions) {
     this.addGauge('config_version', 'Version of the routing configuration in force', opts.readConfigVersion)
     this.addGauge('backends', 'Backend servers known', () => opts.fleet.listAll().length)
     this.addGauge('peers', 'Other instances with a live link', () => opts.mesh.listLive().length)
     this.addGauge('waiting_requests', 'Requests that wait for a place', opts.readWaiting)
+    this.addGauge('peer_backlog_bytes', 'Bytes that wait to leave for peers', () => opts.network.backlogBytes)
+    this.addGauge('timer_delay_seconds', 'Longest delay of a timer in the last seconds', () => opts.readTimerDelayMs() / 1000)
+    this.addCopyAges(opts.listCopies)
+    this.addUnsentFrames(() => opts.network.unsentFrames)
   }
 
   countOutcome (outcome: RoutedOutcome): void {
@@ -41,6 +58,30 @@
     return this.registry.metrics()
   }
 
+  private addCopyAges (listCopies: EntryMetricsOptions['listCopies']): void {
+    new Gauge({
+      name: 'pulleystack_copy_age_seconds',
+      help: 'Time since a copy was known to be what the store holds; infinite when that was never known',
+      labelNames: ['prefix'],
+      registers: [this.registry],
+      collect () {
+        for (const { prefix, ageMs } of listCopies()) this.set({ prefix }, ageMs / 1000)
+      },
+    })
+  }
+
+  private addUnsentFrames (read: () => number): void {
+    new Counter({
+      name: 'pulleystack_frames_not_sent_total',
+      help: 'Messages to peers left out since too much waited to leave',
+      registers: [this.registry],
+      collect () {
+        this.reset()
+        this.inc(read())
+      },
+    })
+  }
+
   private addGauge (name: string, help: string, read: () => number): void {
     new Gauge({
       name: `pulleystack_${name}`,
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -19,7 +19,8 @@
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import type { StopPlan } from './StopPlan.js'
-import { watchSources } from './watchSources.js'
+import { TimerDelay } from './TimerDelay.js'
+import { watchSources, type SourceFeeds } from './watchSources.js'
 
 const HEARTBEAT_MS = 1_000
 const SUSPECT_AFTER_MS = 2_400
@@ -82,11 +83,11 @@
   const ended = new AbortController()
   // Every task of the instance waits for this signal.
   setMaxListeners(0, ended.signal)
-  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feed: StoreFeed | undefined } = {
+  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feeds: SourceFeeds | undefined } = {
     table: undefined,
     phase: EntryPhases.STARTING,
     stopPlan: undefined,
-    feed: undefined,
+    feeds: undefined,
   }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
@@ -95,12 +96,13 @@
   const residency = createResidency({
     ...parts,
     orderDelayMs: it.orderDelayMs,
-    readStoreLostMs: () => state.feed?.lostMs ?? 0,
-    readStoreAgeMs: () => state.feed?.ageMs ?? Infinity,
+    readStoreLostMs: () => state.feeds?.backends.lostMs ?? 0,
+    readStoreAgeMs: () => state.feeds?.backends.ageMs ?? Infinity,
     onChange: () => queue.pump(),
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
-  const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
+  const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
+  const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, listCopies })
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
   const gateway = createGateway({ ...parts, random, queue, residency, metrics, mayBegin, mustClose })
@@ -127,7 +129,7 @@
     queue.pump()
   }
   void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
-    if (isChosen) state.feed = beginServing({ ...parts, random, ended, onTable: takeTable })
+    if (isChosen) state.feeds = beginServing({ ...parts, random, ended, onTable: takeTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
   return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
@@ -142,8 +144,8 @@
   onTable: (table: RouteTable) => void
 }
 
-/** Follows the store and tells the others that this instance serves; gives the feed of the backend servers. */
-function beginServing (parts: ServingParts): StoreFeed {
+/** Follows the store and tells the others that this instance serves; gives the copies that it keeps from then on. */
+function beginServing (parts: ServingParts): SourceFeeds {
   const { settings, deps, clock, log, random, fleet, network, mesh, ended, onTable } = parts
   mesh.announce({ standby: false })
   return watchSources({
@@ -203,6 +205,7 @@
     heartbeatMs: HEARTBEAT_MS,
     suspectAfterMs: SUSPECT_AFTER_MS,
     privateNetwork: true,
+    onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
   })
   const settleMs = settings.isFirstStart ? SETTLE_MS : 0
   const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
@@ -277,6 +280,31 @@
   return residency
 }
 
+interface MetricsParts extends Parts {
+  fleet: BackendFleet
+  mesh: InstanceMesh
+  network: WebSocketNetwork
+  readTable: () => RouteTable | undefined
+  readWaiting: () => number
+  listCopies: () => readonly StoreFeed[]
+  signal: AbortSignal
+}
+
+function createMetrics (parts: MetricsParts): EntryMetrics {
+  const { clock, fleet, mesh, network, readTable, readWaiting, listCopies, signal } = parts
+  const timerDelay = new TimerDelay(clock)
+  timerDelay.start(signal)
+  return new EntryMetrics({
+    fleet,
+    mesh,
+    network,
+    readConfigVersion: () => readTable()?.config.version ?? 0,
+    readWaiting,
+    listCopies,
+    readTimerDelayMs: () => timerDelay.longestMs,
+  })
+}
+
 interface GatewayParts extends Parts {
   random: RandomSource
   fleet: BackendFleet
--- /dev/null
+++ b/program/entry/test/TimerDelay.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import { ManualClock, type CancelTimer } from '@pulleystack/core.clock'
+import { TimerDelay } from '../src/TimerDelay.js'
+
+/** Runs every timer late. */
+class LateClock extends ManualClock {
+  lateMs = 0
+
+  override setTimer (ms: number, task: () => void): CancelTimer {
+    return super.setTimer(ms + this.lateMs, task)
+  }
+}
+
+describe('the delay of timers', () => {
+  let clock: LateClock
+  let delay: TimerDelay
+  let ended: AbortController
+
+  beforeEach(() => {
+    clock = new LateClock()
+    delay = new TimerDelay(clock)
+    ended = new AbortController()
+    delay.start(ended.signal)
+  })
+
+  afterEach(() => ended.abort())
+
+  it('is nothing while timers are on time', async () => {
+    await clock.advance(3_000)
+    assert.equal(delay.longestMs, 0)
+  })
+
+  describe('after one timer was late', () => {
+    beforeEach(async () => {
+      clock.lateMs = 300
+      await clock.advance(1_300)
+      clock.lateMs = 0
+      await clock.advance(1_000)
+    })
+
+    it('is the longest of the last seconds', () => {
+      assert.equal(delay.longestMs, 300)
+    })
+
+    it('is forgotten later', async () => {
+      await clock.advance(6_000)
+      assert.equal(delay.longestMs, 0)
+    })
+  })
+})
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -32,6 +32,8 @@
   'peer-joined': { peer: string, incarnation: number }
   /** Nothing was heard of it for too long, or it closed the link. */
   'peer-lost': { peer: string }
+  /** In about the last second `frames` messages to it were left out, since already `backlogBytes` waited to leave. */
+  'frames-not-sent': { peer: string, frames: number, backlogBytes: number }
   /** Another instance orders models now. */
   'holder-changed': { holder: string, fence: number }
   /** This instance may soon order models. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -20,6 +20,7 @@
   BACKEND_EJECTED: 'backend-ejected',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
+  FRAMES_NOT_SENT: 'frames-not-sent',
   HOLDER_CHANGED: 'holder-changed',
   LEASE_TAKEN: 'lease-taken',
   LEASE_LOST: 'lease-lost',
