--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -10,6 +10,9 @@
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
   /** What the process believes. */
+  COPY_STALE: 'copy-stale',
+  COPY_CURRENT: 'copy-current',
+  WATCHER_CHANGED: 'watcher-changed',
   CONFIG_APPLIED: 'config-applied',
   BACKEND_ADDED: 'backend-added',
   BACKEND_CHANGED: 'backend-changed',
@@ -17,6 +20,7 @@
   BACKEND_EJECTED: 'backend-ejected',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
+  FRAMES_NOT_SENT: 'frames-not-sent',
   HOLDER_CHANGED: 'holder-changed',
   LEASE_TAKEN: 'lease-taken',
   LEASE_LOST: 'lease-lost',
