Reproduce the watcher's backlog and news that count as fresh on arrival

Cause, shown by tests on the code as it is: the watcher of a prefix sends every version whole to all others without regard to its link, and whoever takes news counts its copy as fresh from their arrival.

News that take 4 s keep an instance on version 0 1.9 s after the first change. Ruled out by the same tests: a single delivery of held news by a silent cut, or by a thawed process, stays within 1.9 s.

--- a/membership/fake-network/src/FakeNetwork.ts
+++ b/membership/fake-network/src/FakeNetwork.ts
@@ -1,9 +1,23 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { PeerNetwork, type CallHandler, type Channel, type PeerEvent, type PeerIdentity, type Received } from '@pulleystack/membership.peers'
+import { PeerNetwork, encodeFrame, type CallHandler, type Channel, type PeerEvent, type PeerIdentity, type Received } from '@pulleystack/membership.peers'
 import { err, ok, type Result } from 'neverthrow'
 import { filter, map, Subject, type Observable } from 'rxjs'
 
+/** A node's way out: all that it sends leaves one after the other. */
+interface Uplink {
+  bytesPerSecond: number
+  /** Time at which everything sent so far has left. */
+  freeAt: number
+}
+
+/** A direction in which nothing arrives for now, and what waits there. */
+interface HeldDirection {
+  from: string
+  to: string
+  waiting: (() => void)[]
+}
+
 /** What carries the messages of all fake networks of one test. */
 export class FakeHub {
   /** Share of messages lost, and repeated. */
@@ -14,6 +28,10 @@
   messages = 0
   private readonly nodes = new Map<string, FakeNetwork>()
   private readonly cuts = new Set<string>()
+  private readonly uplinks = new Map<string, Uplink>()
+  /** Milliseconds that messages take from one node to another, beside all else. */
+  private readonly delays = new Map<string, number>()
+  private held: HeldDirection[] = []
 
   constructor (readonly opts: { clock: Clock, random: RandomSource }) {}
 
@@ -43,22 +61,61 @@
     return this.cuts.has(`${a}|${b}`)
   }
 
+  /** Bounds what a node can send. */
+  setUplink (instance: string, bytesPerSecond: number): void {
+    this.uplinks.set(instance, { bytesPerSecond, freeAt: -Infinity })
+  }
+
+  /** Puts bytes on a node's uplink, also such as go elsewhere than to peers; gives the milliseconds until they have left. */
+  putOnUplink (instance: string, bytes: number): number {
+    const uplink = this.uplinks.get(instance)
+    if (!uplink) return 0
+    const now = this.opts.clock.readTime()
+    uplink.freeAt = Math.max(now, uplink.freeAt) + bytes / uplink.bytesPerSecond * 1000
+    return uplink.freeAt - now
+  }
+
+  setDelay (from: string, to: string, ms: number): void {
+    this.delays.set(`${from}|${to}`, ms)
+  }
+
+  /** Keeps back what goes from one node to another, as a silent cut or a process that does not run does. */
+  hold (from: string, to: string): void {
+    this.held.push({ from, to, waiting: [] })
+  }
+
+  /** Delivers all that was kept back, in its order. */
+  releaseAll (): void {
+    const held = this.held
+    this.held = []
+    for (const { waiting } of held) waiting.forEach((deliver) => deliver())
+  }
+
   listOthers (instance: string): string[] {
     return [...this.nodes.keys()].filter((other) => other !== instance && !this.isCut(instance, other))
   }
 
   /** Carries one message, or loses it. */
-  carry (from: string, to: string, deliver: (node: FakeNetwork) => void): void {
+  carry (from: string, to: string, body: unknown, deliver: (node: FakeNetwork) => void): void {
     this.messages++
     const { random, clock } = this.opts
+    const sentMs = this.uplinks.has(from) ? this.putOnUplink(from, encodeFrame({ t: 'send', channel: '', body }).length) : 0
     if (random.readFraction() < this.lossShare) return
     const times = random.readFraction() < this.repeatShare ? 2 : 1
+    const delayMs = sentMs + (this.delays.get(`${from}|${to}`) ?? 0)
     for (let i = 0; i < times; i++) {
-      clock.setTimer(random.readFraction() * this.maxDelayMs, () => {
-        const node = this.nodes.get(to)
-        if (node && !this.isCut(from, to)) deliver(node)
-      })
+      clock.setTimer(delayMs + random.readFraction() * this.maxDelayMs, () => this.passOn(from, to, deliver))
+    }
+  }
+
+  private passOn (from: string, to: string, deliver: (node: FakeNetwork) => void): void {
+    const held = this.held.find((direction) => direction.from === from && direction.to === to)
+    if (held) {
+      held.waiting.push(() => this.passOn(from, to, deliver))
+      return
     }
+    const node = this.nodes.get(to)
+    if (node && !this.isCut(from, to)) deliver(node)
   }
 }
 
@@ -90,7 +147,7 @@
     const from = this.identity.instance
     if (!this.hub.findNode(to) || this.hub.isCut(from, to)) return false
     const copy = structuredClone(body)
-    this.hub.carry(from, to, (node) => node.received.next({ from, channel: channel.name, body: copy }))
+    this.hub.carry(from, to, body, (node) => node.received.next({ from, channel: channel.name, body: copy }))
     return true
   }
 
@@ -109,8 +166,8 @@
     return new Promise((resolve) => {
       const failed = new PulleystackError('INSTANCE_UNREACHABLE', `${to} did not answer`, { ran: Ran.UNKNOWN })
       const cancel = this.hub.opts.clock.setTimer(timeoutMs, () => resolve(err(failed)))
-      this.hub.carry(from, to, (node) => void node.answer(from, channel.name, structuredClone(body)).then((answer) => {
-        this.hub.carry(to, from, () => {
+      this.hub.carry(from, to, body, (node) => void node.answer(from, channel.name, structuredClone(body)).then((answer) => {
+        this.hub.carry(to, from, answer.isOk() ? answer.value : null, () => {
           cancel()
           resolve(answer as Result<Answer, PulleystackError>)
         })
