--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -61,6 +61,10 @@
     return this.waiting.length
   }
 
+  isWaiting (work: RoutedWork): boolean {
+    return this.waiting.some((item) => item.work === work)
+  }
+
   /** Resolves with a place; rejects, always with `ran: no`, as soon as none can be had in time. */
   acquire (work: RoutedWork): Promise<BackendPlace> {
     if (this.waiting.length === 0) {
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -8,6 +8,7 @@
 import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
+import { UnfinishedRequest, type UnfinishedFacts } from './UnfinishedRequest.js'
 import { UsualWaits } from './UsualWaits.js'
 import { runRequest, type RunOptions } from './runRequest.js'
 
@@ -62,6 +63,8 @@
 export class RoutedGateway {
   private active = 0
   private readonly ends = new Set<RequestEnd>()
+  /** Holds requests longer than `ends`, until their answers have left. */
+  private readonly unfinished = new Set<UnfinishedRequest>()
   private readonly usualWaits: UsualWaits
 
   constructor (private readonly opts: RoutedGatewayOptions) {
@@ -73,6 +76,12 @@
     return this.active
   }
 
+  /** The oldest requests whose answers have not left whole. */
+  listUnfinished (limit: number): UnfinishedFacts[] {
+    const now = this.opts.clock.readTime()
+    return [...this.unfinished].slice(0, limit).map((unfinished) => unfinished.describe(now))
+  }
+
   /** Gives every request its final answer now, or breaks off an answer that has begun, since the process is about to end. */
   cancelAll (): void {
     for (const end of this.ends) end.abandon()
@@ -88,6 +97,7 @@
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const end = createRequestEnd(response)
     this.ends.add(end)
+    const unfinished = this.noteUnfinished(facts.requestId, response, arrivedAt)
     try {
       const table = this.findTable()
       const route = findRoute(table, request)
@@ -95,6 +105,7 @@
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
       if (!this.opts.mayBegin(deadline)) throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
       const work = await this.readWork({ table, route, facts, request, arrivedAt, deadline, signal: end.signal })
+      unfinished.work = work
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
@@ -117,6 +128,13 @@
     }
   }
 
+  private noteUnfinished (request: string | undefined, response: http.ServerResponse, arrivedAt: number): UnfinishedRequest {
+    const unfinished = new UnfinishedRequest({ request, response, arrivedAt, isWaiting: (work) => this.opts.queue.isWaiting(work) })
+    this.unfinished.add(unfinished)
+    response.once('close', () => this.unfinished.delete(unfinished))
+    return unfinished
+  }
+
   private findTable (): RouteTable {
     const table = this.opts.readTable()
     if (!table) throw new PulleystackError('NO_RUNNER', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
--- /dev/null
+++ b/gateway/routed/test/UnfinishedRequest.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict'
+import type http from 'node:http'
+import { beforeEach, describe, it } from 'node:test'
+import type { RoutedWork } from '../src/RoutedWork.js'
+import { UnfinishedRequest } from '../src/UnfinishedRequest.js'
+
+const WORK = { route: { name: 'chat' }, stream: { events: 3 } } as unknown as RoutedWork
+
+describe('a request that has not been answered whole', () => {
+  let response: { headersSent: boolean, writableEnded: boolean, writableNeedDrain: boolean }
+  let isWaiting: boolean
+  let unfinished: UnfinishedRequest
+
+  beforeEach(() => {
+    response = { headersSent: false, writableEnded: false, writableNeedDrain: false }
+    isWaiting = false
+    unfinished = new UnfinishedRequest({ request: 'r1', response: response as http.ServerResponse, arrivedAt: 1_000, isWaiting: () => isWaiting })
+  })
+
+  it('is read before its route counts', () => {
+    assert.deepEqual(unfinished.describe(1_250), { request: 'r1', route: undefined, ageMs: 250, state: 'reading', hasBegun: false, events: 0 })
+  })
+
+  it('is answered once its answer is written, also a refusal before it was read', () => {
+    response.writableEnded = true
+    assert.equal(unfinished.describe(1_000).state, 'answered')
+  })
+
+  describe('whose body was read', () => {
+    beforeEach(() => {
+      unfinished.work = WORK
+    })
+
+    it('is sent while nothing has come back', () => {
+      assert.equal(unfinished.describe(1_000).state, 'sent')
+    })
+
+    it('streams once its answer has begun', () => {
+      response.headersSent = true
+      assert.deepEqual(unfinished.describe(1_100), { request: 'r1', route: 'chat', ageMs: 100, state: 'streaming', hasBegun: true, events: 3 })
+    })
+
+    it('is paused while its client does not read', () => {
+      Object.assign(response, { headersSent: true, writableNeedDrain: true })
+      assert.equal(unfinished.describe(1_000).state, 'paused')
+    })
+
+    it('waits when it has no place, also between two servers', () => {
+      isWaiting = true
+      response.headersSent = true
+      assert.deepEqual(unfinished.describe(1_000), { request: 'r1', route: 'chat', ageMs: 0, state: 'waiting', hasBegun: true, events: 3 })
+    })
+  })
+})
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -6,6 +6,8 @@
 const POLL_MS = 50
 /** Milliseconds in which last answers leave; the process ends 300 ms after they are given (see `LAST_MS` of the plan and the adapter). */
 const FLUSH_MS = 150
+/** Requests that are logged one by one at each moment of a stop; more would take processor time from the last answers. */
+const MAX_LOGGED = 20
 
 /**
  * Planned stop: leaves the list of addresses at once, goes on serving those who still come, refuses what could not be
@@ -24,8 +26,10 @@
   await clock.wait(plan.servesUntil - clock.readTime())
   entry.setPhase(EntryPhases.ENDING)
   await waitUntilDone(entry, plan.endsAt)
+  recordUnfinished(entry, 'cancel')
   gateway.cancelAll()
   await waitUntilDone(entry, plan.endsAt + FLUSH_MS)
+  recordUnfinished(entry, 'exit')
   const cut = gateway.inFlight
   entry.log.record(DecisionKinds.STOPPED, { cut, ms: Math.round(clock.readTime() - plan.startedAt) })
   entry.ended.abort()
@@ -34,6 +38,10 @@
   return cut
 }
 
+function recordUnfinished (entry: Entry, moment: 'cancel' | 'exit'): void {
+  for (const facts of entry.gateway.listUnfinished(MAX_LOGGED)) entry.log.record(DecisionKinds.REQUEST_AT_STOP, { moment, ...facts })
+}
+
 async function waitUntilDone (entry: Entry, until: number): Promise<void> {
   while (entry.gateway.inFlight > 0 && entry.clock.readTime() < until) await entry.clock.wait(POLL_MS)
 }
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -42,6 +42,16 @@
   'lease-lost': { fence: number }
   /** It leaves the lease to another, which must spare the servers that were ordered lately. */
   'lease-handed-over': { fence: number, ordered: readonly string[] }
+  /** Not answered whole when a stop cancels what it has (`cancel`) or ends (`exit`); `state`: reading, waiting, sent, streaming, paused or answered. */
+  'request-at-stop': {
+    moment: 'cancel' | 'exit'
+    request: string | undefined
+    route: string | undefined
+    ageMs: number
+    state: string
+    hasBegun: boolean
+    events: number
+  }
   /** No place at once: `full`, `not-resident` or `no-backend`; `waiting` requests wait here. */
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
   /** The chosen server, what all instances have in hand there, how much of the prompt it has read, and the time left. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -26,6 +26,7 @@
   LEASE_LOST: 'lease-lost',
   LEASE_HANDED_OVER: 'lease-handed-over',
   /** One request. */
+  REQUEST_AT_STOP: 'request-at-stop',
   REQUEST_WAITING: 'request-waiting',
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
