--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,39 +1,38 @@
 import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PulleystackError } from '@pulleystack/core.errors'
-import { findOwner } from '@pulleystack/core.hashing'
-import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
+import { findOwner, listRanked } from '@pulleystack/core.hashing'
+import { measureSend, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { answerSnapshots } from './answerSnapshots.js'
+import { ByteBudget } from './ByteBudget.js'
+import { NEWS, NOTICE, SNAPSHOT, type FeedNews, type FeedSnapshot, type FeedSpan } from './channels.js'
 import { CopyStates, type CopyState } from './CopyWatch.js'
+import { FeedCopy, keepNewest, measureValue } from './FeedCopy.js'
 
-/** All changes under the prefix after revision `from`, up to revision `to`; none are listed when nothing changed. */
-interface FeedNews {
-  prefix: string
-  from: number
-  to: number
-  changes: StoreChange[]
-}
-
-/** Everything under a prefix as of one revision. */
-interface FeedSnapshot {
-  revision: number
-  objects: StoredObject[]
-}
-
-const NEWS = defineChannel<FeedNews>('feed.news')
-const SNAPSHOT = defineChannel<{ prefix: string }, FeedSnapshot | undefined>('feed.snapshot')
-
-/** A watcher's call waits this long, so that the others hear from it at least so often. */
+/** A watcher's call waits this long at most, so that the others hear from it at least so often. */
 const WATCHER_WAIT_MS = 700
-/** Who hears nothing for this long watches for itself; with the call it stays well inside what bounds allow. */
+/** A watcher's call asks to be answered before copies are this old, so that nobody gets to QUIET_MS on the way of the news. */
+const NEWS_DUE_MS = 900
+/** Shorter waits would only add calls. */
+const MIN_WAIT_MS = 50
+/** Whoever has a copy this old watches for itself; with the call it stays well inside what bounds allow. */
 const QUIET_MS = 1_100
-const OWN_WAIT_MS = 1_200
-/** An answer that was processed later than this after its call could end is too old to be news. */
-const LATE_MS = 300
+/** With QUIET_MS before it, a copy is 1.4 s old at most when such a call is answered, inside the 2 s of the bound for changes. */
+const OWN_WAIT_MS = 300
 const SETTLE_MS = 100
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 400
+/** A peer that answers at all does so in milliseconds; this many of them fit into the bound for changes. */
 const SNAPSHOT_MS = 400
+/** An instance that is told of changes asks for them this often at most: 2.5 reads a second whatever changes, a fifth of the bound for changes. */
+const FETCH_PAUSE_MS = 400
+/** The store answers in milliseconds; who waits longer for it asks a peer as well. */
+const STORE_PATIENCE_MS = 250
+/** Peers that are asked at one time for what the store does not give. */
+const PEERS_ASKED = 3
+/** A listing up to this size is never worse than many versions of few objects: 26 ms of a link of 10 Mbit/s. */
+const SMALL_LISTING_BYTES = 32_000
 
 export interface StoreFeedOptions {
   clock: Clock
@@ -45,20 +44,22 @@
   instance: string
   /** Live instances that could watch, this one among them. */
   listCandidates: () => readonly string[]
-  /** All objects, at first and after a gap. */
+  /** All objects, at first, after a gap and when that costs less than the changes. */
   onListing: (objects: readonly StoredObject[]) => void
-  /** Changes, in order. */
+  /** Changes, in order; of several of one object in one answer only the newest. */
   onChanges: (changes: readonly StoreChange[]) => void
 }
 
 /** One instance's copy of everything under one prefix. Its revision never goes back. */
 export class StoreFeed {
-  private readonly objects = new Map<string, StoredObject>()
-  private revision: number | undefined
-  /** Newest revision ever had; what a peer offers after a gap must not be older. */
-  private newest = 0
+  private readonly copy = new FeedCopy()
+  private readonly budget: ByteBudget
+  /** Time of the own clock at which the store surely held nothing that the copy lacks. */
   private freshAt = -Infinity
-  private hasGap = false
+  /** Newest revision that peers told of, who told it, and the size of what was left out since the copy's revision. */
+  private told = { revision: 0, by: '', bytes: 0 }
+  private fetchedAt = -Infinity
+  private asking: Promise<unknown> | undefined
   private isLost = false
   private isAsking = false
   private regainedAt = -Infinity
@@ -66,9 +67,11 @@
   private backoffMs = MIN_BACKOFF_MS
   private wake: () => void = () => undefined
 
-  constructor (private readonly opts: StoreFeedOptions) {}
+  constructor (private readonly opts: StoreFeedOptions) {
+    this.budget = new ByteBudget(opts.clock)
+  }
 
-  /** Milliseconds since the copy was known to be what the store holds. */
+  /** Milliseconds since the copy was known to be what the store holds, counted from the store's answer, whoever got it. */
   get ageMs (): number {
     return this.opts.clock.readTime() - this.freshAt
   }
@@ -85,14 +88,14 @@
 
   /** Newest revision that this instance has had; 0 before the first listing. */
   get newestRevision (): number {
-    return this.newest
+    return this.copy.newest
   }
 
   /** What the feed does about its copy now. */
   get state (): CopyState {
     if (this.isLost) return CopyStates.STORE_LOST
     if (this.isAsking) return CopyStates.ASKING
-    return this.hasGap ? CopyStates.GAP : CopyStates.LISTENING
+    return this.isBehind ? CopyStates.GAP : CopyStates.LISTENING
   }
 
   /** Whether this instance watches the store for the others. */
@@ -102,25 +105,33 @@
 
   /** Follows the prefix until the signal ends. */
   start (signal: AbortSignal): void {
-    const { network, prefix } = this.opts
-    const subscription = network.receive(NEWS).subscribe(({ body }) => {
-      if (body.prefix === prefix) this.takeNews(body)
-    })
-    answerSnapshots(network, prefix, () => this.revision === undefined ? undefined : { revision: this.revision, objects: [...this.objects.values()] })
-    signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
+    const { clock, network, prefix } = this.opts
+    const subscriptions = [
+      network.receive(NEWS).subscribe(({ from, body }) => {
+        if (body.prefix === prefix) this.takeNews(from, body)
+      }),
+      network.receive(NOTICE).subscribe(({ from, body }) => {
+        if (body.prefix === prefix) this.takeNotice(from, body, body.bytes)
+      }),
+    ]
+    answerSnapshots(clock, network, { prefix, copy: this.copy, readFreshAt: () => this.freshAt })
+    signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
     void this.run(signal)
   }
 
   private async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.revision === undefined) await this.list(signal)
-      else if (this.mustWatch()) await this.watch(signal)
+      if (this.copy.revision === undefined) await this.begin(signal)
+      else if (this.isWatcher()) await this.keepWatch(signal)
+      else if (this.isBehind) await this.followNotice(signal)
+      else if (this.ageMs >= QUIET_MS) await this.keepWatch(signal)
       else await this.rest(signal)
     }
   }
 
-  private mustWatch (): boolean {
-    return this.hasGap || this.ageMs >= QUIET_MS || this.isWatcher()
+  /** Peers told of changes that this instance does not have. */
+  private get isBehind (): boolean {
+    return this.told.revision > (this.copy.revision ?? 0)
   }
 
   /** Waits until this instance has to ask for itself. */
@@ -130,101 +141,191 @@
     await this.opts.clock.wait(Math.max(1, QUIET_MS - this.ageMs), AbortSignal.any([signal, woken.signal]))
   }
 
-  private async list (signal: AbortSignal): Promise<void> {
-    const askedAt = this.opts.clock.readTime()
-    const listing = await this.opts.store.listObjects(this.opts.prefix)
-    if (signal.aborted) return
-    if (listing.isOk()) {
-      this.noteAnswered()
-      this.replace({ revision: listing.value.version, objects: listing.value.objects }, askedAt)
-      return
-    }
-    await this.askPeers()
-    if (this.revision === undefined) await this.backOff(signal, listing.error)
+  /** Gets a first copy; with the store away, what a peer has is better than nothing. */
+  private async begin (signal: AbortSignal): Promise<void> {
+    const failure = await this.list(signal)
+    if (!failure || signal.aborted) return
+    await this.askPeers(this.opts.network.listLinked())
+    if (this.copy.revision === undefined) await this.backOff(signal, failure)
   }
 
-  /** With the store away, what a peer has is better than nothing. */
-  private async askPeers (): Promise<void> {
-    const { network, prefix } = this.opts
-    for (const peer of network.listLinked()) {
-      const answer = await network.call(peer, SNAPSHOT, { prefix }, SNAPSHOT_MS)
-      if (answer.isErr() || !answer.value || this.revision !== undefined) continue
-      if (answer.value.revision < this.newest) continue
-      this.replace(answer.value, -Infinity)
+  private async keepWatch (signal: AbortSignal): Promise<void> {
+    const failure = await this.watch(signal)
+    if (failure) await this.backOff(signal, failure)
+  }
+
+  /** Asks the store for what peers told of, and a peer when the store does not give it soon. */
+  private async followNotice (signal: AbortSignal): Promise<void> {
+    const { clock } = this.opts
+    const pauseMs = this.fetchedAt + FETCH_PAUSE_MS - clock.readTime()
+    if (pauseMs > 0) {
+      await clock.wait(pauseMs, signal)
       return
     }
+    this.fetchedAt = clock.readTime()
+    this.asking ??= this.askStore(signal).finally(() => {
+      this.asking = undefined
+    })
+    await Promise.race([this.asking, clock.wait(STORE_PATIENCE_MS, signal)])
+    if (this.isBehind && !signal.aborted) await this.askPeers(this.choosePeers())
   }
 
-  private async watch (signal: AbortSignal): Promise<void> {
+  private async askStore (signal: AbortSignal): Promise<void> {
+    const mayList = this.copy.bytes <= Math.max(SMALL_LISTING_BYTES, this.told.bytes)
+    const failure = mayList ? await this.list(signal) : await this.watch(signal)
+    if (failure) this.noteLost(failure)
+  }
+
+  private async list (signal: AbortSignal): Promise<PulleystackError | undefined> {
+    const { clock, store, prefix } = this.opts
+    const { told } = this
+    const askedAt = clock.readTime()
+    const listing = await this.showAsking(store.listObjects(prefix))
+    if (signal.aborted) return undefined
+    if (listing.isErr()) return listing.error
+    this.noteAnswered()
+    this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: askedAt })
+    this.forgetTold(told)
+    return undefined
+  }
+
+  private async watch (signal: AbortSignal): Promise<PulleystackError | undefined> {
     const { clock, store, prefix } = this.opts
-    const from = this.revision as number
+    const { told } = this
+    const from = this.copy.revision as number
     const isWatcher = this.isWatcher()
-    const waitMs = isWatcher ? WATCHER_WAIT_MS : OWN_WAIT_MS
     const askedAt = clock.readTime()
-    this.isAsking = true
-    const batch = await store.waitForChanges(prefix, from, waitMs, signal)
-    this.isAsking = false
-    if (signal.aborted) return
+    const waitMs = isWatcher ? this.computeWait() : OWN_WAIT_MS
+    const batch = await this.showAsking(store.waitForChanges(prefix, from, waitMs, signal))
+    if (signal.aborted) return undefined
     if (batch.isErr()) {
-      if (batch.error.code === 'STORE_COMPACTED') this.revision = undefined
-      else await this.backOff(signal, batch.error)
-      return
+      if (batch.error.code !== 'STORE_COMPACTED') return batch.error
+      this.copy.revision = undefined
+      return undefined
     }
     this.noteAnswered()
-    this.hasGap = false
-    const news = { prefix, from, to: Math.max(from, batch.value.version), changes: batch.value.changes }
-    this.apply(news, clock.readTime())
-    if (isWatcher && clock.readTime() - askedAt < waitMs + LATE_MS) this.opts.network.broadcast(NEWS, news)
-    if (news.changes.length > 0) await clock.wait(SETTLE_MS, signal)
-  }
-
-  private takeNews (news: FeedNews): void {
-    if (this.revision === undefined) return
-    if (news.from > this.revision) {
-      this.hasGap = true
-      this.wake()
+    const changes = keepNewest(batch.value.changes)
+    // The store holds an answer without changes back for the time asked, so that it is as new as the end of that time.
+    const isWhole = changes.length === 0 && clock.readTime() - askedAt >= waitMs
+    const news = { prefix, from, to: Math.max(from, batch.value.version), knownAt: isWhole ? askedAt + waitMs : askedAt, changes }
+    this.apply(news, news.knownAt)
+    this.forgetTold(told)
+    if (isWatcher) this.tellNews(news)
+    if (changes.length > 0) await clock.wait(SETTLE_MS, signal)
+    return undefined
+  }
+
+  private computeWait (): number {
+    const dueMs = Math.round(this.freshAt + NEWS_DUE_MS - this.opts.clock.readTime())
+    return Math.min(WATCHER_WAIT_MS, Math.max(MIN_WAIT_MS, dueMs))
+  }
+
+  /** Sends changes to all while the own link bears it, else only that there were some. */
+  private tellNews (news: FeedNews): void {
+    const { network } = this.opts
+    const bytes = measureSend(NEWS, news) * network.countReached()
+    if (news.changes.length === 0 || this.budget.tryTake(bytes)) {
+      network.broadcast(NEWS, news)
       return
     }
+    const { changes, ...span } = news
+    network.broadcast(NOTICE, { ...span, bytes: changes.reduce((sum, change) => sum + measureValue(change.value), 0) })
+  }
+
+  private takeNews (from: string, news: FeedNews): void {
+    const { revision } = this.copy
     // Who knows less than this instance has no news for it.
-    if (news.to < this.revision) return
-    this.noteAnswered()
-    this.apply(news, this.opts.clock.readTime())
+    if (revision === undefined || news.to < revision) return
+    if (news.from > revision) {
+      this.takeNotice(from, news, news.changes.reduce((sum, change) => sum + measureValue(change.value), 0))
+      return
+    }
+    const knownAt = this.convertTime(from, news.knownAt)
+    this.noteHeard(knownAt)
+    this.apply(news, knownAt)
   }
 
-  private apply (news: FeedNews, now: number): void {
-    const known = this.revision ?? 0
-    const changes = news.changes.filter((change) => change.version > known)
-    for (const change of changes) {
-      if (change.value === undefined) this.objects.delete(change.key)
-      else this.objects.set(change.key, change)
+  private takeNotice (from: string, span: FeedSpan, bytes: number): void {
+    const { revision } = this.copy
+    if (revision === undefined || span.to < revision) return
+    const knownAt = this.convertTime(from, span.knownAt)
+    this.noteHeard(knownAt)
+    if (span.to === revision) {
+      this.freshAt = Math.max(this.freshAt, knownAt)
+      return
     }
-    this.revision = Math.max(known, news.to)
-    this.newest = this.revision
-    this.freshAt = now
-    if (changes.length > 0) this.opts.onChanges(changes)
-  }
-
-  private replace (snapshot: FeedSnapshot, freshAt: number): void {
-    this.objects.clear()
-    for (const object of snapshot.objects) this.objects.set(object.key, object)
-    this.revision = snapshot.revision
-    this.newest = Math.max(this.newest, snapshot.revision)
-    this.freshAt = freshAt
-    this.hasGap = false
+    if (span.to > this.told.revision) this.told = { revision: span.to, by: from, bytes: (this.isBehind ? this.told.bytes : 0) + bytes }
+    this.wake()
+  }
+
+  /** What is told while the store is asked may be newer than its answer; what was told before is not. */
+  private forgetTold (told: { revision: number }): void {
+    if (this.told.revision === told.revision) this.told = { revision: 0, by: '', bytes: 0 }
+  }
+
+  /** The one that told of the changes, and others in case it has no time. */
+  private choosePeers (): string[] {
+    const { network, instance } = this.opts
+    const others = listRanked(instance, network.listLinked().filter((peer) => peer !== this.told.by), (peer) => peer)
+    return [this.told.by, ...others].slice(0, PEERS_ASKED)
+  }
+
+  /** Takes the copy of the first of some peers that has a newer one. */
+  private async askPeers (peers: readonly string[]): Promise<void> {
+    const { network, prefix } = this.opts
+    const after = this.copy.newest
+    for (const peer of peers) {
+      const answer = await network.call(peer, SNAPSHOT, { prefix, after: this.copy.revision ?? after - 1 }, SNAPSHOT_MS)
+      if (answer.isErr() || !answer.value) continue
+      const { revision, objects, knownAt } = answer.value
+      this.replace({ revision, objects, knownAt: this.convertTime(peer, knownAt) })
+      return
+    }
+  }
+
+  /** The own time at which it was at least what a peer says; without an end when that is not known yet. */
+  private convertTime (peer: string, theirTime: number): number {
+    return this.opts.network.convertTime(peer, theirTime) ?? -Infinity
+  }
+
+  private apply (news: FeedNews, knownAt: number): void {
+    const applied = this.copy.apply(news.changes, news.to)
+    this.freshAt = Math.max(this.freshAt, knownAt)
+    if (applied.length > 0) this.opts.onChanges(applied)
+  }
+
+  private replace (snapshot: FeedSnapshot): void {
+    if (!this.copy.replace(snapshot.revision, snapshot.objects)) return
+    this.freshAt = Math.max(this.freshAt, snapshot.knownAt)
     this.opts.onListing(snapshot.objects)
   }
 
+  private async showAsking<T> (call: Promise<T>): Promise<T> {
+    this.isAsking = true
+    try {
+      return await call
+    } finally {
+      this.isAsking = false
+    }
+  }
+
   private async backOff (signal: AbortSignal, cause: PulleystackError): Promise<void> {
-    if (!this.isLost) this.noteLost(cause)
+    this.noteLost(cause)
     await this.opts.clock.wait(this.backoffMs * (0.5 + this.opts.random.readFraction()), signal)
     this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
   }
 
   private noteLost (cause: PulleystackError): void {
+    if (this.isLost) return
     this.isLost = true
     this.lostAt = this.opts.clock.readTime()
     const { code, message } = cause
-    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision, code, reason: message })
+    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.copy.revision, code, reason: message })
+  }
+
+  /** A peer had an answer of the store at some time; one from before it went away does not say that it is back. */
+  private noteHeard (knownAt: number): void {
+    if (knownAt > this.lostAt) this.noteAnswered()
   }
 
   private noteAnswered (): void {
@@ -232,21 +333,6 @@
     if (!this.isLost) return
     this.isLost = false
     this.regainedAt = this.opts.clock.readTime()
-    this.opts.log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix: this.opts.prefix, revision: this.revision })
-  }
-}
-
-type SnapshotReader = () => FeedSnapshot | undefined
-const snapshotReaders = new WeakMap<PeerNetwork, Map<string, SnapshotReader>>()
-
-/** A channel has one handler, which serves the feeds of all prefixes. */
-function answerSnapshots (network: PeerNetwork, prefix: string, read: SnapshotReader): void {
-  const present = snapshotReaders.get(network)
-  if (present) {
-    present.set(prefix, read)
-    return
+    this.opts.log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix: this.opts.prefix, revision: this.copy.revision })
   }
-  const readers = new Map([[prefix, read]])
-  snapshotReaders.set(network, readers)
-  network.handleCalls(SNAPSHOT, (_, asked) => readers.get(asked.prefix)?.())
 }
--- a/config/feed/test/FeedBench.ts
+++ b/config/feed/test/FeedBench.ts
@@ -18,7 +18,8 @@
   private isFrozen = false
   private due: (() => void)[] = []
 
-  constructor (private readonly clock: ManualClock) {
+  /** `offsetMs`: how far it is ahead of the common clock. */
+  constructor (private readonly clock: ManualClock, private readonly offsetMs: number) {
     super()
   }
 
@@ -27,7 +28,7 @@
   }
 
   readTime (): number {
-    return this.clock.readTime()
+    return this.clock.readTime() + this.offsetMs
   }
 
   setTimer (ms: number, task: () => void): CancelTimer {
@@ -53,10 +54,12 @@
   }
 }
 
+type PathState = 'good' | 'silent' | 'failing'
+
 /** One instance's way to the common store, on its uplink: it counts calls and can be cut or fail. */
 class Path extends MemoryObjectStore {
   calls = 0
-  state: 'good' | 'silent' | 'failing' = 'good'
+  state: PathState = 'good'
 
   constructor (private readonly way: { name: string, clock: Clock, shared: MemoryObjectStore, hub: FakeHub }) {
     super({ clock: way.clock })
@@ -105,10 +108,13 @@
     this.hub = new FakeHub({ clock: this.clock, random: new RandomSource(seed) })
   }
 
-  start (name: string): Node {
+  /** `offsetMs` is how far the instance's monotone clock is ahead of the common one; without `isClockKnown` peers don't know it. */
+  start (name: string, { offsetMs = 0, isClockKnown = true, state = 'good' as PathState } = {}): Node {
     const { shared, hub } = this
-    const clock = new ProcessClock(this.clock)
+    const clock = new ProcessClock(this.clock, offsetMs)
+    hub.timeOffsets.set(name, isClockKnown ? offsetMs : undefined)
     const path = new Path({ name, clock, shared, hub })
+    path.state = state
     const network = hub.createNode({ instance: name, incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
     const values = new Map<string, unknown>()
     const taken: number[] = []
--- a/config/feed/test/StoreFeed.test.ts
+++ b/config/feed/test/StoreFeed.test.ts
@@ -68,14 +68,13 @@
     const last = nodes[4] as Node
     last.ended.abort()
     bench.hub.removeNode(last.name)
-    const fresh = bench.start('n6')
-    fresh.path.state = 'failing'
+    const fresh = bench.start('n6', { state: 'failing' })
     await bench.clock.advance(2_000)
     assert.equal(fresh.values.get(`${PREFIX}x`), value)
   })
 
   it('never goes back and ends alike, whatever is lost, repeated, overtaken or cut', async () => {
-    const step = fc.record({ kind: fc.constantFrom('write', 'cut', 'heal', 'silent', 'good', 'compact', 'pass'), node: fc.nat(4), other: fc.nat(4) })
+    const step = fc.record({ kind: fc.constantFrom('write', 'writeLarge', 'cut', 'heal', 'silent', 'good', 'compact', 'pass'), node: fc.nat(4), other: fc.nat(4) })
     await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 30 }), fc.integer(), async (steps, seed) => {
       bench = new FeedBench(seed)
       const { clock, shared, hub, nodes } = bench
@@ -85,6 +84,7 @@
       for (const name of NAMES) bench.start(name)
       for (const { kind, node, other } of steps) {
         if (kind === 'write') await write(`k${node}`)
+        else if (kind === 'writeLarge') await bench.write(`k${node}`, 40_000)
         else if (kind === 'cut') hub.cut(NAMES[node] as string, NAMES[other] as string)
         else if (kind === 'heal') hub.healAll()
         else if (kind === 'compact') shared.compact()
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -12,6 +12,8 @@
 import { runRequest, type RunOptions } from './runRequest.js'
 
 const UNCONFIGURED_RETRY_SECONDS = 0.5
+/** By then a client asks another instance, or this one has asked the store twice more. */
+const OUTDATED_RETRY_SECONDS = 0.5
 const GONE_STATUS = 499
 
 /** A routed request that was answered or given up, for metrics. */
@@ -30,6 +32,8 @@
   residency: ResidencyClient
   /** The routes in force; undefined until a configuration is known. */
   readTable: () => RouteTable | undefined
+  /** Whether the routes in force are surely those that have to be; false when a newer configuration may have others. */
+  isTableCurrent: () => boolean
   /** Whether a request that may last until the deadline may begin; false when the process ends before. */
   mayBegin: (deadline: number) => boolean
   /** Connections are to close after their current answer. */
@@ -90,7 +94,7 @@
     this.ends.add(end)
     try {
       const table = this.findTable()
-      const route = findRoute(table, request)
+      const route = this.findRoute(table, request)
       outcome.route = route.name
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
       if (!this.opts.mayBegin(deadline)) throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
@@ -123,6 +127,14 @@
     return table
   }
 
+  private findRoute (table: RouteTable, request: http.IncomingMessage): Route {
+    const path = (request.url ?? '/').split('?', 1)[0] as string
+    const route = table.findRoute(request.headers.host ?? '', path)
+    if (route) return route
+    if (this.opts.isTableCurrent()) throw new PulleystackError('NOT_FOUND', 'No route takes this host and path')
+    throw new PulleystackError('NO_RUNNER', 'This instance may not know the newest routes', { retryAfterSeconds: OUTDATED_RETRY_SECONDS })
+  }
+
   private async readWork (it: ArrivedRequest): Promise<RoutedWork> {
     const { table, route, facts, request } = it
     const name = chooseTarget(route, this.opts.random)
@@ -174,13 +186,6 @@
   }
 }
 
-function findRoute (table: RouteTable, request: http.IncomingMessage): Route {
-  const path = (request.url ?? '/').split('?', 1)[0] as string
-  const route = table.findRoute(request.headers.host ?? '', path)
-  if (!route) throw new PulleystackError('NOT_FOUND', 'No route takes this host and path')
-  return route
-}
-
 interface RequestEnd {
   signal: AbortSignal
   /** The request's time is over. */
--- a/membership/fake-network/src/FakeNetwork.ts
+++ b/membership/fake-network/src/FakeNetwork.ts
@@ -1,14 +1,18 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { PeerNetwork, encodeFrame, type CallHandler, type Channel, type PeerEvent, type PeerIdentity, type Received } from '@pulleystack/membership.peers'
+import { PeerNetwork, defineChannel, measureSend, type CallHandler, type Channel, type PeerEvent, type PeerIdentity, type Received } from '@pulleystack/membership.peers'
 import { err, ok, type Result } from 'neverthrow'
 import { filter, map, Subject, type Observable } from 'rxjs'
 
+/** Names of channels add little to what is measured. */
+const ANY = defineChannel<unknown>('any')
+
 /** A node's way out: all that it sends leaves one after the other. */
 interface Uplink {
   bytesPerSecond: number
   /** Time at which everything sent so far has left. */
   freeAt: number
+  sentBytes: number
 }
 
 /** A direction in which nothing arrives for now, and what waits there. */
@@ -32,6 +36,8 @@
   /** Milliseconds that messages take from one node to another, beside all else. */
   private readonly delays = new Map<string, number>()
   private held: HeldDirection[] = []
+  /** Milliseconds by which nodes' monotone clocks are ahead of the common one; undefined for clocks that no peer knows. */
+  readonly timeOffsets = new Map<string, number | undefined>()
 
   constructor (readonly opts: { clock: Clock, random: RandomSource }) {}
 
@@ -63,7 +69,7 @@
 
   /** Bounds what a node can send. */
   setUplink (instance: string, bytesPerSecond: number): void {
-    this.uplinks.set(instance, { bytesPerSecond, freeAt: -Infinity })
+    this.uplinks.set(instance, { bytesPerSecond, freeAt: -Infinity, sentBytes: 0 })
   }
 
   /** Puts bytes on a node's uplink, also such as go elsewhere than to peers; gives the milliseconds until they have left. */
@@ -71,10 +77,16 @@
     const uplink = this.uplinks.get(instance)
     if (!uplink) return 0
     const now = this.opts.clock.readTime()
+    uplink.sentBytes += bytes
     uplink.freeAt = Math.max(now, uplink.freeAt) + bytes / uplink.bytesPerSecond * 1000
     return uplink.freeAt - now
   }
 
+  /** Bytes that a node with a bounded uplink has sent. */
+  countSentBytes (instance: string): number {
+    return this.uplinks.get(instance)?.sentBytes ?? 0
+  }
+
   setDelay (from: string, to: string, ms: number): void {
     this.delays.set(`${from}|${to}`, ms)
   }
@@ -95,11 +107,17 @@
     return [...this.nodes.keys()].filter((other) => other !== instance && !this.isCut(instance, other))
   }
 
+  /** As PeerNetwork.convertTime does. */
+  convertTime (from: string, to: string, theirTime: number): number | undefined {
+    const [theirs, own] = [from, to].map((instance) => this.timeOffsets.has(instance) ? this.timeOffsets.get(instance) : 0)
+    return theirs === undefined || own === undefined ? undefined : theirTime - theirs + own
+  }
+
   /** Carries one message, or loses it. */
   carry (from: string, to: string, body: unknown, deliver: (node: FakeNetwork) => void): void {
     this.messages++
     const { random, clock } = this.opts
-    const sentMs = this.uplinks.has(from) ? this.putOnUplink(from, encodeFrame({ t: 'send', channel: '', body }).length) : 0
+    const sentMs = this.uplinks.has(from) ? this.putOnUplink(from, measureSend(ANY, body)) : 0
     if (random.readFraction() < this.lossShare) return
     const times = random.readFraction() < this.repeatShare ? 2 : 1
     const delayMs = sentMs + (this.delays.get(`${from}|${to}`) ?? 0)
@@ -137,6 +155,10 @@
     return 0
   }
 
+  convertTime (instance: string, theirTime: number): number | undefined {
+    return this.hub.convertTime(instance, this.identity.instance, theirTime)
+  }
+
   listLinked (): string[] {
     return this.hub.listOthers(this.identity.instance)
   }
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -21,7 +21,7 @@
 const INSTANCES = defineChannel<Record<string, never>, KnownInstance[]>('mesh.instances')
 
 /** An instance that serves tells those on standby who else does. */
-const SERVING = defineChannel<PeerIdentity[]>('mesh.serving')
+const SERVING = defineChannel<PeerIdentity[]>('mesh.serving', { isOnce: true })
 
 /** What an instance writes of itself into the store. */
 type InstanceRecord = Omit<KnownInstance, 'instance'>
--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -2,11 +2,16 @@
 import { PulleystackError, Ran, ResultCodes, type ResultCodeName } from '@pulleystack/core.errors'
 import { err, ok, type Result } from 'neverthrow'
 import type { RawData, WebSocket } from 'ws'
-import { decodeFrame, encodeFrame, type Frame } from './frames.js'
+import type { Channel } from './Channel.js'
+import { decodeFrame, encodeFrame, type Beat, type Frame } from './frames.js'
 import { checkProof, createNonce, createProof } from './handshake.js'
 import type { PeerIdentity } from './PeerNetwork.js'
+import { TimeOffset } from './TimeOffset.js'
 
-const MAX_BUFFERED_BYTES = 16 << 20
+/** Messages that later ones make up for wait behind no more than this: 0.2 s of a link of 10 Mbit/s, the narrowest that sites have. */
+const MAX_BUFFERED_BYTES = 256 << 10
+/** Messages that nothing makes up for are dropped only to spare memory. */
+const MAX_BUFFERED_ONCE_BYTES = 16 << 20
 const HANDSHAKE_MS = 5_000
 
 export interface PeerLinkOptions {
@@ -41,7 +46,8 @@
   private theirNonce = ''
   private proven = false
   private nextCall = 1
-  private lastBeat: { at: number, heardAt: number } | undefined
+  private lastBeat: { at: number, time: number, heardAt: number } | undefined
+  private readonly timeOffset = new TimeOffset()
   private readonly pending = new Map<number, PendingCall>()
 
   constructor (private readonly opts: PeerLinkOptions) {
@@ -65,14 +71,15 @@
     return this.proven && this.opts.socket.readyState === this.opts.socket.OPEN
   }
 
-  send (channel: string, body: unknown): boolean {
-    return this.sendEncoded(encodeFrame({ t: 'send', channel, body }))
+  send<Body> (channel: Channel<Body>, body: Body): boolean {
+    return this.sendEncoded(encodeFrame({ t: 'send', channel: channel.name, body }), channel.isOnce)
   }
 
-  /** Sends a frame that was encoded for several peers. */
-  sendEncoded (bytes: Buffer): boolean {
-    // A peer that does not read gets less, not more; digests mend what it missed.
-    if (!this.isOpen || this.opts.socket.bufferedAmount > MAX_BUFFERED_BYTES) return false
+  /** Sends a frame that was encoded for several peers; false when too much waits on the link. */
+  sendEncoded (bytes: Buffer, isOnce = false): boolean {
+    // A peer that does not read, or a link that is full, gets less, not more; later messages make up for what is dropped.
+    const maxBuffered = isOnce ? MAX_BUFFERED_ONCE_BYTES : MAX_BUFFERED_BYTES
+    if (!this.isOpen || this.opts.socket.bufferedAmount > maxBuffered) return false
     this.lastUsed = this.opts.clock.readTime()
     this.writeBytes(bytes)
     return true
@@ -90,8 +97,13 @@
 
   sendBeat (): void {
     const now = this.opts.clock.readTime()
-    const echo = this.lastBeat && { echo: this.lastBeat.at, heldMs: now - this.lastBeat.heardAt }
-    this.write({ t: 'beat', at: this.opts.clock.readWallTime(), ...echo })
+    const echo = this.lastBeat && { echo: this.lastBeat.at, echoTime: this.lastBeat.time, heldMs: now - this.lastBeat.heardAt }
+    this.write({ t: 'beat', at: this.opts.clock.readWallTime(), time: now, ...echo })
+  }
+
+  /** The latest own monotone time that surely is not after a time of the peer's; undefined before the first echo. */
+  convertTime (theirTime: number): number | undefined {
+    return this.timeOffset.convert(theirTime, this.opts.clock.readTime())
   }
 
   sendIdentity (): void {
@@ -145,6 +157,7 @@
     this.proven = true
     // What the hello told may have changed while the peer proved itself.
     this.sendIdentity()
+    this.sendBeat()
     this.opts.onOpen(this)
     return true
   }
@@ -155,12 +168,18 @@
     this.opts.onIdentity(this)
   }
 
-  private takeBeat (frame: { at: number, echo?: number, heldMs?: number }): void {
-    this.lastBeat = { at: frame.at, heardAt: this.opts.clock.readTime() }
-    if (frame.echo === undefined) return
+  private takeBeat (beat: Beat): void {
+    const isFirst = this.lastBeat === undefined
+    const heardAt = this.opts.clock.readTime()
+    this.lastBeat = { at: beat.at, time: beat.time, heardAt }
+    // The other side knows the clock of this one by the echo, which need not wait for the next heartbeat.
+    if (isFirst) this.sendBeat()
+    const { echo, echoTime, heldMs = 0 } = beat
+    if (echo === undefined || echoTime === undefined) return
+    this.timeOffset.noteEcho({ sentAt: echoTime, theirTime: beat.time, heldMs }, heardAt)
     const now = this.opts.clock.readWallTime()
-    const roundTrip = now - frame.echo - (frame.heldMs ?? 0)
-    this.clockOffsetMs = frame.at + roundTrip / 2 - now
+    const roundTrip = now - echo - heldMs
+    this.clockOffsetMs = beat.at + roundTrip / 2 - now
   }
 
   private async answerCall (id: number, channel: string, body: unknown): Promise<void> {
--- a/membership/peers/src/PeerNetwork.ts
+++ b/membership/peers/src/PeerNetwork.ts
@@ -47,11 +47,20 @@
   abstract get peerEvents (): Observable<PeerEvent>
   /** Milliseconds by which a peer's wall clock is ahead of ours; 0 when not known. */
   abstract getClockOffset (instance: string): number
+  /**
+   * The latest time of the own monotone clock that surely is not after a time of a peer's; undefined while too little was
+   * heard of that peer's clock.
+   */
+  abstract convertTime (instance: string, theirTime: number): number | undefined
 
-  /** Sends to every linked peer but one. */
-  broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): void {
-    for (const peer of this.listLinked()) {
-      if (peer !== except) this.send(peer, channel, body)
-    }
+  /** How many peers a broadcast goes to. */
+  countReached (): number {
+    return this.listLinked().length
+  }
+
+  /** Sends to every linked peer but one; false when a link did not take it. */
+  broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): boolean {
+    const sent = this.listLinked().filter((peer) => peer !== except).map((peer) => this.send(peer, channel, body))
+    return sent.every((isTaken) => isTaken)
   }
 }
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -100,6 +100,14 @@
     return this.links.get(instance)?.clockOffsetMs ?? 0
   }
 
+  convertTime (instance: string, theirTime: number): number | undefined {
+    return this.links.get(instance)?.convertTime(theirTime)
+  }
+
+  override countReached (): number {
+    return [...this.links.values()].filter((link) => link.isOpen && !link.identity?.standby).length
+  }
+
   listLinked (): string[] {
     return [...this.links].filter(([, link]) => link.isOpen).map(([instance]) => instance)
   }
@@ -107,15 +115,18 @@
   send<Body> (to: string, channel: Channel<Body>, body: Body): boolean {
     const link = this.findOpen(to)
     if (!link) void this.openOnce(to)
-    return link?.send(channel.name, body) ?? false
+    return link?.send(channel, body) ?? false
   }
 
   /** Encodes once for all; instances on standby are left out. */
-  override broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): void {
+  override broadcast<Body> (channel: Channel<Body>, body: Body, except?: string): boolean {
     const bytes = encodeFrame({ t: 'send', channel: channel.name, body })
+    let isTaken = true
     for (const [instance, link] of this.links) {
-      if (instance !== except && !link.identity?.standby) link.sendEncoded(bytes)
+      if (instance === except || !link.isOpen || link.identity?.standby) continue
+      isTaken = link.sendEncoded(bytes, channel.isOnce) && isTaken
     }
+    return isTaken
   }
 
   receive<Body> (channel: Channel<Body>): Observable<Received<Body>> {
--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -30,7 +30,7 @@
 }
 
 /** The lease holder tells that it orders no more. */
-export const HANDOVER = defineChannel<Handover>('residency.handover')
+export const HANDOVER = defineChannel<Handover>('residency.handover', { isOnce: true })
 /** Asks the lease holder for weights. */
 export const NEED = defineChannel<WeightsNeed, NeedAnswer>('residency.need')
 /** What one instance was asked for over a while. */
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -4,6 +4,8 @@
   retryRatio: number
   retryExtra: number
   retryWindowMs: number
+  /** Milliseconds from a change of the configuration until it has to be in force on every instance. */
+  configLagMs: number
   /** Life of the placement lease. */
   leaseMs: number
   /** Window in which loads from the weight store are counted, and how far they may go over the rate. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,6 +1,5 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
-import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
@@ -19,7 +18,7 @@
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import type { StopPlan } from './StopPlan.js'
-import { watchSources } from './watchSources.js'
+import { watchSources, type SourceFeeds } from './watchSources.js'
 
 const HEARTBEAT_MS = 1_000
 const SUSPECT_AFTER_MS = 2_400
@@ -82,11 +81,11 @@
   const ended = new AbortController()
   // Every task of the instance waits for this signal.
   setMaxListeners(0, ended.signal)
-  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feed: StoreFeed | undefined } = {
+  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feeds: SourceFeeds | undefined } = {
     table: undefined,
     phase: EntryPhases.STARTING,
     stopPlan: undefined,
-    feed: undefined,
+    feeds: undefined,
   }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
@@ -95,15 +94,16 @@
   const residency = createResidency({
     ...parts,
     orderDelayMs: it.orderDelayMs,
-    readStoreLostMs: () => state.feed?.lostMs ?? 0,
-    readStoreAgeMs: () => state.feed?.ageMs ?? Infinity,
+    readStoreLostMs: () => state.feeds?.backends.lostMs ?? 0,
+    readStoreAgeMs: () => state.feeds?.backends.ageMs ?? Infinity,
     onChange: () => queue.pump(),
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
   const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
+  const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
-  const gateway = createGateway({ ...parts, random, queue, residency, metrics, mayBegin, mustClose })
+  const gateway = createGateway({ ...parts, random, queue, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -127,7 +127,7 @@
     queue.pump()
   }
   void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
-    if (isChosen) state.feed = beginServing({ ...parts, random, ended, onTable: takeTable })
+    if (isChosen) state.feeds = beginServing({ ...parts, random, ended, onTable: takeTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
   return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
@@ -142,8 +142,8 @@
   onTable: (table: RouteTable) => void
 }
 
-/** Follows the store and tells the others that this instance serves; gives the feed of the backend servers. */
-function beginServing (parts: ServingParts): StoreFeed {
+/** Follows the store and tells the others that this instance serves; gives the feeds. */
+function beginServing (parts: ServingParts): SourceFeeds {
   const { settings, deps, clock, log, random, fleet, network, mesh, ended, onTable } = parts
   mesh.announce({ standby: false })
   return watchSources({
@@ -285,12 +285,13 @@
   residency: ResidencyService
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
+  isTableCurrent: () => boolean
   mayBegin: (deadline: number) => boolean
   mustClose: () => boolean
 }
 
 function createGateway (parts: GatewayParts): RoutedGateway {
-  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, mayBegin, mustClose } = parts
+  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   return new RoutedGateway({
     clock,
     random,
@@ -303,6 +304,7 @@
     residency,
     findBudget: createBudgets(settings, clock, parts.mesh),
     readTable,
+    isTableCurrent,
     mayBegin,
     mustClose,
     onOutcome: (outcome) => metrics.countOutcome(outcome),
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -23,13 +23,18 @@
   signal: AbortSignal
 }
 
-/** Follows the configuration and the backend servers in the store until the signal ends; gives the feed of the servers. */
-export function watchSources (opts: WatchSourcesOptions): StoreFeed {
-  followConfig(opts)
-  return followBackends(opts)
+/** The feeds that an instance follows. */
+export interface SourceFeeds {
+  config: StoreFeed
+  backends: StoreFeed
 }
 
-function followConfig (opts: WatchSourcesOptions): void {
+/** Follows the configuration and the backend servers in the store until the signal ends. */
+export function watchSources (opts: WatchSourcesOptions): SourceFeeds {
+  return { config: followConfig(opts), backends: followBackends(opts) }
+}
+
+function followConfig (opts: WatchSourcesOptions): StoreFeed {
   let version = -Infinity
   const take = (object: StoredObject): void => {
     const config = opts.sources.readConfig(object)
@@ -40,7 +45,7 @@
     opts.onTable(new RouteTable(config))
   }
   const { configPrefix } = opts.sources
-  follow(opts, configPrefix, { onListing: (objects) => objects.forEach(take), onChanges: (changes) => changes.forEach(take) })
+  return follow(opts, configPrefix, { onListing: (objects) => objects.forEach(take), onChanges: (changes) => changes.forEach(take) })
 }
 
 function followBackends (opts: WatchSourcesOptions): StoreFeed {
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -69,6 +69,7 @@
       return budget
     },
     readTable: () => state.table,
+    isTableCurrent: () => true,
     mayBegin: () => true,
     mustClose: () => core.view.self.leaving,
     onOutcome: ({ service, status, code, ms }) => core.metrics.countRequest({ partner: service.split('/', 1)[0] as string, route: 'routed', status, code, ms }),
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -35,7 +35,8 @@
   let cancel: (() => void) | undefined
   const tell = (): void => {
     cancel = undefined
-    network.broadcast(LOADS, buildLoads(fleet, opts.clock.readTime()))
+    // Loads are absolute, so that the next message makes up for one that a full link dropped; the rest is advice.
+    if (!network.broadcast(LOADS, buildLoads(fleet, opts.clock.readTime()))) schedule()
   }
   const schedule = (): void => {
     cancel ??= opts.clock.setTimer(computeShareMs(opts.countReaders()), tell)
