--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -25,6 +25,8 @@
   onIdentity: (link: PeerLink) => void
   onClose: (link: PeerLink) => void
   onSend: (from: string, channel: string, body: unknown) => void
+  /** A frame was left out since too much waits to leave. */
+  onUnsent: (link: PeerLink) => void
   onCall: (from: string, channel: string, body: unknown) => Promise<unknown>
 }
 
@@ -71,15 +73,23 @@
     return this.proven && this.opts.socket.readyState === this.opts.socket.OPEN
   }
 
+  /** Bytes that wait to leave. */
+  get backlogBytes (): number {
+    return this.opts.socket.bufferedAmount
+  }
+
   send<Body> (channel: Channel<Body>, body: Body): boolean {
     return this.sendEncoded(encodeFrame({ t: 'send', channel: channel.name, body }), channel.isOnce)
   }
 
   /** Sends a frame that was encoded for several peers; false when too much waits on the link. */
   sendEncoded (bytes: Buffer, isOnce = false): boolean {
-    // A peer that does not read, or a link that is full, gets less, not more; later messages make up for what is dropped.
-    const maxBuffered = isOnce ? MAX_BUFFERED_ONCE_BYTES : MAX_BUFFERED_BYTES
-    if (!this.isOpen || this.opts.socket.bufferedAmount > maxBuffered) return false
+    if (!this.isOpen) return false
+    // A peer that does not read, or a link that is full, gets less, not more; later messages make up for what is left out.
+    if (this.backlogBytes > (isOnce ? MAX_BUFFERED_ONCE_BYTES : MAX_BUFFERED_BYTES)) {
+      this.opts.onUnsent(this)
+      return false
+    }
     this.lastUsed = this.opts.clock.readTime()
     this.writeBytes(bytes)
     return true
--- a/membership/peers/test/PeerLink.test.ts
+++ b/membership/peers/test/PeerLink.test.ts
@@ -6,7 +6,11 @@
 import { defineChannel, type PeerIdentity } from '../src/index.js'
 import { decodeFrame, encodeFrame, type Frame } from '../src/frames.js'
 import { PeerLink } from '../src/PeerLink.js'
+import { UnsentFrames, type UnsentReport } from '../src/UnsentFrames.js'
 
+const FAR_TOO_MUCH_BYTES = 1 << 30
+/** A fraction of a second of a link of 10 Mbit/s. */
+const MUCH_BYTES = 300_000
 const REPEATED = defineChannel<number>('test.repeated')
 const ONCE = defineChannel<number>('test.once', { isOnce: true })
 const IDENTITY: PeerIdentity = { instance: 'a', incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false }
@@ -23,7 +27,7 @@
   }
 
   terminate (): void {
-    this.emit('close')
+    this.readyState = 3
   }
 
   take (frame: Frame): void {
@@ -39,10 +43,12 @@
   let clock: ManualClock
   let socket: HeldSocket
   let link: PeerLink
+  let unsent: number
 
   beforeEach(async () => {
     clock = new ManualClock()
     socket = new HeldSocket()
+    unsent = 0
     const ignore = (): void => undefined
     link = new PeerLink({
       socket: socket as unknown as WebSocket,
@@ -54,6 +60,7 @@
       onIdentity: ignore,
       onClose: ignore,
       onSend: ignore,
+      onUnsent: () => unsent++,
       onCall: () => Promise.resolve(undefined),
     })
     await clock.advance(1_000)
@@ -61,9 +68,34 @@
     socket.take({ t: 'proof', proof: '' })
   })
 
-  describe('while much waits to leave', () => {
-    it('drops messages that later ones make up for, and no others', () => {
-      socket.bufferedAmount = 300_000
+  describe('to a peer that does not read', () => {
+    it('tells how much waits to leave', () => {
+      socket.bufferedAmount = 12
+      assert.equal(link.backlogBytes, 12)
+    })
+
+    it('sends while little waits', () => {
+      const before = socket.sent.length
+      assert.equal(link.send(REPEATED, 1), true)
+      assert.deepEqual([socket.sent.length - before, unsent], [1, 0])
+    })
+
+    it('leaves frames out, and says so, while too much waits', () => {
+      const before = socket.sent.length
+      socket.bufferedAmount = FAR_TOO_MUCH_BYTES
+      assert.equal(link.send(REPEATED, 1), false)
+      assert.equal(link.send(ONCE, 1), false)
+      assert.deepEqual([socket.sent.length - before, unsent], [0, 2])
+    })
+
+    it('does not count what cannot be sent because the link is closed', () => {
+      link.close()
+      assert.equal(link.send(REPEATED, 1), false)
+      assert.equal(unsent, 0)
+    })
+
+    it('leaves out messages that later ones make up for while much waits, and no others', () => {
+      socket.bufferedAmount = MUCH_BYTES
       assert.equal(link.send(REPEATED, 1), false)
       assert.equal(link.send(ONCE, 1), true)
       link.sendBeat()
@@ -88,3 +120,48 @@
     })
   })
 })
+
+describe('frames that were left out', () => {
+  let clock: ManualClock
+  let reports: UnsentReport[]
+  let frames: UnsentFrames
+
+  beforeEach(() => {
+    clock = new ManualClock()
+    reports = []
+    frames = new UnsentFrames(clock, (report) => reports.push(report))
+  })
+
+  describe('within one second', () => {
+    beforeEach(() => {
+      for (let at = 1; at <= 5; at++) frames.note('b', at)
+      frames.note('c', 9)
+    })
+
+    it('are counted at once', () => {
+      assert.equal(frames.total, 6)
+      assert.deepEqual(reports, [])
+    })
+
+    it('are reported once per peer', async () => {
+      await clock.advance(5_000)
+      assert.deepEqual(reports, [{ peer: 'b', frames: 5, backlogBytes: 5 }, { peer: 'c', frames: 1, backlogBytes: 9 }])
+    })
+
+    it('are reported at the end if that comes before', async () => {
+      frames.stop()
+      await clock.advance(5_000)
+      assert.equal(reports.length, 2)
+    })
+  })
+
+  it('are reported at most once a second over a longer time', async () => {
+    for (let at = 0; at < 30; at++) {
+      frames.note('b', 1)
+      await clock.advance(100)
+    }
+    await clock.advance(1_000)
+    assert.ok(reports.length <= 4, `${reports.length}`)
+    assert.equal(reports.reduce((sum, report) => sum + report.frames, 0), 30)
+  })
+})
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
+import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
@@ -18,6 +19,7 @@
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import type { StopPlan } from './StopPlan.js'
+import { TimerDelay } from './TimerDelay.js'
 import { watchSources, type SourceFeeds } from './watchSources.js'
 
 const HEARTBEAT_MS = 1_000
@@ -99,7 +101,8 @@
     onChange: () => queue.pump(),
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
-  const metrics = new EntryMetrics({ fleet, mesh, readConfigVersion: () => state.table?.config.version ?? 0, readWaiting: () => queue.size })
+  const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
+  const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, listCopies })
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
@@ -142,7 +145,7 @@
   onTable: (table: RouteTable) => void
 }
 
-/** Follows the store and tells the others that this instance serves; gives the feeds. */
+/** Follows the store and tells the others that this instance serves; gives the copies that it keeps from then on. */
 function beginServing (parts: ServingParts): SourceFeeds {
   const { settings, deps, clock, log, random, fleet, network, mesh, ended, onTable } = parts
   mesh.announce({ standby: false })
@@ -203,6 +206,7 @@
     heartbeatMs: HEARTBEAT_MS,
     suspectAfterMs: SUSPECT_AFTER_MS,
     privateNetwork: true,
+    onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
   })
   const settleMs = settings.isFirstStart ? SETTLE_MS : 0
   const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
@@ -277,6 +281,31 @@
   return residency
 }
 
+interface MetricsParts extends Parts {
+  fleet: BackendFleet
+  mesh: InstanceMesh
+  network: WebSocketNetwork
+  readTable: () => RouteTable | undefined
+  readWaiting: () => number
+  listCopies: () => readonly StoreFeed[]
+  signal: AbortSignal
+}
+
+function createMetrics (parts: MetricsParts): EntryMetrics {
+  const { clock, fleet, mesh, network, readTable, readWaiting, listCopies, signal } = parts
+  const timerDelay = new TimerDelay(clock)
+  timerDelay.start(signal)
+  return new EntryMetrics({
+    fleet,
+    mesh,
+    network,
+    readConfigVersion: () => readTable()?.config.version ?? 0,
+    readWaiting,
+    listCopies,
+    readTimerDelayMs: () => timerDelay.longestMs,
+  })
+}
+
 interface GatewayParts extends Parts {
   random: RandomSource
   fleet: BackendFleet
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -23,7 +23,7 @@
   signal: AbortSignal
 }
 
-/** The feeds that an instance follows. */
+/** The copies that an instance holds. */
 export interface SourceFeeds {
   config: StoreFeed
   backends: StoreFeed
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -20,11 +20,13 @@
   BACKEND_EJECTED: 'backend-ejected',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
+  FRAMES_NOT_SENT: 'frames-not-sent',
   HOLDER_CHANGED: 'holder-changed',
   LEASE_TAKEN: 'lease-taken',
   LEASE_LOST: 'lease-lost',
   LEASE_HANDED_OVER: 'lease-handed-over',
   /** One request. */
+  REQUEST_AT_STOP: 'request-at-stop',
   REQUEST_WAITING: 'request-waiting',
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
