--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -103,9 +103,10 @@
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
   const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
   const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, listCopies })
+  const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
-  const gateway = createGateway({ ...parts, random, queue, residency, metrics, mayBegin, mustClose })
+  const gateway = createGateway({ ...parts, random, queue, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -313,12 +314,13 @@
   residency: ResidencyService
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
+  isTableCurrent: () => boolean
   mayBegin: (deadline: number) => boolean
   mustClose: () => boolean
 }
 
 function createGateway (parts: GatewayParts): RoutedGateway {
-  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, mayBegin, mustClose } = parts
+  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   return new RoutedGateway({
     clock,
     random,
@@ -331,6 +333,7 @@
     residency,
     findBudget: createBudgets(settings, clock, parts.mesh),
     readTable,
+    isTableCurrent,
     mayBegin,
     mustClose,
     onOutcome: (outcome) => metrics.countOutcome(outcome),
