--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -68,7 +68,7 @@
     this.usualWaits = new UsualWaits(opts.clock)
   }
 
-  /** Requests that have not been answered whole. */
+  /** Requests that have not been answered whole, or whose answers have not left for their clients' connections. */
   get inFlight (): number {
     return this.active
   }
@@ -78,10 +78,17 @@
     for (const end of this.ends) end.abandon()
   }
 
-  /** Serves one request to its end; never rejects. */
+  /** Serves one request until its answer has left or its connection has closed; never rejects. */
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const arrivedAt = this.opts.clock.readTime()
     this.active++
+    const sent = waitUntilSent(response)
+    await this.answer(request, response)
+    await sent
+    this.active--
+  }
+
+  private async answer (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const arrivedAt = this.opts.clock.readTime()
     const facts = this.opts.protocol.readRequest(request.headers)
     const client = new ClientAnswer({ response, ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId), mustClose: this.opts.mustClose })
     let stream: StreamProgress | undefined
@@ -93,8 +100,10 @@
       const route = findRoute(table, request)
       outcome.route = route.name
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
-      if (!this.opts.mayBegin(deadline)) throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
+      this.checkMayBegin(deadline)
       const work = await this.readWork({ table, route, facts, request, arrivedAt, deadline, signal: end.signal })
+      // Its body may have taken a while.
+      this.checkMayBegin(deadline)
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
@@ -112,11 +121,15 @@
     } finally {
       end.release()
       this.ends.delete(end)
-      this.active--
       this.noteEnd({ outcome, facts, response, arrivedAt, stream })
     }
   }
 
+  private checkMayBegin (deadline: number): void {
+    if (this.opts.mayBegin(deadline)) return
+    throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
+  }
+
   private findTable (): RouteTable {
     const table = this.opts.readTable()
     if (!table) throw new PulleystackError('NO_RUNNER', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
@@ -128,7 +141,7 @@
     const name = chooseTarget(route, this.opts.random)
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
     const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
-    const body = hasBody ? await readBody(request, table.config.limits.bodyBytes) : undefined
+    const body = hasBody ? await endWith(it.signal, readBody(request, table.config.limits.bodyBytes)) : undefined
     return {
       requestId: facts.requestId ?? '',
       facts,
@@ -181,6 +194,31 @@
   return route
 }
 
+/** Settles as the promise does, or rejects with the signal's reason when that is aborted before. */
+function endWith<T> (signal: AbortSignal, promise: Promise<T>): Promise<T> {
+  return new Promise<T>((resolve, reject) => {
+    const abort = (): void => reject(convertToError(signal.reason))
+    signal.addEventListener('abort', abort, { once: true })
+    if (signal.aborted) abort()
+    promise.then(resolve, reject).finally(() => signal.removeEventListener('abort', abort))
+  })
+}
+
+/** Resolves once an answer has ended and nothing of it waits in the process for a client that reads slowly, or its connection has closed. */
+function waitUntilSent (response: http.ServerResponse): Promise<void> {
+  const { socket } = response.req
+  if (socket.destroyed) return Promise.resolve()
+  return new Promise((resolve) => {
+    const leave = (): void => {
+      response.off('finish', leave)
+      socket.off('close', leave)
+      resolve()
+    }
+    response.once('finish', leave)
+    socket.once('close', leave)
+  })
+}
+
 interface RequestEnd {
   signal: AbortSignal
   /** The request's time is over. */
--- /dev/null
+++ b/program/entry/src/ClientConnections.ts
@@ -0,0 +1,55 @@
+import type http from 'node:http'
+import type { Socket } from 'node:net'
+
+/** One connection of a client. */
+interface ClientConnection {
+  /** The newest request; undefined while none is in hand. */
+  turn: Promise<void> | undefined
+  /** Bytes that had come when its newest answer left; undefined before the first. */
+  restsAt: number | undefined
+}
+
+/** Serves a request until its answer has left. */
+export type ServeRequest = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>
+
+/**
+ * The connections of clients and what is in hand on each. Requests of one connection are served one after the other, so that none is passed
+ * on behind an answer that closes the connection.
+ */
+export class ClientConnections {
+  private readonly connections = new Map<Socket, ClientConnection>()
+
+  constructor (private readonly serve: ServeRequest) {}
+
+  /** Knows the connection until it closes. */
+  add (socket: Socket): void {
+    this.connections.set(socket, { turn: undefined, restsAt: undefined })
+    socket.once('close', () => this.connections.delete(socket))
+  }
+
+  /** Serves a request once those before it on its connection have their answers; drops it when the connection closes before. */
+  async take (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const connection = this.connections.get(request.socket)
+    if (!connection) return
+    const turn = connection.turn ? connection.turn.then(() => this.serveNext(request, response)) : this.serve(request, response)
+    connection.turn = turn
+    await turn
+    if (connection.turn !== turn) return
+    connection.turn = undefined
+    connection.restsAt = request.socket.bytesRead
+  }
+
+  /**
+   * Closes the connections that rest between two requests. Node's own method takes an answer that was written for one that has left, and would
+   * cut what a slow client still reads.
+   */
+  closeIdle (): void {
+    for (const [socket, { turn, restsAt }] of this.connections) {
+      if (!turn && restsAt === socket.bytesRead) socket.destroy()
+    }
+  }
+
+  private async serveNext (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (request.socket.writable) await this.serve(request, response)
+  }
+}
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
+import { ClientConnections } from './ClientConnections.js'
 import type { Entry } from './startEntry.js'
 
 const HEADER_BYTES = 32 << 10
@@ -10,7 +11,7 @@
 
 /** The listener for routed requests. */
 export interface ClientListener {
-  /** Ends connections on which no request is under way. */
+  /** Ends connections on which no request is under way and no answer still leaves. */
   closeIdle: () => void
   /** Takes no new connections. */
   close: () => void
@@ -19,12 +20,14 @@
 /** Serves routed requests at the instance's client address. */
 export async function listenForClients (entry: Entry): Promise<ClientListener> {
   const options: http.ServerOptions = { maxHeaderSize: HEADER_BYTES, requestTimeout: 0, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_MS }
+  const connections = new ClientConnections((request, response) => entry.gateway.handle(request, response))
   const server = http.createServer(options, (request, response) => {
     // Parts of a request that was refused may still come; they must not end the process.
     request.on('error', () => undefined)
     response.on('error', () => undefined)
-    void entry.gateway.handle(request, response)
+    void connections.take(request, response)
   })
+  server.on('connection', (socket) => connections.add(socket))
   server.on('clientError', (_, socket) => {
     if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
     else socket.destroy()
@@ -36,7 +39,7 @@
   })
   entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
   void keepLimits(entry, server)
-  return { closeIdle: () => server.closeIdleConnections(), close: () => server.close() }
+  return { closeIdle: () => connections.closeIdle(), close: () => server.close() }
 }
 
 /** Takes limits on clients' connections from the configuration in force. */
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -9,7 +9,7 @@
 
 /**
  * Planned stop: leaves the list of addresses at once, goes on serving those who still come, refuses what could not be
- * finished any more, and resolves when nothing is in hand or the time is over; gives the number of requests cut without an
+ * finished any more, and resolves when nothing is in hand and all answers have left, or the time is over; gives the number of requests cut without an
  * answer. What its backend server has not answered by then gets an answer that promises nothing.
  */
 export async function stopEntry (entry: Entry, listener: ClientListener): Promise<number> {
