--- a/routing/forward/src/ExchangeAnswer.ts
+++ b/routing/forward/src/ExchangeAnswer.ts
@@ -97,8 +97,12 @@
     this.message.resume()
   }
 
-  /** Ends the connection. */
+  /**
+   * Ends the connection. What was not read is lost, also when it has all come: Node drops it and ends the body as if it had been read, which
+   * must not be taken for a whole answer.
+   */
   cut (): void {
+    this.failure ??= new Error('The answer was cut')
     this.message.on('error', () => undefined)
     this.request.on('error', () => undefined)
     this.request.destroy()
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -34,12 +34,14 @@
     const { host, port } = parseAddress(opts.address)
     const request = http.request({ host, port, agent: opts.agent, method: opts.method, path: opts.path, headers: [...opts.headers], setHost: false })
     const connection = watchConnection(opts, request)
+    let answer: ExchangeAnswer | undefined
     const finish = (): void => {
       connection.stop()
       opts.signal.removeEventListener('abort', abort)
     }
     const abort = (): void => {
-      request.destroy()
+      if (answer) answer.cut()
+      else request.destroy()
       finish()
       reject(createFailure(connection.isUp(), 'The attempt was stopped', opts.signal.reason))
     }
@@ -49,7 +51,7 @@
     })
     request.once('response', (message) => {
       connection.stop()
-      const answer = new ExchangeAnswer({ request, message, facts: opts.protocol.readAnswer(message.statusCode ?? 0, message.headers) })
+      answer = new ExchangeAnswer({ request, message, facts: opts.protocol.readAnswer(message.statusCode ?? 0, message.headers) })
       const problem = checkHead(answer.facts, opts.requestId)
       message.once('close', finish)
       if (!problem) {
