--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -2,7 +2,7 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
-import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
+import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendPlace, PlaceChanges } from './BackendPlace.js'
 import type { RoutedWork } from './RoutedWork.js'
@@ -68,15 +68,25 @@
       if (place instanceof BackendPlace) return Promise.resolve(place)
       if (place === ChoiceFailures.NO_BACKEND) return Promise.reject(createRefusal(place))
     }
-    if (this.isClosed) return Promise.reject(createStopping())
+    if (this.isClosed && !hasBegun(work)) return Promise.reject(createStopping())
     if (this.waiting.length >= MAX_WAITING) return Promise.reject(createRefusal(ChoiceFailures.FULL))
     return this.wait(work)
   }
 
-  /** Refuses those who wait, and lets nobody wait any more; whoever finds a place at once still gets it. */
+  /** Whether the request would get a place at once at another server than the one where it has its place now. */
+  hasPlaceBeside (work: RoutedWork, place: BackendPlace): boolean {
+    if (this.waiting.length > 0) return false
+    const excluded = new Set([...work.excluded, place.backend.id])
+    return typeof this.choose(work, this.computeReadingLimit(work), excluded) !== 'string'
+  }
+
+  /**
+   * Refuses those who wait, and lets nobody wait any more; whoever finds a place at once still gets it. An answer that has begun can't be
+   * refused, so that it still waits for one that can go on with it.
+   */
   close (): void {
     this.isClosed = true
-    for (const item of [...this.waiting]) item.fail(createStopping())
+    for (const item of this.waiting.filter(({ work }) => !hasBegun(work))) item.fail(createStopping())
   }
 
   /** Gives places that came free to those who wait. */
@@ -99,14 +109,7 @@
   }
 
   private tryPlace (work: RoutedWork, readingLimit = this.computeReadingLimit(work)): BackendPlace | ChoiceFailure {
-    const choice = chooseBackend({
-      backends: this.opts.fleet.list(work.service.name),
-      demand: { dataHall: this.opts.dataHall, excluded: work.excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit },
-      figures: work.service.serving,
-      policy: this.opts.policy,
-      random: this.opts.random,
-      now: this.opts.clock.readTime(),
-    })
+    const choice = this.choose(work, readingLimit, work.excluded)
     if (typeof choice === 'string') return choice
     const { generation } = work
     if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
@@ -120,6 +123,17 @@
     return place
   }
 
+  private choose (work: RoutedWork, readingLimit: number, excluded: ReadonlySet<string>): BackendChoice | ChoiceFailure {
+    return chooseBackend({
+      backends: this.opts.fleet.list(work.service.name),
+      demand: { dataHall: this.opts.dataHall, excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit },
+      figures: work.service.serving,
+      policy: this.opts.policy,
+      random: this.opts.random,
+      now: this.opts.clock.readTime(),
+    })
+  }
+
   private computeReadingLimit (work: RoutedWork): number {
     const pauseMs = this.opts.policy.pacedReading ? work.route.longestPauseMs ?? Infinity : Infinity
     return pauseMs * READING_SHARE * PREFILL_TOKENS_PER_MS
@@ -220,6 +234,11 @@
   }
 }
 
+/** The client has a part of the answer. */
+function hasBegun (work: RoutedWork): boolean {
+  return work.stream.events > 0
+}
+
 /** Another instance may have a place; this one ends before it could finish the request. */
 function createStopping (): PulleystackError {
   return new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request would get a place', { retryAfterSeconds: 0 })
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -23,6 +23,8 @@
   pace: StreamPace
   /** Whole events have come. */
   onEvents: () => void
+  /** The server is held back for the client, or may go on. */
+  onHeld: (isHeld: boolean) => void
   onFirstEvent: () => void
 }
 
@@ -41,7 +43,11 @@
     gathered = []
     if (client.write(bytes)) return
     answer.pause()
-    client.onDrain(() => answer.resume())
+    opts.onHeld(true)
+    client.onDrain(() => {
+      answer.resume()
+      opts.onHeld(false)
+    })
   }
   try {
     await answer.read((chunk) => {
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -7,7 +7,7 @@
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { createAttemptSignal } from './AttemptSignal.js'
+import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
 import type { BackendPlace } from './BackendPlace.js'
 import type { BackendQueue } from './BackendQueue.js'
 import type { ClientAnswer } from './ClientAnswer.js'
@@ -80,7 +80,10 @@
 ): Promise<PulleystackError | undefined> {
   const { clock, log } = opts
   const sentAt = clock.readTime()
-  const attempt = createAttemptSignal(clock, work, mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts)
+  const attempt = createAttemptSignal(clock, work, {
+    isWatched: mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts,
+    canMove: () => progress.sends < MAX_SENDS && opts.findBudget(work.service.name).left >= 1 && opts.queue.hasPlaceBeside(work, place),
+  })
   progress.sends++
   const facts = { request: work.requestId, backend: place.backend.id, send: progress.sends }
   log.record(DecisionKinds.ATTEMPT_SENT, {
@@ -94,7 +97,7 @@
     const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
     progress.runs++
     place.backend.noteReached(clock.readTime())
-    const failed = await passOn(opts, { work, progress, place, client, answer, noteBytes: attempt.noteBytes })
+    const failed = await passOn(opts, { work, progress, place, client, answer, attempt })
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
     const hasFailed = answer.status >= SERVER_FAILURE
     opts.fleet.noteOutcome(place.backend, hasFailed, clock.readTime())
@@ -117,7 +120,7 @@
   place: BackendPlace
   client: ClientAnswer
   answer: ExchangeAnswer
-  noteBytes: () => void
+  attempt: AttemptSignal
 }): Promise<PulleystackError | undefined> {
   const { work, progress, answer, client } = it
   if (work.route.streams && answer.status === 200) {
@@ -127,13 +130,14 @@
       client,
       progress: progress.stream,
       pace: opts.pace,
-      onEvents: it.noteBytes,
+      onEvents: it.attempt.noteBytes,
+      onHeld: it.attempt.noteHeld,
       onFirstEvent: () => it.place.notePrefilled(),
     })
     return undefined
   }
   const body = await answer.readWhole(MAX_BODY_BYTES)
-  it.noteBytes()
+  it.attempt.noteBytes()
   if (client.hasBegun) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server answered ${answer.status} where a stream was to go on`)
   if (answer.status < SERVER_FAILURE) {
     client.sendWhole(answer, body)
