--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -1,6 +1,8 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
 
+const UNREADABLE_ANSWER = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
+
 /** One connection of a client. */
 interface ClientConnection {
   /** The newest request; undefined while none is in hand. */
@@ -49,6 +51,16 @@
     }
   }
 
+  /**
+   * Ends a connection on which bytes came that are no request. While a request is in hand an answer to them would stand in the midst of that
+   * one's, so that the client gets none.
+   */
+  closeUnreadable (socket: Socket): void {
+    const isInHand = this.connections.get(socket)?.turn !== undefined
+    if (socket.writable && !isInHand) socket.end(UNREADABLE_ANSWER)
+    else socket.destroy()
+  }
+
   private async serveNext (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (request.socket.writable) await this.serve(request, response)
   }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { ClientConnections } from './ClientConnections.js'
 import type { Entry } from './startEntry.js'
@@ -28,10 +28,7 @@
     void connections.take(request, response)
   })
   server.on('connection', (socket) => connections.add(socket))
-  server.on('clientError', (_, socket) => {
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
-    else socket.destroy()
-  })
+  server.on('clientError', (_, socket) => connections.closeUnreadable(socket as Socket))
   const { host, port } = parseAddress(entry.settings.clientAddress)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
