--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -31,6 +31,11 @@
 const STORE_PATIENCE_MS = 250
 /** Peers that are asked at one time for what the store does not give. */
 const PEERS_ASKED = 3
+/**
+ * A copy that old is listed anew: the history since may hold many versions of one object, and more than its link bears within a call. Calls that
+ * fail for no more than a slow answer or two do not come to this.
+ */
+const FAR_BEHIND_MS = 3_000
 /** A listing up to this size is never worse than many versions of few objects: 26 ms of a link of 10 Mbit/s. */
 const SMALL_LISTING_BYTES = 32_000
 
@@ -154,7 +159,7 @@
   }
 
   private async keepWatch (signal: AbortSignal): Promise<void> {
-    const failure = await this.watch(signal)
+    const failure = this.ageMs >= FAR_BEHIND_MS ? await this.list(signal) : await this.watch(signal)
     if (failure) await this.backOff(signal, failure)
   }
 
@@ -287,9 +292,13 @@
     }
   }
 
-  /** The own time at which it was at least what a peer says; without an end when that is not known yet. */
+  /**
+   * The own time at which it was at least what a peer says; without an end when that is not known. A message of a peer's former life has a time of
+   * another clock, which may seem to lie ahead; a peer of another version may say none.
+   */
   private convertTime (peer: string, theirTime: number): number {
-    return this.opts.network.convertTime(peer, theirTime) ?? -Infinity
+    const time = this.opts.network.convertTime(peer, theirTime) ?? -Infinity
+    return Number.isNaN(time) ? -Infinity : Math.min(time, this.opts.clock.readTime())
   }
 
   private apply (news: FeedNews, knownAt: number): void {
