--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -77,9 +77,11 @@
     return this.wait(work)
   }
 
-  /** Whether the request would get a place at once at another server than the one where it has its place now. */
+  /**
+   * Whether another server than the one where the request has its place has room for it now. Those who wait do so for other servers or weights, or
+   * that room would have been theirs; who is more urgent still comes first when the request joins them.
+   */
   hasPlaceBeside (work: RoutedWork, place: BackendPlace): boolean {
-    if (this.waiting.length > 0) return false
     const excluded = new Set([...work.excluded, place.backend.id])
     return typeof this.choose(work, this.computeReadingLimit(work), excluded) !== 'string'
   }
