--- /dev/null
+++ b/program/entry/src/createGateway.ts
@@ -0,0 +1,60 @@
+import type { RouteTable } from '@pulleystack/config.routes'
+import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { RoutedGateway, StreamPace, type BackendQueue } from '@pulleystack/gateway.routed'
+import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { ResidencyService } from '@pulleystack/placement.residency'
+import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { BackendAgent } from '@pulleystack/routing.forward'
+import { WindowBudget } from '@pulleystack/routing.retries'
+import type { EntryMetrics } from './EntryMetrics.js'
+import type { EntryParts } from './EntryParts.js'
+import type { EntrySettings } from './EntrySettings.js'
+
+/** What the gateway for routed requests needs of an entry instance. */
+export interface GatewayParts extends EntryParts {
+  random: RandomSource
+  fleet: BackendFleet
+  mesh: InstanceMesh
+  queue: BackendQueue
+  residency: ResidencyService
+  metrics: EntryMetrics
+  readTable: () => RouteTable | undefined
+  isTableCurrent: () => boolean
+  mayBegin: (deadline: number) => boolean
+  mustClose: () => boolean
+}
+
+/** The gateway for routed requests, with a retry budget for each service. */
+export function createGateway (parts: GatewayParts): RoutedGateway {
+  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  return new RoutedGateway({
+    clock,
+    random,
+    log,
+    agent: new BackendAgent(clock),
+    protocol: deps.protocol,
+    queue,
+    fleet,
+    pace: new StreamPace(clock),
+    residency,
+    findBudget: createBudgets(settings, clock, parts.mesh),
+    readTable,
+    isTableCurrent,
+    mayBegin,
+    mustClose,
+    onOutcome: (outcome) => metrics.countOutcome(outcome),
+  })
+}
+
+function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
+  const budgets = new Map<string, WindowBudget>()
+  const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
+  return (service) => {
+    const present = budgets.get(service)
+    if (present) return present
+    const countInstances = (): number => mesh.countServed()
+    const created = new WindowBudget({ clock, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs, countInstances })
+    budgets.set(service, created)
+    return created
+  }
+}
--- /dev/null
+++ b/program/entry/src/createMesh.ts
@@ -0,0 +1,46 @@
+import { parseAddress } from '@pulleystack/core.addresses'
+import type { RandomSource } from '@pulleystack/core.clock'
+import { createLogger } from '@pulleystack/core.logging'
+import { InstanceMesh } from '@pulleystack/membership.mesh'
+import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
+import type { EntryParts } from './EntryParts.js'
+
+const HEARTBEAT_MS = 1_000
+const SUSPECT_AFTER_MS = 2_400
+/** Time in which instances that start together find each other. */
+const SETTLE_MS = 2_500
+
+/** The links to other instances, and which of those serve. */
+export function createMesh (parts: EntryParts & { random: RandomSource }): { network: WebSocketNetwork, mesh: InstanceMesh } {
+  const { settings, deps, clock, random, log } = parts
+  const self: PeerIdentity = {
+    instance: settings.instance,
+    // Wall time makes a restarted instance outrank what is still told about its former life.
+    incarnation: Math.floor(clock.readWallTime()),
+    address: settings.clientAddress,
+    peerAddress: settings.peerAddress,
+    region: settings.region,
+    dataHall: settings.dataHall,
+    leaving: true,
+    standby: true,
+    capacity: settings.cores,
+  }
+  const { host, port } = parseAddress(settings.peerAddress)
+  const network = new WebSocketNetwork({
+    clock,
+    random,
+    logger: createLogger({ name: settings.instance, level: 'error' }),
+    host,
+    port,
+    readIdentity: () => self,
+    findAddress: (instance) => mesh.findAddress(instance),
+    heartbeatMs: HEARTBEAT_MS,
+    suspectAfterMs: SUSPECT_AFTER_MS,
+    privateNetwork: true,
+    onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
+  })
+  const settleMs = settings.isFirstStart ? SETTLE_MS : 0
+  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
+  return { network, mesh }
+}
--- /dev/null
+++ b/program/entry/src/createMetrics.ts
@@ -0,0 +1,35 @@
+import type { StoreFeed } from '@pulleystack/config.feed'
+import type { RouteTable } from '@pulleystack/config.routes'
+import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { WebSocketNetwork } from '@pulleystack/membership.peers'
+import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { EntryMetrics } from './EntryMetrics.js'
+import type { EntryParts } from './EntryParts.js'
+import { TimerDelay } from './TimerDelay.js'
+
+/** Where the figures of an entry instance come from. */
+export interface MetricsParts extends EntryParts {
+  fleet: BackendFleet
+  mesh: InstanceMesh
+  network: WebSocketNetwork
+  readTable: () => RouteTable | undefined
+  readWaiting: () => number
+  listCopies: () => readonly StoreFeed[]
+  signal: AbortSignal
+}
+
+/** The figures, timers' delay among them, which is sampled until the signal ends. */
+export function createMetrics (parts: MetricsParts): EntryMetrics {
+  const { clock, fleet, mesh, network, readTable, readWaiting, listCopies, signal } = parts
+  const timerDelay = new TimerDelay(clock)
+  timerDelay.start(signal)
+  return new EntryMetrics({
+    fleet,
+    mesh,
+    network,
+    readConfigVersion: () => readTable()?.config.version ?? 0,
+    readWaiting,
+    listCopies,
+    readTimerDelayMs: () => timerDelay.longestMs,
+  })
+}
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,33 +1,28 @@
-import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
-import { createLogger } from '@pulleystack/core.logging'
-import { BackendQueue, RoutedGateway, StreamPace } from '@pulleystack/gateway.routed'
-import { InstanceMesh } from '@pulleystack/membership.mesh'
-import { WebSocketNetwork, type PeerIdentity } from '@pulleystack/membership.peers'
-import { ShardLease } from '@pulleystack/placement.ledger'
-import { OutageGrants, ResidencyHolder, ResidencyService } from '@pulleystack/placement.residency'
+import { BackendQueue, type RoutedGateway } from '@pulleystack/gateway.routed'
+import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { WebSocketNetwork } from '@pulleystack/membership.peers'
+import type { ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
-import { BackendAgent } from '@pulleystack/routing.forward'
-import { WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { EntryMetrics } from './EntryMetrics.js'
+import { createGateway } from './createGateway.js'
+import { createMesh } from './createMesh.js'
+import { createMetrics } from './createMetrics.js'
+import { createResidency } from './createResidency.js'
+import type { EntryMetrics } from './EntryMetrics.js'
+import type { EntryParts } from './EntryParts.js'
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import type { StopPlan } from './StopPlan.js'
-import { TimerDelay } from './TimerDelay.js'
 import { watchSources, type SourceFeeds } from './watchSources.js'
 
-const HEARTBEAT_MS = 1_000
-const SUSPECT_AFTER_MS = 2_400
-/** Time in which instances that start together find each other. */
-const SETTLE_MS = 2_500
+/** An instance looks so often whether it is one of those that serve. */
 const ROLE_MS = 100
-const SHARD = 'residency'
 
 /** Where an instance stands between its start and its end. */
 export const EntryPhases = {
@@ -136,7 +131,7 @@
   return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
 }
 
-interface ServingParts extends Parts {
+interface ServingParts extends EntryParts {
   random: RandomSource
   fleet: BackendFleet
   network: WebSocketNetwork
@@ -172,183 +167,3 @@
   }
   return false
 }
-
-interface Parts {
-  settings: EntrySettings
-  deps: EntryDependencies
-  clock: Clock
-  log: DecisionLog
-}
-
-function createMesh (parts: Parts & { random: RandomSource }): { network: WebSocketNetwork, mesh: InstanceMesh } {
-  const { settings, deps, clock, random, log } = parts
-  const self: PeerIdentity = {
-    instance: settings.instance,
-    // Wall time makes a restarted instance outrank what is still told about its former life.
-    incarnation: Math.floor(clock.readWallTime()),
-    address: settings.clientAddress,
-    peerAddress: settings.peerAddress,
-    region: settings.region,
-    dataHall: settings.dataHall,
-    leaving: true,
-    standby: true,
-    capacity: settings.cores,
-  }
-  const { host, port } = parseAddress(settings.peerAddress)
-  const network = new WebSocketNetwork({
-    clock,
-    random,
-    logger: createLogger({ name: settings.instance, level: 'error' }),
-    host,
-    port,
-    readIdentity: () => self,
-    findAddress: (instance) => mesh.findAddress(instance),
-    heartbeatMs: HEARTBEAT_MS,
-    suspectAfterMs: SUSPECT_AFTER_MS,
-    privateNetwork: true,
-    onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
-  })
-  const settleMs = settings.isFirstStart ? SETTLE_MS : 0
-  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
-  return { network, mesh }
-}
-
-interface ResidencyParts extends Parts {
-  policy: Policy
-  fleet: BackendFleet
-  network: WebSocketNetwork
-  mesh: InstanceMesh
-  orderDelayMs: number | undefined
-  readTable: () => RouteTable | undefined
-  readStoreLostMs: () => number
-  readStoreAgeMs: () => number
-  onChange: () => void
-}
-
-function createResidency (parts: ResidencyParts): ResidencyService {
-  const { settings, deps, clock, log, fleet, network, mesh } = parts
-  const life = `${settings.instance}@${mesh.self.incarnation}`
-  // A successor's first order must come a whole bound after the last one of its predecessor, who orders until
-  // (life - delay) after a renewal; the successor waits for life + 2 delays, so that a third of the bound each is enough.
-  const delayMs = parts.orderDelayMs ?? settings.bounds.leaseMs / 3
-  const leaseMs = settings.bounds.leaseMs * 2 / 3
-  const lease = new ShardLease({
-    clock,
-    store: deps.store,
-    shard: SHARD,
-    holder: life,
-    leaseMs,
-    orderDelayMs: delayMs,
-    createOperation: randomUUID,
-  })
-  const holder = new ResidencyHolder({
-    clock,
-    fleet,
-    weights: deps.weights,
-    log,
-    policy: parts.policy,
-    readTable: parts.readTable,
-    readRight: () => residency.mayOrder ? { holder: settings.instance, fence: lease.fence } : undefined,
-    onChange: (change) => residency.spreadWeights(change),
-  })
-  const { policy, readStoreLostMs, readStoreAgeMs } = parts
-  const grants = new OutageGrants({
-    clock,
-    network,
-    listOthers: () => mesh.listOthers(),
-    readStoreLostMs,
-    readStoreAgeMs,
-    turnMs: settings.bounds.leaseMs,
-    isEnabled: policy.ordersInOutage,
-  })
-  const residency: ResidencyService = new ResidencyService({
-    clock,
-    network,
-    fleet,
-    log,
-    instance: settings.instance,
-    lease,
-    leaseMs,
-    life,
-    turnMs: settings.bounds.leaseMs,
-    holder,
-    grants,
-    listCandidates: () => [mesh.self, ...mesh.listServing()]
-      .filter((identity) => !identity.leaving)
-      .map(({ instance, capacity = 1 }) => ({ instance, capacity })),
-    onChange: parts.onChange,
-  })
-  return residency
-}
-
-interface MetricsParts extends Parts {
-  fleet: BackendFleet
-  mesh: InstanceMesh
-  network: WebSocketNetwork
-  readTable: () => RouteTable | undefined
-  readWaiting: () => number
-  listCopies: () => readonly StoreFeed[]
-  signal: AbortSignal
-}
-
-function createMetrics (parts: MetricsParts): EntryMetrics {
-  const { clock, fleet, mesh, network, readTable, readWaiting, listCopies, signal } = parts
-  const timerDelay = new TimerDelay(clock)
-  timerDelay.start(signal)
-  return new EntryMetrics({
-    fleet,
-    mesh,
-    network,
-    readConfigVersion: () => readTable()?.config.version ?? 0,
-    readWaiting,
-    listCopies,
-    readTimerDelayMs: () => timerDelay.longestMs,
-  })
-}
-
-interface GatewayParts extends Parts {
-  random: RandomSource
-  fleet: BackendFleet
-  mesh: InstanceMesh
-  queue: BackendQueue
-  residency: ResidencyService
-  metrics: EntryMetrics
-  readTable: () => RouteTable | undefined
-  isTableCurrent: () => boolean
-  mayBegin: (deadline: number) => boolean
-  mustClose: () => boolean
-}
-
-function createGateway (parts: GatewayParts): RoutedGateway {
-  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
-  return new RoutedGateway({
-    clock,
-    random,
-    log,
-    agent: new BackendAgent(clock),
-    protocol: deps.protocol,
-    queue,
-    fleet,
-    pace: new StreamPace(clock),
-    residency,
-    findBudget: createBudgets(settings, clock, parts.mesh),
-    readTable,
-    isTableCurrent,
-    mayBegin,
-    mustClose,
-    onOutcome: (outcome) => metrics.countOutcome(outcome),
-  })
-}
-
-function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
-  const budgets = new Map<string, WindowBudget>()
-  const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
-  return (service) => {
-    const present = budgets.get(service)
-    if (present) return present
-    const countInstances = (): number => mesh.countServed()
-    const created = new WindowBudget({ clock, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs, countInstances })
-    budgets.set(service, created)
-    return created
-  }
-}
