--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -87,9 +87,14 @@
     return [...this.unfinished].slice(0, limit).map((unfinished) => unfinished.describe(now))
   }
 
-  /** Gives every request its final answer now, or breaks off an answer that has begun, since the process is about to end. */
-  cancelAll (): void {
+  /**
+   * Gives every request its final answer now, or breaks off an answer that has begun, since the process is about to end. Gives the number of
+   * requests.
+   */
+  cancelAll (): number {
+    const count = this.ends.size
     for (const end of this.ends) end.abandon()
+    return count
   }
 
   /** Serves one request until its answer has left or its connection has closed; never rejects. */
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -27,11 +27,11 @@
   entry.setPhase(EntryPhases.ENDING)
   await waitUntilDone(entry, plan.endsAt)
   recordUnfinished(entry, 'cancel')
-  gateway.cancelAll()
+  const cancelled = gateway.cancelAll()
   await waitUntilDone(entry, plan.endsAt + FLUSH_MS)
   recordUnfinished(entry, 'exit')
   const cut = gateway.inFlight
-  entry.log.record(DecisionKinds.STOPPED, { cut, ms: Math.round(clock.readTime() - plan.startedAt) })
+  entry.log.record(DecisionKinds.STOPPED, { cut, cancelled, ms: Math.round(clock.readTime() - plan.startedAt) })
   entry.ended.abort()
   listener.close()
   await entry.network.stop()
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -4,8 +4,8 @@
   'started': { instance: string, dataHall: string, address: string }
   /** It was asked to stop. */
   'stopping': { inFlight: number }
-  /** It ends; `cut` requests were still under way, `ms` after it was asked. */
-  'stopped': { cut: number, ms: number }
+  /** It ends, `ms` after it was asked; `cancelled` requests were ended at the last moment, answered or broken off; `cut` had not left even then. */
+  'stopped': { cut: number, cancelled: number, ms: number }
   /** Settings were read again; refused ones change nothing. */
   'reloaded': { trigger: 'signal' | 'file', accepted: boolean, code?: string, reason?: string, graceMs?: number, directoryLifetimeMs?: number }
   /** The store does not answer for this kind of object; `revision` is the newest that is known, `code` and `reason` say how the call failed. */
