--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -53,7 +53,7 @@
 }
 
 /** The lease holder tells what came to a server or is to go. */
-export const WEIGHTS = defineChannel<WeightsChange>('residency.weights')
+export const WEIGHTS = defineChannel<WeightsChange>('residency.weights', { isOnce: true })
 
 /** What an instance says to a holder that has lost the store. */
 export interface HoldOnAnswer {
