--- a/config/feed/src/ByteBudget.ts
+++ b/config/feed/src/ByteBudget.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@pulleystack/core.clock'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
 
-/** Bytes a second that one use may put on the own link: a quarter of 10 Mbit/s, the narrowest that sites have. */
+/** Bytes a second that all feeds of an instance may put on its link: a quarter of 10 Mbit/s, about the narrowest that sites have (7 to 140). */
 const BYTES_PER_SECOND = 320_000
 /** Bytes that may go at once: 0.1 s of the same link, which calls to the store and heartbeats can wait. */
 const BURST_BYTES = 128_000
 
-/** What one use may put on the own link; unused bytes are earned back with time. */
+/** What the feeds of an instance may put on its link; bytes that were taken are earned back with time. */
 export class ByteBudget {
   private left = BURST_BYTES
   private countedAt: number
@@ -36,3 +37,14 @@
     this.countedAt = now
   }
 }
+
+const budgets = new WeakMap<PeerNetwork, ByteBudget>()
+
+/** The budget of an instance, which the feeds of all prefixes and their answers to peers share, since they share its link. */
+export function findBudget (clock: Clock, network: PeerNetwork): ByteBudget {
+  const present = budgets.get(network)
+  if (present) return present
+  const created = new ByteBudget(clock)
+  budgets.set(network, created)
+  return created
+}
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -5,7 +5,7 @@
 import { measureSend, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { answerSnapshots } from './answerSnapshots.js'
-import { ByteBudget } from './ByteBudget.js'
+import { findBudget, type ByteBudget } from './ByteBudget.js'
 import { NEWS, NOTICE, SNAPSHOT, type FeedNews, type FeedSnapshot, type FeedSpan } from './channels.js'
 import { CopyStates, type CopyState } from './CopyWatch.js'
 import { FeedCopy, keepNewest, measureValue } from './FeedCopy.js'
@@ -73,7 +73,7 @@
   private wake: () => void = () => undefined
 
   constructor (private readonly opts: StoreFeedOptions) {
-    this.budget = new ByteBudget(opts.clock)
+    this.budget = findBudget(opts.clock, opts.network)
   }
 
   /** Milliseconds since the copy was known to be what the store holds, counted from the store's answer, whoever got it. */
--- a/config/feed/src/answerSnapshots.ts
+++ b/config/feed/src/answerSnapshots.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { ByteBudget } from './ByteBudget.js'
+import { findBudget, type ByteBudget } from './ByteBudget.js'
 import { SNAPSHOT, type FeedSnapshot } from './channels.js'
 import type { FeedCopy } from './FeedCopy.js'
 
@@ -25,7 +25,7 @@
   }
   const copies = new Map([[offered.prefix, offered]])
   offeredCopies.set(network, copies)
-  const budget = new ByteBudget(clock)
+  const budget = findBudget(clock, network)
   network.handleCalls(SNAPSHOT, (_, { prefix, after }) => {
     const asked = copies.get(prefix)
     return asked && buildSnapshot(asked, after, budget)
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -17,6 +17,8 @@
 /** By then a client asks another instance, or this one has asked the store twice more. */
 const OUTDATED_RETRY_SECONDS = 0.5
 const GONE_STATUS = 499
+/** A client that has not taken an ended answer by then reads no more; it is longer than any deadline that the users' pages show (20 s). */
+const UNREAD_MS = 30_000
 
 /** A routed request that was answered or given up, for metrics. */
 export interface RoutedOutcome {
@@ -97,17 +99,18 @@
     return count
   }
 
-  /** Serves one request until its answer has left or its connection has closed; never rejects. */
-  async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  /** Serves one request, whose head came at a monotone time, until its answer has left or its connection has closed; never rejects. */
+  async handle (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt = this.opts.clock.readTime()): Promise<void> {
     this.active++
     const sent = waitUntilSent(response)
-    await this.answer(request, response)
+    await this.answer(request, response, arrivedAt)
+    const cancel = this.opts.clock.setTimer(UNREAD_MS, () => response.destroy())
     await sent
+    cancel()
     this.active--
   }
 
-  private async answer (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const arrivedAt = this.opts.clock.readTime()
+  private async answer (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     const facts = this.opts.protocol.readRequest(request.headers)
     const client = new ClientAnswer({ response, ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId), mustClose: this.opts.mustClose })
     let stream: StreamProgress | undefined
--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from '@pulleystack/core.clock'
 
 const UNREADABLE_ANSWER = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
 
@@ -11,8 +12,8 @@
   restsAt: number | undefined
 }
 
-/** Serves a request until its answer has left. */
-export type ServeRequest = (request: http.IncomingMessage, response: http.ServerResponse) => Promise<void>
+/** Serves a request, whose head came at a monotone time, until its answer has left. */
+export type ServeRequest = (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number) => Promise<void>
 
 /**
  * The connections of clients and what is in hand on each. Requests of one connection are served one after the other, so that none is passed
@@ -21,7 +22,7 @@
 export class ClientConnections {
   private readonly connections = new Map<Socket, ClientConnection>()
 
-  constructor (private readonly serve: ServeRequest) {}
+  constructor (private readonly clock: Clock, private readonly serve: ServeRequest) {}
 
   /** Knows the connection until it closes. */
   add (socket: Socket): void {
@@ -33,7 +34,10 @@
   async take (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const connection = this.connections.get(request.socket)
     if (!connection) return
-    const turn = connection.turn ? connection.turn.then(() => this.serveNext(request, response)) : this.serve(request, response)
+    const arrivedAt = this.clock.readTime()
+    const turn = connection.turn
+      ? connection.turn.then(() => this.serveNext(request, response, arrivedAt))
+      : this.serve(request, response, arrivedAt)
     connection.turn = turn
     await turn
     if (connection.turn !== turn) return
@@ -61,7 +65,7 @@
     else socket.destroy()
   }
 
-  private async serveNext (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    if (request.socket.writable) await this.serve(request, response)
+  private async serveNext (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
+    if (request.socket.writable) await this.serve(request, response, arrivedAt)
   }
 }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -20,7 +20,7 @@
 /** Serves routed requests at the instance's client address. */
 export async function listenForClients (entry: Entry): Promise<ClientListener> {
   const options: http.ServerOptions = { maxHeaderSize: HEADER_BYTES, requestTimeout: 0, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_MS }
-  const connections = new ClientConnections((request, response) => entry.gateway.handle(request, response))
+  const connections = new ClientConnections(entry.clock, (request, response, arrivedAt) => entry.gateway.handle(request, response, arrivedAt))
   const server = http.createServer(options, (request, response) => {
     // Parts of a request that was refused may still come; they must not end the process.
     request.on('error', () => undefined)
