--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -165,6 +165,8 @@
   }
 
   setNeighbours (peers: readonly { instance: string, peerAddress: string }[]): void {
+    // What was under way when this instance stopped may still name some, for whom nobody would ever stop looking.
+    if (this.stopped.signal.aborted) return
     const wanted = new Set(peers.map((peer) => peer.instance))
     for (const [instance, abort] of this.dialling) {
       if (wanted.has(instance)) continue
--- a/membership/peers/test/WebSocketNetwork.test.ts
+++ b/membership/peers/test/WebSocketNetwork.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { afterEach, describe, it } from 'node:test'
-import { RandomSource, SystemClock } from '@pulleystack/core.clock'
+import { ManualClock, RandomSource, SystemClock } from '@pulleystack/core.clock'
 import { createLogger } from '@pulleystack/core.logging'
 import { createAuthority, createCertificate } from '@pulleystack/membership.keys'
 import { defineChannel, WebSocketNetwork, type PeerIdentity, type WebSocketNetworkOptions } from '../src/index.js'
@@ -100,6 +100,18 @@
     assert.equal(await silent, 'b')
   })
 
+  // A listing of the store that was under way when the instance stopped names neighbours once more.
+  it('looks for no neighbour that it is given after its stop', async () => {
+    const clock = new ManualClock()
+    const a = await start('a', new Map(), { clock })
+    const sought: string[] = []
+    a.peerEvents.subscribe(({ kind }) => sought.push(kind))
+    await a.stop()
+    a.setNeighbours([{ instance: 'b', peerAddress: '' }])
+    await clock.advance(60_000)
+    assert.deepEqual(sought, [])
+  })
+
   it('speaks TLS with certificates of the system\'s own authority, and with no others', async () => {
     const now = new Date()
     const authority = createAuthority({ name: 'ours', days: 1, now })
