--- a/config/objects/src/parseConfigObject.ts
+++ b/config/objects/src/parseConfigObject.ts
@@ -1,6 +1,6 @@
 import { PulleystackError } from '@pulleystack/core.errors'
 import { err, ok, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { objectSchema, specSchemas, type ConfigObject } from './schemas.js'
 
 /** Checks a value against its kind's schema; the error names the field. */
--- a/config/objects/src/schemas.ts
+++ b/config/objects/src/schemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { Kinds, ServiceClasses, type Kind } from './kinds.js'
 
 const NAME = /^[a-z0-9](?:[a-z0-9.-]{0,61}[a-z0-9])?$/
--- a/config/settings/src/parseSettings.ts
+++ b/config/settings/src/parseSettings.ts
@@ -2,7 +2,7 @@
 import { PulleystackError } from '@pulleystack/core.errors'
 import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
 import { err, ok, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { policySchema, type Policy } from './policySchema.js'
 import { settingsSchema, type Settings } from './settingsSchema.js'
 
--- a/config/settings/src/policySchema.ts
+++ b/config/settings/src/policySchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /**
  * Mechanisms that decide where requests run and which models sit where. Each can be switched off, to its plain alternative, so that what it is worth
--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const ADDRESS = /^[0-9a-fA-F.:[\]]+:\d{1,5}$/
 const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, as 127.0.0.1:8080')
--- a/gateway/callers/src/openaiFormat.ts
+++ b/gateway/callers/src/openaiFormat.ts
@@ -1,5 +1,5 @@
 import { PulleystackError } from '@pulleystack/core.errors'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const DEFAULT_MAX_TOKENS = 128
 const MAX_TOKENS = 32_768
--- a/membership/mesh/src/InstanceDirectory.ts
+++ b/membership/mesh/src/InstanceDirectory.ts
@@ -22,6 +22,8 @@
   private readonly entries = new Map<string, Entry>()
   /** Monotone time since which fewer serve than should. */
   private shortSince: number | undefined
+  /** The order of all known instances; undefined after a change until it is asked for. */
+  private ranked: readonly KnownInstance[] | undefined
 
   constructor (private readonly clock: Clock, private readonly self: KnownInstance) {}
 
@@ -42,11 +44,14 @@
   put (known: KnownInstance): void {
     if (known.instance === this.self.instance) return
     const { instance, peerAddress, dataHall, capacity } = known
-    this.entries.set(instance, { instance, peerAddress, dataHall, capacity, missingSince: this.entries.get(instance)?.missingSince })
+    const present = this.entries.get(instance)
+    if (present?.peerAddress === peerAddress && present.dataHall === dataHall && present.capacity === capacity) return
+    this.entries.set(instance, { instance, peerAddress, dataHall, capacity, missingSince: present?.missingSince })
+    this.ranked = undefined
   }
 
   remove (instance: string): void {
-    this.entries.delete(instance)
+    if (this.entries.delete(instance)) this.ranked = undefined
   }
 
   /** A link to it is up. */
@@ -108,8 +113,10 @@
     return neighbours
   }
 
-  private rank (): KnownInstance[] {
-    return rankServing([this.self, ...this.entries.values()])
+  /** Who serves is asked for many times a second, while instances seldom come or go. */
+  private rank (): readonly KnownInstance[] {
+    this.ranked ??= rankServing([this.self, ...this.entries.values()])
+    return this.ranked
   }
 
   private isMissing (instance: string, forMs: number): boolean {
--- a/membership/mesh/src/chooseServing.ts
+++ b/membership/mesh/src/chooseServing.ts
@@ -19,16 +19,23 @@
 
 /** The order in which instances are to serve: data halls by turns, in each the most capable first; the same for all that know the same. */
 export function rankServing<T extends ServingCandidate> (candidates: Iterable<T>): T[] {
-  const halls = new Map<string, T[]>()
+  const halls = new Map<string, Array<HashedCandidate<T>>>()
   for (const candidate of candidates) {
+    const hashed = { candidate, hash: hashText(candidate.instance) }
     const hall = halls.get(candidate.dataHall)
-    if (hall) hall.push(candidate)
-    else halls.set(candidate.dataHall, [candidate])
+    if (hall) hall.push(hashed)
+    else halls.set(candidate.dataHall, [hashed])
   }
-  const turns = [...halls.values()].flatMap((hall) => hall.sort(compareInHall).map((candidate, turn) => ({ candidate, turn })))
-  return turns.sort((a, b) => a.turn - b.turn || compareInHall(a.candidate, b.candidate)).map((it) => it.candidate)
+  const turns = [...halls.values()].flatMap((hall) => hall.sort(compareInHall).map((hashed, turn) => ({ hashed, turn })))
+  return turns.sort((a, b) => a.turn - b.turn || compareInHall(a.hashed, b.hashed)).map((it) => it.hashed.candidate)
 }
 
-function compareInHall (a: ServingCandidate, b: ServingCandidate): number {
-  return b.capacity - a.capacity || hashText(a.instance) - hashText(b.instance) || (a.instance < b.instance ? -1 : 1)
+/** A candidate with the hash of its name, which sorting compares many times. */
+interface HashedCandidate<T extends ServingCandidate> {
+  candidate: T
+  hash: number
+}
+
+function compareInHall (a: HashedCandidate<ServingCandidate>, b: HashedCandidate<ServingCandidate>): number {
+  return b.candidate.capacity - a.candidate.capacity || a.hash - b.hash || (a.candidate.instance < b.candidate.instance ? -1 : 1)
 }
--- a/membership/mesh/test/InstanceDirectory.test.ts
+++ b/membership/mesh/test/InstanceDirectory.test.ts
@@ -45,6 +45,45 @@
     })
   })
 
+  describe('when nobody joins or leaves', () => {
+    it('are ranked once, however often it is asked who serves', () => {
+      const instances = createInstances(195)
+      let reads = 0
+      const self: KnownInstance = {
+        ...instances[0] as KnownInstance,
+        get capacity () {
+          reads++
+          return 1
+        },
+      }
+      const directory = new InstanceDirectory(new ManualClock(), self)
+      for (const other of instances) directory.put(other)
+      directory.isChosen(new Set())
+      const readsOfOneRanking = reads
+      for (let turn = 0; turn < 100; turn++) {
+        for (const other of instances) directory.put({ ...other })
+        directory.isChosen(new Set())
+        directory.isFirst()
+        directory.listServingNeighbours(new Set())
+        directory.listStandbyNeighbours(new Set())
+      }
+      assert.equal(reads, readsOfOneRanking)
+    })
+
+    it('are ranked anew when one of them has another capacity, joins or leaves', () => {
+      const instances = createInstances(60)
+      const directory = new InstanceDirectory(new ManualClock(), instances[0] as KnownInstance)
+      for (const other of instances) directory.put(other)
+      const isNeighbour = (name: string): boolean => directory.listServingNeighbours(new Set()).some((it) => it.instance === name)
+      const last = rankServing(instances).at(-1) as KnownInstance
+      assert.equal(isNeighbour(last.instance), false)
+      directory.put({ ...last, capacity: 4 })
+      assert.equal(isNeighbour(last.instance), true)
+      directory.remove(last.instance)
+      assert.equal(isNeighbour(last.instance), false)
+    })
+  })
+
   describe('when some of those that serve die', () => {
     it('step in for them, and others when the next ones are dead as well', async () => {
       const clock = new ManualClock()
--- a/tools/scripts/build-binary.mjs
+++ b/tools/scripts/build-binary.mjs
@@ -2,35 +2,15 @@
 import { execFileSync } from 'node:child_process'
 import fs from 'node:fs'
 import path from 'node:path'
-import { build } from 'esbuild'
+import { writeBundle } from './bundle.mjs'
 
 const DIST = 'dist'
 const BINARY = path.join(DIST, 'pulleystack')
 const BUNDLE = path.join(DIST, 'pulleystack.cjs')
 const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
-// Optional native helpers of our libraries can't stand in one file; each library does without.
-const leaveOutNative = {
-  name: 'leave-out-native',
-  setup (builder) {
-    builder.onResolve({ filter: /^(dtrace-provider|bufferutil|utf-8-validate|msgpackr-extract)$/ }, ({ path: name }) => ({ path: name, namespace: 'left-out' }))
-    builder.onLoad({ filter: /.*/, namespace: 'left-out' }, () => ({ contents: 'throw new Error("not in the binary")' }))
-  },
-}
-
 fs.mkdirSync(DIST, { recursive: true })
-await build({
-  entryPoints: ['program/cli/src/main.ts'],
-  outfile: BUNDLE,
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  mainFields: ['module', 'main'],
-  plugins: [leaveOutNative],
-  define: { 'import.meta.dirname': '__dirname' },
-  logLevel: 'warning',
-})
+await writeBundle({ entryPoint: 'program/cli/src/main.ts', outfile: BUNDLE, define: { 'import.meta.dirname': '__dirname' } })
 const assets = Object.fromEntries(fs.readdirSync('examples').map((file) => [file, path.join('examples', file)]))
 const config = path.join(DIST, 'sea-config.json')
 fs.writeFileSync(config, JSON.stringify({ main: BUNDLE, output: path.join(DIST, 'sea.blob'), disableExperimentalSEAWarning: true, assets }))
--- /dev/null
+++ b/tools/scripts/bundle.d.mts
@@ -0,0 +1,2 @@
+/** Bundles what an entry point imports into one CommonJS file. */
+export declare function writeBundle (opts: { entryPoint: string, outfile: string, define?: Record<string, string> }): Promise<void>
