--- a/core/errors/src/resultCodes.ts
+++ b/core/errors/src/resultCodes.ts
@@ -51,6 +51,7 @@
   CLAIM_OUTCOME_TOO_LARGE: buildCode(3013, 409, Ran.YES, 'A request with this Idempotency-Key ran; its answer was too large to keep.'),
   INSTANCE_STOPPING: buildCode(3014, 503, Ran.NO, 'This instance is stopping; use another address.'),
   BACKEND_REFUSED: buildCode(3015, 502, Ran.NO, 'The backend server refused the work.'),
+  CONFIG_OUTDATED: buildCode(3016, 503, Ran.NO, 'This instance does not know the newest configuration yet.'),
   INTERNAL: buildCode(3099, 500, Ran.UNKNOWN, 'A fault of this program.'),
   OBJECT_INVALID: buildCode(4001, 400, Ran.NO, 'An object does not match its schema.'),
   REFERENCE_MISSING: buildCode(4002, 400, Ran.NO, 'An object refers to one that does not exist.'),
--- a/gateway/routed/src/ClientAnswer.ts
+++ b/gateway/routed/src/ClientAnswer.ts
@@ -3,13 +3,16 @@
 import { Ran } from '@pulleystack/core.errors'
 import { listEndToEnd } from '@pulleystack/core.headers'
 import type { ExchangeAnswer } from '@pulleystack/routing.forward'
+import { RELAY_HEADER_NAMES, RelayHeaders } from './relayHeaders.js'
 
-const WITH_OWN_LENGTH = new Set(['content-length'])
+const NOT_PASSED_ON = new Set<string>(['content-length', ...RELAY_HEADER_NAMES])
 const DEFAULT_RETRY_SECONDS = 0.25
 
 export interface ClientAnswerOptions {
   response: http.ServerResponse
   ownHeaders: Record<string, string>
+  /** The version of the configuration that answers, for the instance that handed the request on; undefined for a client's own. */
+  readRelayVersion?: () => number | undefined
   /** The connection is to close after this answer. */
   mustClose: () => boolean
 }
@@ -24,7 +27,7 @@
 
   /** Passes a whole answer of a backend server on. */
   sendWhole (answer: ExchangeAnswer, body: Buffer): void {
-    const headers = listEndToEnd(answer.rawHeaders, WITH_OWN_LENGTH)
+    const headers = listEndToEnd(answer.rawHeaders, NOT_PASSED_ON)
     if (answer.status !== 204 && answer.status !== 304) headers.push('Content-Length', String(body.length))
     this.writeHead(answer, headers)
     this.opts.response.end(body)
@@ -32,7 +35,7 @@
 
   /** Begins to pass a stream on. */
   beginStream (answer: ExchangeAnswer): void {
-    this.writeHead(answer, listEndToEnd(answer.rawHeaders, WITH_OWN_LENGTH))
+    this.writeHead(answer, listEndToEnd(answer.rawHeaders, NOT_PASSED_ON))
   }
 
   /** Passes bytes on; false when the client should be waited for with `onDrain`. */
@@ -67,12 +70,17 @@
     if (status === 503) headers['retry-after'] = formatSeconds(error.retryAfterSeconds ?? DEFAULT_RETRY_SECONDS)
     // What is left of a body that was not read would be taken for the next request.
     if (this.opts.mustClose() || !response.req.complete) headers['connection'] = 'close'
+    const version = this.opts.readRelayVersion?.()
+    if (version !== undefined) headers[RelayHeaders.VERSION] = String(version)
+    if (error.code === 'CONFIG_OUTDATED') headers[RelayHeaders.OUTDATED] = '1'
     response.writeHead(status, headers)
     response.end(body)
   }
 
   private writeHead (answer: ExchangeAnswer, headers: string[]): void {
     if (this.opts.mustClose()) headers.push('Connection', 'close')
+    const version = this.opts.readRelayVersion?.()
+    if (version !== undefined) headers.push(RelayHeaders.VERSION, String(version))
     this.opts.response.writeHead(answer.status, answer.statusMessage, headers)
   }
 }
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -2,6 +2,7 @@
 import type { RoutedProtocol, RoutedRequestFacts } from '@pulleystack/backend.interfaces'
 import { chooseTarget, type Route, type RouteTable } from '@pulleystack/config.routes'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { listEndToEnd } from '@pulleystack/core.headers'
 import { readBody } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
@@ -9,6 +10,8 @@
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
 import { UnfinishedRequest, type UnfinishedFacts } from './UnfinishedRequest.js'
+import type { InstanceRelay } from './InstanceRelay.js'
+import { RELAY_HEADER_NAMES, readMinVersion } from './relayHeaders.js'
 import { createRequestEnd, endWith, waitUntilSent, type RequestEnd } from './RequestEnd.js'
 import { UsualWaits } from './UsualWaits.js'
 import { runRequest, type RunOptions } from './runRequest.js'
@@ -17,6 +20,10 @@
 /** By then a client asks another instance, or this one has asked the store twice more. */
 const OUTDATED_RETRY_SECONDS = 0.5
 const GONE_STATUS = 499
+/** A request that is handed on and has no deadline of its own is given up after this time; no route of the users' pages lasts longer. */
+const RELAY_MS = 30_000
+/** Largest body that is handed on; the instance that serves knows the limit in force. */
+const RELAY_BODY_BYTES = 32 << 20
 /** A client that has not taken an ended answer by then reads no more; it is longer than any deadline that the users' pages show (20 s). */
 const UNREAD_MS = 30_000
 
@@ -34,6 +41,8 @@
 export interface RoutedGatewayOptions extends RunOptions {
   protocol: RoutedProtocol
   residency: ResidencyClient
+  /** Hands requests on while no configuration is known here; undefined where each instance answers for itself. */
+  relay?: InstanceRelay
   /** The routes in force; undefined until a configuration is known. */
   readTable: () => RouteTable | undefined
   /** Whether the routes in force are surely those that have to be; false when a newer configuration may have others. */
@@ -56,6 +65,14 @@
   signal: AbortSignal
 }
 
+/** A request whose head has come and that another instance is to answer. */
+interface RequestToRelay {
+  facts: RoutedRequestFacts
+  request: http.IncomingMessage
+  arrivedAt: number
+  end: RequestEnd
+}
+
 /** A request that was answered or given up. */
 interface EndedRequest {
   outcome: RoutedOutcome
@@ -112,14 +129,24 @@
 
   private async answer (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     const facts = this.opts.protocol.readRequest(request.headers)
-    const client = new ClientAnswer({ response, ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId), mustClose: this.opts.mustClose })
+    const minVersion = readMinVersion(request.headers)
+    const client = new ClientAnswer({
+      response,
+      ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId),
+      readRelayVersion: () => minVersion === undefined ? undefined : this.opts.readTable()?.config.version,
+      mustClose: this.opts.mustClose,
+    })
     let stream: StreamProgress | undefined
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const end = createRequestEnd(response)
     this.ends.add(end)
     const unfinished = this.noteUnfinished(facts.requestId, response, arrivedAt)
     try {
-      const table = this.findTable()
+      const table = this.findTable(minVersion)
+      if (table === undefined) {
+        await this.relay({ facts, request, arrivedAt, end }, client)
+        return
+      }
       const route = this.findRoute(table, request)
       outcome.route = route.name
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
@@ -161,10 +188,29 @@
     throw new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request may', { retryAfterSeconds: 0 })
   }
 
-  private findTable (): RouteTable {
-    const table = this.opts.readTable()
-    if (!table) throw new PulleystackError('NO_RUNNER', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
-    return table
+  /** The routes in force; undefined when another instance is to answer. A request that was handed on is not handed on again. */
+  private findTable (minVersion: number | undefined): RouteTable | undefined {
+    const { relay, readTable } = this.opts
+    const table = readTable()
+    const isRecent = table !== undefined && table.config.version >= (minVersion ?? relay?.newestVersion ?? -Infinity)
+    if (isRecent) return table
+    if (minVersion === undefined && relay?.isReady) return undefined
+    if (table) throw new PulleystackError('CONFIG_OUTDATED', 'Newer routes are in force elsewhere', { retryAfterSeconds: OUTDATED_RETRY_SECONDS })
+    throw new PulleystackError('CONFIG_OUTDATED', 'This instance has no configuration yet', { retryAfterSeconds: UNCONFIGURED_RETRY_SECONDS })
+  }
+
+  /** Hands a request on to an instance that serves, and passes its answer on. */
+  private async relay ({ facts, request, arrivedAt, end }: RequestToRelay, client: ClientAnswer): Promise<void> {
+    const deadline = arrivedAt + Math.min(RELAY_MS, facts.waitMs ?? Infinity)
+    this.checkMayBegin(deadline)
+    const cancel = this.opts.clock.setTimer(Math.max(0, deadline - this.opts.clock.readTime()), () => end.expire())
+    try {
+      const body = hasBody(request) ? await endWith(end.signal, readBody(request, RELAY_BODY_BYTES)) : undefined
+      const { method = 'GET', url: path = '/', rawHeaders } = request
+      await this.opts.relay?.run({ requestId: facts.requestId, method, path, rawHeaders, body, signal: end.signal }, client)
+    } finally {
+      cancel()
+    }
   }
 
   private findRoute (table: RouteTable, request: http.IncomingMessage): Route {
@@ -179,8 +225,7 @@
     const { table, route, facts, request } = it
     const name = chooseTarget(route, this.opts.random)
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
-    const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
-    const body = hasBody ? await endWith(it.signal, readBody(request, table.config.limits.bodyBytes)) : undefined
+    const body = hasBody(request) ? await endWith(it.signal, readBody(request, table.config.limits.bodyBytes)) : undefined
     return {
       requestId: facts.requestId ?? '',
       facts,
@@ -188,7 +233,7 @@
       service,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      rawHeaders: request.rawHeaders,
+      rawHeaders: listEndToEnd(request.rawHeaders, RELAY_HEADER_NAMES),
       body,
       arrivedAt: it.arrivedAt,
       deadline: it.deadline,
@@ -225,3 +270,7 @@
     this.opts.onOutcome(outcome)
   }
 }
+
+function hasBody (request: http.IncomingMessage): boolean {
+  return request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
+}
--- /dev/null
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import http from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { afterEach, beforeEach, describe, it } from 'node:test'
+import type { AnswerFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
+import { SystemClock } from '@pulleystack/core.clock'
+import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import { BackendAgent } from '@pulleystack/routing.forward'
+import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
+import { InstanceRelay, RelayHeaders, type RelayTarget } from '../src/index.js'
+import { ClientAnswer } from '../src/ClientAnswer.js'
+
+const protocol = {
+  readAnswer: (_: number, headers: http.IncomingHttpHeaders): AnswerFacts => ({ requestId: headers['request-id'] as string | undefined, signed: false, notRun: false }),
+} as RoutedProtocol
+
+describe('an instance that hands requests on', () => {
+  let servers: http.Server[]
+  let targets: RelayTarget[]
+  let relay: InstanceRelay
+  let front: http.Server
+
+  const listen = async (server: http.Server): Promise<string> => {
+    servers.push(server)
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`
+  }
+  /** Another instance that answers with a version of the configuration. */
+  const startTarget = async (version: number, answer: http.RequestListener): Promise<void> => {
+    const address = await listen(http.createServer((request, response) => {
+      response.setHeader(RelayHeaders.VERSION, version)
+      response.setHeader('request-id', String(request.headers['request-id']))
+      answer(request, response)
+    }))
+    targets.push({ instance: `t${targets.length}`, address })
+  }
+  const answerBy = (version: number): http.RequestListener => (request, response) => {
+    if (Number(request.headers[RelayHeaders.MIN_VERSION]) <= version) response.end(`by ${version}`)
+    else response.writeHead(503, { [RelayHeaders.OUTDATED]: '1' }).end()
+  }
+  const ask = async (signal?: AbortSignal): Promise<Response> => {
+    const { port } = front.address() as AddressInfo
+    return fetch(`http://127.0.0.1:${port}/a/b?c`, { method: 'POST', body: 'asked', headers: { 'request-id': 'q1' }, signal })
+  }
+
+  beforeEach(async () => {
+    servers = []
+    targets = []
+    const clock = new SystemClock()
+    relay = new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol, log: new SilentDecisionLog(), listTargets: () => targets })
+    front = http.createServer((request, response) => {
+      const client = new ClientAnswer({ response, ownHeaders: {}, mustClose: () => false })
+      const ended = new AbortController()
+      response.once('close', () => ended.abort(new PulleystackError('CALLER_GONE', 'gone')))
+      const { method = '', url: path = '', rawHeaders } = request
+      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), signal: ended.signal }
+      relay.run(work, client).catch((error: PulleystackError) => client.sendError(error, 'q1'))
+    })
+    await listen(front)
+  })
+
+  afterEach(() => {
+    for (const server of servers) {
+      server.closeAllConnections()
+      server.close()
+    }
+  })
+
+  it('passes method, path, body and answer on unchanged, and nothing of what the instances tell each other', async () => {
+    await startTarget(3, (request, response) => {
+      void (async () => {
+        let body = ''
+        for await (const chunk of request as AsyncIterable<Buffer>) body += String(chunk)
+        response.writeHead(207, { 'server-stamp': 's' }).end(`${request.method} ${request.url} ${body}`)
+      })()
+    })
+    const answer = await ask()
+    assert.equal(answer.status, 207)
+    assert.equal(await answer.text(), 'POST /a/b?c asked')
+    assert.equal(answer.headers.get('server-stamp'), 's')
+    assert.equal(answer.headers.get(RelayHeaders.VERSION), null)
+    assert.equal(relay.newestVersion, 3)
+  })
+
+  it('asks the next one when one is gone', async () => {
+    targets.push({ instance: 'gone', address: '127.0.0.1:1' })
+    await startTarget(3, answerBy(3))
+    assert.equal(await (await ask()).text(), 'by 3')
+  })
+
+  it('never shows a client an older configuration than one before', async () => {
+    await startTarget(5, answerBy(5))
+    assert.equal(await (await ask()).text(), 'by 5')
+    targets = []
+    await startTarget(4, answerBy(4))
+    const refused = await ask()
+    assert.equal(refused.status, 503)
+    assert.ok(refused.headers.get('retry-after') !== null)
+    await startTarget(6, answerBy(6))
+    assert.equal(await (await ask()).text(), 'by 6')
+  })
+
+  it('refuses as not run when nobody is reached, and promises nothing once a request was sent', async () => {
+    targets.push({ instance: 'gone', address: '127.0.0.1:1' })
+    const client = {} as ClientAnswer
+    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, signal: new AbortController().signal }
+    await assert.rejects(relay.run(work, client), (error: PulleystackError) => error.ran === Ran.NO)
+    targets = []
+    await startTarget(3, (request) => request.socket.destroy())
+    assert.equal((await ask()).status, 502)
+  })
+
+  it('passes a stream on as it comes, and never lets one that broke off look whole', async () => {
+    let breakOff: () => void = () => undefined
+    await startTarget(3, (_, response) => {
+      response.write('data: 1\n\n')
+      breakOff = () => response.destroy()
+    })
+    const answer = await ask()
+    const reader = answer.body?.getReader()
+    assert.equal(new TextDecoder().decode((await reader?.read())?.value), 'data: 1\n\n')
+    breakOff()
+    await assert.rejects(async () => reader?.read())
+  })
+
+  it('ends the request at the other instance when its client leaves', async () => {
+    const left = new AbortController()
+    let leaveNoted: (value: unknown) => void = () => undefined
+    const noted = new Promise((resolve) => {
+      leaveNoted = resolve
+    })
+    await startTarget(3, (_, response) => {
+      response.once('close', leaveNoted)
+      left.abort()
+    })
+    await assert.rejects(ask(left.signal))
+    await noted
+  })
+})
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,6 +1,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
-import { RoutedGateway, StreamPace, type BackendQueue } from '@pulleystack/gateway.routed'
+import { InstanceRelay, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
+import { listRanked } from '@pulleystack/core.hashing'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
@@ -9,6 +10,7 @@
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
 import type { EntrySettings } from './EntrySettings.js'
+import { listNearFirst } from './listAddresses.js'
 
 /** What the gateway for routed requests needs of an entry instance. */
 export interface GatewayParts extends EntryParts {
@@ -17,6 +19,7 @@
   mesh: InstanceMesh
   queue: BackendQueue
   residency: ResidencyService
+  relay: InstanceRelay
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
   isTableCurrent: () => boolean
@@ -27,12 +30,14 @@
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
   const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  const { protocol } = deps
   return new RoutedGateway({
     clock,
     random,
     log,
     agent: new BackendAgent(clock),
-    protocol: deps.protocol,
+    protocol,
+    relay: parts.relay,
     queue,
     fleet,
     pace: new StreamPace(clock),
@@ -46,6 +51,16 @@
   })
 }
 
+/** Hands requests on to the instances that serve, those of the own data hall first and else always in one order, so that clients see one configuration. */
+export function createRelay ({ settings, deps, clock, log, mesh }: EntryParts & { mesh: InstanceMesh }): InstanceRelay {
+  const listTargets = (): RelayTarget[] => {
+    const serving = mesh.listLive().filter((identity) => !identity.leaving && !identity.standby)
+    const ranked = listRanked(settings.instance, serving, (identity) => identity.instance)
+    return listNearFirst(ranked, settings.dataHall)
+  }
+  return new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
+}
+
 function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
   const budgets = new Map<string, WindowBudget>()
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -10,7 +10,7 @@
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { createGateway } from './createGateway.js'
+import { createGateway, createRelay } from './createGateway.js'
 import { createMesh } from './createMesh.js'
 import { createMetrics } from './createMetrics.js'
 import { createResidency } from './createResidency.js'
@@ -26,7 +26,7 @@
 
 /** Where an instance stands between its start and its end. */
 export const EntryPhases = {
-  /** Knows no configuration or no servers yet, or stands by while others serve. */
+  /** Knows no configuration or no servers yet, or stands by while others serve; hands requests on to those. */
   STARTING: 'starting',
   READY: 'ready',
   /** Serves what comes, but clients are told to go elsewhere. */
@@ -50,6 +50,8 @@
   fleet: BackendFleet
   readTable: () => RouteTable | undefined
   readPhase: () => EntryPhase
+  /** Whether a request that comes now would be served, here or by an instance that it is handed on to. */
+  isReady: () => boolean
   setPhase: (phase: EntryPhase) => void
   /** Begins a planned stop. */
   leave: (plan: StopPlan) => void
@@ -101,7 +103,9 @@
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
-  const gateway = createGateway({ ...parts, random, queue, residency, metrics, isTableCurrent, mayBegin, mustClose })
+  const relay = createRelay(parts)
+  const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
+  const gateway = createGateway({ ...parts, random, queue, relay, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -128,7 +132,7 @@
     if (isChosen) state.feeds = beginServing({ ...parts, random, ended, onTable: takeTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
-  return { settings, clock, log, gateway, queue, mesh, network, residency, metrics, fleet, readTable, readPhase: () => state.phase, setPhase, leave, ended }
+  return { ...parts, gateway, queue, residency, metrics, readPhase: () => state.phase, isReady, setPhase, leave, ended }
 }
 
 interface ServingParts extends EntryParts {
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -9,7 +9,7 @@
 /** One request as it goes to one backend server. */
 export interface ExchangeOptions {
   agent: BackendAgent
-  protocol: RoutedProtocol
+  protocol: Pick<RoutedProtocol, 'readAnswer'>
   clock: Clock
   address: string
   method: string
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -54,6 +54,8 @@
   }
   /** No place at once: `full`, `not-resident` or `no-backend`; `waiting` requests wait here. */
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
+  /** This instance stands by or has no configuration yet, and handed the request on to another one. */
+  'request-relayed': { request: string | undefined, peer: string }
   /** The chosen server, what all instances have in hand there, how much of the prompt it has read, and the time left. */
   'attempt-sent': { request: string, backend: string, send: number, running: number, prefillTokens: number, keptTokens: number, leftMs: number }
   /** `ran` says whether the request may have run. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -28,6 +28,7 @@
   /** One request. */
   REQUEST_AT_STOP: 'request-at-stop',
   REQUEST_WAITING: 'request-waiting',
+  REQUEST_RELAYED: 'request-relayed',
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
   STREAM_RESUMED: 'stream-resumed',
