--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -73,13 +73,13 @@
       void (async () => {
         let body = ''
         for await (const chunk of request as AsyncIterable<Buffer>) body += String(chunk)
-        response.writeHead(207, { 'server-stamp': 's' }).end(`${request.method} ${request.url} ${body}`)
+        response.writeHead(207, { 'made-by': 's' }).end(`${request.method} ${request.url} ${body}`)
       })()
     })
     const answer = await ask()
     assert.equal(answer.status, 207)
     assert.equal(await answer.text(), 'POST /a/b?c asked')
-    assert.equal(answer.headers.get('server-stamp'), 's')
+    assert.equal(answer.headers.get('made-by'), 's')
     assert.equal(answer.headers.get(RelayHeaders.VERSION), null)
     assert.equal(relay.newestVersion, 3)
   })
--- a/gateway/routed/test/RoutedGateway.test.ts
+++ b/gateway/routed/test/RoutedGateway.test.ts
@@ -48,7 +48,7 @@
     clock = new ManualClock()
     deadlines = []
     response = new UnreadResponse()
-    const table = { findRoute: () => ({ name: 'r', timeoutMs: TIMEOUT_MS }) } as unknown as RouteTable
+    const table = { config: { version: 1 }, findRoute: () => ({ name: 'r', timeoutMs: TIMEOUT_MS }) } as unknown as RouteTable
     gateway = new RoutedGateway({
       clock,
       log: new SilentDecisionLog(),
