--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,7 +1,7 @@
 import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PulleystackError } from '@pulleystack/core.errors'
-import { findOwner, listRanked } from '@pulleystack/core.hashing'
+import { listRanked } from '@pulleystack/core.hashing'
 import { measureSend, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { answerSnapshots } from './answerSnapshots.js'
@@ -9,6 +9,7 @@
 import { NEWS, NOTICE, SNAPSHOT, type FeedNews, type FeedSnapshot, type FeedSpan } from './channels.js'
 import { CopyStates, type CopyState } from './CopyWatch.js'
 import { FeedCopy, keepNewest, measureValue } from './FeedCopy.js'
+import { WatcherChoice } from './WatcherChoice.js'
 
 /** A watcher's call waits this long at most, so that the others hear from it at least so often. */
 const WATCHER_WAIT_MS = 700
@@ -20,9 +21,16 @@
 const QUIET_MS = 1_100
 /** With QUIET_MS before it, a copy is 1.4 s old at most when such a call is answered, inside the 2 s of the bound for changes. */
 const OWN_WAIT_MS = 300
-const SETTLE_MS = 100
+/**
+ * After changes the next call waits, so that those of many servers come together: three calls a second at the most, and a change is known 0.3 s
+ * later than it could be, an eighth of the tightest bound for changes.
+ */
+const SETTLE_MS = 300
 const MIN_BACKOFF_MS = 100
+/** Longest pause of the instance that watches, on whose news the others rely. */
 const MAX_BACKOFF_MS = 400
+/** Calls a second that the others make together while they all have lost the store; each of them would hear from the watcher when it is back. */
+const IDLE_RETRIES_PER_SECOND = 10
 /** A peer that answers at all does so in milliseconds; this many of them fit into the bound for changes. */
 const SNAPSHOT_MS = 400
 /** An instance that is told of changes asks for them this often at most: 2.5 reads a second whatever changes, a fifth of the bound for changes. */
@@ -59,6 +67,7 @@
 export class StoreFeed {
   private readonly copy = new FeedCopy()
   private readonly budget: ByteBudget
+  private readonly watcher: WatcherChoice
   /** Time of the own clock at which the store surely held nothing that the copy lacks. */
   private freshAt = -Infinity
   /** Newest revision that peers told of, who told it, and the size of what was left out since the copy's revision. */
@@ -74,6 +83,7 @@
 
   constructor (private readonly opts: StoreFeedOptions) {
     this.budget = findBudget(opts.clock, opts.network)
+    this.watcher = new WatcherChoice(opts)
   }
 
   /** Milliseconds since the copy was known to be what the store holds, counted from the store's answer, whoever got it. */
@@ -109,7 +119,7 @@
 
   /** Whether this instance watches the store for the others. */
   isWatcher (): boolean {
-    return findOwner(`feed/${this.opts.prefix}`, this.opts.listCandidates()) === this.opts.instance
+    return this.watcher.isWatcher()
   }
 
   /** Follows the prefix until the signal ends. */
@@ -123,6 +133,7 @@
         if (body.prefix === prefix) this.takeNotice(from, body, body.bytes)
       }),
     ]
+    this.watcher.start(signal)
     answerSnapshots(clock, network, { prefix, copy: this.copy, readFreshAt: () => this.freshAt })
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
     void this.run(signal)
@@ -192,6 +203,7 @@
     const listing = await this.showAsking(store.listObjects(prefix))
     if (signal.aborted) return undefined
     if (listing.isErr()) return listing.error
+    this.watcher.noteAnswered()
     this.noteAnswered()
     this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: askedAt })
     this.forgetTold(told)
@@ -212,6 +224,7 @@
       this.copy.revision = undefined
       return undefined
     }
+    this.watcher.noteAnswered()
     this.noteAnswered()
     const changes = keepNewest(batch.value.changes)
     // The store holds an answer without changes back for the time asked, so that it is as new as the end of that time.
@@ -323,9 +336,17 @@
   }
 
   private async backOff (signal: AbortSignal, cause: PulleystackError): Promise<void> {
+    this.watcher.noteFailed()
     this.noteLost(cause)
     await this.opts.clock.wait(this.backoffMs * (0.5 + this.opts.random.readFraction()), signal)
-    this.backoffMs = Math.min(MAX_BACKOFF_MS, this.backoffMs * 2)
+    this.backoffMs = Math.min(this.computeMaxBackoff(), this.backoffMs * 2)
+  }
+
+  /** Whoever has a copy and does not watch hears from the watcher, so that its own calls may be few. */
+  private computeMaxBackoff (): number {
+    const { listCandidates } = this.opts
+    if (this.copy.revision === undefined || this.isWatcher()) return MAX_BACKOFF_MS
+    return Math.max(MAX_BACKOFF_MS, listCandidates().length * 1_000 / IDLE_RETRIES_PER_SECOND)
   }
 
   private noteLost (cause: PulleystackError): void {
--- a/config/feed/src/channels.ts
+++ b/config/feed/src/channels.ts
@@ -35,6 +35,12 @@
   after: number
 }
 
+/** The store does not answer the sender, who should watch this prefix. */
+export interface WatchLost {
+  prefix: string
+}
+
 export const NEWS = defineChannel<FeedNews>('feed.news')
 export const NOTICE = defineChannel<FeedNotice>('feed.notice')
+export const WATCH_LOST = defineChannel<WatchLost>('feed.watch-lost')
 export const SNAPSHOT = defineChannel<SnapshotRequest, FeedSnapshot | undefined>('feed.snapshot')
