--- a/config/feed/src/WatcherChoice.ts
+++ b/config/feed/src/WatcherChoice.ts
@@ -3,7 +3,7 @@
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { WATCH_LOST } from './channels.js'
 
-/** One that lost the store is passed over for this long; it takes more than twice the longest pause between its calls, and no longer than a bound for changes. */
+/** One that lost the store is passed over for this long: five of the pauses of one that watches, and no longer than the tightest bound for changes. */
 const PASSED_OVER_MS = 2_000
 /** A watcher that keeps failing tells so this often. */
 const TELL_AGAIN_MS = 500
