--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -254,7 +254,7 @@
     if (!needAnswer) return
     // Without one that orders it is still known how long a load takes at least.
     const expectedMs = needAnswer.coming ? needAnswer.expectedMs : needAnswer.earliestMs ?? this.estimateLoadMs(work)
-    if ( hasBegun(work) || !this.opts.policy.waitEstimate) return
+    if (hasBegun(work) || !this.opts.policy.waitEstimate) return
     if (answeredAt + expectedMs <= candidate.latestAt) return
     item.fail(new PulleystackError('NO_RUNNER', 'The model will be there too late', { retryAfterSeconds: this.spreadRetry(work, expectedMs) }))
   }
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -20,7 +20,7 @@
     arrivedAt: 0,
     deadline: 60_000,
     route: { name: 'r', priority: 0, targetLatencyMs: 5_000 },
-    service: { name: 's', serving: { cacheTokens: 100_000, batchSlots: 8 } },
+    service: { name: 's', serving: { cacheTokens: 100_000, batchSlots: 8, models: [] } },
     generation: { model, adapter: undefined, promptTokens: 10, outputTokens: 10, parts: [] },
     firstTriedAt: 0,
     excluded: new Set(),
--- a/gateway/routed/test/QueueBench.ts
+++ b/gateway/routed/test/QueueBench.ts
@@ -114,7 +114,7 @@
     firstTriedAt: arrivedAt,
     deadline: arrivedAt + load.deadlineMs,
     route: { name: 'r', priority: 0, targetLatencyMs: load.targetMs, patienceMs: load.patienceMs },
-    service: { name: 's', serving: { cacheTokens: 1_000_000, batchSlots: load.slots } },
+    service: { name: 's', serving: { cacheTokens: 1_000_000, batchSlots: load.slots, models: [] } },
     generation: { model: 'm', adapter: undefined, promptTokens: 10, outputTokens: 10, parts: [] },
     excluded: new Set(),
     stream: createStreamProgress(undefined),
