--- /dev/null
+++ b/membership/mesh/test/InstanceMesh.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict'
+import { beforeEach, describe, it } from 'node:test'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
+import { ManualClock } from '@pulleystack/core.clock'
+import type { PeerEvent, PeerIdentity, WebSocketNetwork } from '@pulleystack/membership.peers'
+import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
+import { EMPTY, Subject } from 'rxjs'
+import { InstanceMesh } from '../src/index.js'
+
+const OTHERS = 27
+const STANDING_BY = 8
+/** Lists are sent by five in a second at the most. */
+const MOMENT_MS = 1_000
+const LISTS_PER_MOMENT = 6
+
+function createIdentity (instance: string, standby: boolean): PeerIdentity {
+  return { instance, incarnation: 1, address: `${instance}:1`, peerAddress: `${instance}:2`, region: '', dataHall: '', leaving: standby, standby }
+}
+
+describe('an instance that serves in a large system', () => {
+  let clock: ManualClock
+  let mesh: InstanceMesh
+  let events: Subject<PeerEvent>
+  let lists: { to: string, names: string[] }[]
+
+  beforeEach(() => {
+    clock = new ManualClock()
+    events = new Subject()
+    lists = []
+    const network = {
+      peerEvents: events,
+      receive: () => EMPTY,
+      handleCalls: () => undefined,
+      setNeighbours: () => undefined,
+      announceIdentity: () => undefined,
+      send: (to: string, _: unknown, serving: PeerIdentity[]) => lists.push({ to, names: serving.map((it) => it.instance) }),
+    } as unknown as WebSocketNetwork
+    const store = { listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
+    mesh = new InstanceMesh({ clock, store, network, log: new SilentDecisionLog(), self: createIdentity('own', false), seeds: [], settleMs: 0 })
+    mesh.start(new AbortController().signal)
+    for (let at = 0; at < STANDING_BY; at++) events.next({ kind: 'heard', identity: createIdentity(`standing${at}`, true) })
+    lists = []
+  })
+
+  it('tells those on standby of all that join at one time together', async () => {
+    for (let at = 0; at < OTHERS; at++) {
+      events.next({ kind: 'heard', identity: createIdentity(`e${at}`, false) })
+      await clock.advance(MOMENT_MS / OTHERS)
+    }
+    await clock.advance(MOMENT_MS)
+    assert.ok(lists.length <= STANDING_BY * LISTS_PER_MOMENT, `${lists.length} lists`)
+    for (let at = 0; at < STANDING_BY; at++) {
+      const newest = lists.filter(({ to }) => to === `standing${at}`).at(-1)
+      assert.equal(newest?.names.length, OTHERS + 1)
+    }
+  })
+
+  it('tells one that begins to stand by at once', () => {
+    events.next({ kind: 'heard', identity: createIdentity('late', true) })
+    assert.deepEqual(lists.map(({ to }) => to), ['late'])
+    assert.deepEqual(mesh.listServing(), [])
+  })
+})
