--- a/backend/http/src/OwnRoutedProtocol.ts
+++ b/backend/http/src/OwnRoutedProtocol.ts
@@ -9,6 +9,7 @@
 const REFUSED = 503
 /** Written anew, or the caller's secret. */
 const LEFT_OUT = new Set([DEADLINE_HEADER, 'authorization', 'content-length', 'expect'])
+const LEFT_OUT_ON_RELAY = new Set([DEADLINE_HEADER, 'content-length', 'expect'])
 const LEFT_OUT_ON_RESUME = new Set([...LEFT_OUT, LAST_EVENT_HEADER])
 
 /** Gives a routed request the id that its backend server must send back. */
@@ -37,6 +38,12 @@
     return headers
   }
 
+  override buildRelayHeaders (rawHeaders: readonly string[], waitMs: number | undefined): string[] {
+    const headers = listEndToEnd(rawHeaders, LEFT_OUT_ON_RELAY)
+    if (waitMs !== undefined) headers.push(DEADLINE_HEADER, String(waitMs))
+    return headers
+  }
+
   override readAnswer (status: number, headers: IncomingHttpHeaders): AnswerFacts {
     const requestId = readText(headers[ATTEMPT_HEADER])
     return { requestId, signed: requestId !== undefined, notRun: status === REFUSED && headers[RAN_HEADER] === Ran.NO }
--- a/backend/interfaces/src/RoutedProtocol.ts
+++ b/backend/interfaces/src/RoutedProtocol.ts
@@ -55,6 +55,8 @@
   abstract readRequest (headers: IncomingHttpHeaders): RoutedRequestFacts
   /** Headers to the backend server, names and values by turns; all others of the client's travel along unchanged. */
   abstract buildForwardHeaders (rawHeaders: readonly string[], context: ForwardContext): string[]
+  /** Headers to another instance that answers in place of this one: the client's own with the milliseconds that are left, if it named any. */
+  abstract buildRelayHeaders (rawHeaders: readonly string[], waitMs: number | undefined): string[]
   abstract readAnswer (status: number, headers: IncomingHttpHeaders): AnswerFacts
   /** Headers of an answer that the system gives itself. */
   abstract buildOwnHeaders (requestId: string | undefined): Record<string, string>
--- a/gateway/routed/src/InstanceRelay.ts
+++ b/gateway/routed/src/InstanceRelay.ts
@@ -2,7 +2,6 @@
 import type { AnswerFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { listEndToEnd } from '@pulleystack/core.headers'
 import { openExchange, type BackendAgent, type ExchangeAnswer } from '@pulleystack/routing.forward'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { ClientAnswer } from './ClientAnswer.js'
@@ -16,7 +15,6 @@
 const NO_TARGET_RETRY_SECONDS = 0.5
 /** Largest answer that is held whole before it is passed on. */
 const MAX_BODY_BYTES = 32 << 20
-const NOT_SENT_ON = new Set<string>(['content-length', 'expect'])
 
 /** An instance that serves. */
 export interface RelayTarget {
@@ -34,6 +32,8 @@
   /** Names and values by turns, as the client sent them. */
   rawHeaders: readonly string[]
   body: Buffer | undefined
+  /** Monotone time by which its client has left; undefined when it names none. */
+  deadline: number | undefined
   signal: AbortSignal
 }
 
@@ -109,7 +109,8 @@
   }
 
   private buildHeaders (request: RelayedRequest): string[] {
-    const headers = listEndToEnd(request.rawHeaders, NOT_SENT_ON)
+    const leftMs = request.deadline === undefined ? undefined : Math.max(1, Math.floor(request.deadline - this.opts.clock.readTime()))
+    const headers = this.opts.protocol.buildRelayHeaders(request.rawHeaders, leftMs)
     if (request.body !== undefined) headers.push('Content-Length', String(request.body.length))
     headers.push(RelayHeaders.MIN_VERSION, String(Math.max(0, this.newest)))
     return headers
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -207,7 +207,9 @@
     try {
       const body = hasBody(request) ? await endWith(end.signal, readBody(request, RELAY_BODY_BYTES)) : undefined
       const { method = 'GET', url: path = '/', rawHeaders } = request
-      await this.opts.relay?.run({ requestId: facts.requestId, method, path, rawHeaders, body, signal: end.signal }, client)
+      const clientDeadline = facts.waitMs === undefined ? undefined : arrivedAt + facts.waitMs
+      const { requestId } = facts
+      await this.opts.relay?.run({ requestId, method, path, rawHeaders, body, deadline: clientDeadline, signal: end.signal }, client)
     } finally {
       cancel()
     }
--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -6,6 +6,7 @@
 import type { AnswerFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { SystemClock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import { listEndToEnd } from '@pulleystack/core.headers'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import { InstanceRelay, RelayHeaders, type RelayTarget } from '../src/index.js'
@@ -13,7 +14,15 @@
 
 const protocol = {
   readAnswer: (_: number, headers: http.IncomingHttpHeaders): AnswerFacts => ({ requestId: headers['request-id'] as string | undefined, signed: false, notRun: false }),
-} as RoutedProtocol
+  buildRelayHeaders: (rawHeaders: readonly string[], waitMs: number | undefined) => [
+    ...listEndToEnd(rawHeaders, new Set(['content-length'])),
+    'left-ms',
+    String(waitMs),
+  ],
+} as unknown as RoutedProtocol
+
+/** No hold-up of the process makes it longer. */
+const LEFT_MS = 60_000
 
 describe('an instance that hands requests on', () => {
   let servers: http.Server[]
@@ -55,7 +64,7 @@
       const ended = new AbortController()
       response.once('close', () => ended.abort(new PulleystackError('CALLER_GONE', 'gone')))
       const { method = '', url: path = '', rawHeaders } = request
-      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), signal: ended.signal }
+      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), deadline: clock.readTime() + LEFT_MS, signal: ended.signal }
       relay.run(work, client).catch((error: PulleystackError) => client.sendError(error, 'q1'))
     })
     await listen(front)
@@ -84,6 +93,12 @@
     assert.equal(relay.newestVersion, 3)
   })
 
+  it('names the time that is left, not the one that there was', async () => {
+    await startTarget(3, (request, response) => response.end(request.headers['left-ms']))
+    const left = Number(await (await ask()).text())
+    assert.ok(left > 0 && left <= LEFT_MS, `${left}`)
+  })
+
   it('asks the next one when one is gone', async () => {
     targets.push({ instance: 'gone', address: '127.0.0.1:1' })
     await startTarget(3, answerBy(3))
@@ -105,7 +120,7 @@
   it('refuses as not run when nobody is reached, and promises nothing once a request was sent', async () => {
     targets.push({ instance: 'gone', address: '127.0.0.1:1' })
     const client = {} as ClientAnswer
-    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, signal: new AbortController().signal }
+    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, deadline: undefined, signal: new AbortController().signal }
     await assert.rejects(relay.run(work, client), (error: PulleystackError) => error.ran === Ran.NO)
     targets = []
     await startTarget(3, (request) => request.socket.destroy())
