--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -2,7 +2,7 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { estimateLoadMs, type NeedAnswer, type ResidencyClient } from '@pulleystack/placement.residency'
-import { compareUrgency, judgeWait, type Candidate, type WaitEstimate } from '@pulleystack/routing.admission'
+import { compareUrgency, isInTime, judgeWait, type Candidate, type WaitEstimate } from '@pulleystack/routing.admission'
 import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendPlace, PlaceChanges } from './BackendPlace.js'
@@ -104,12 +104,19 @@
     this.rankWaiting()
     for (const item of [...this.waiting]) {
       if (!this.waiting.includes(item)) continue
-      const place = this.tryPlace(item.work)
+      const place = this.mustYield(item) ? ChoiceFailures.FULL : this.tryPlace(item.work)
       if (place instanceof BackendPlace) item.settle(place)
       else this.noteFailure(item, place)
     }
   }
 
+  /** One that is late in any case leaves places to those at other instances that can still be in time. */
+  private mustYield ({ work, candidate }: Waiting): boolean {
+    if (!this.opts.policy.timelyFirst || hasBegun(work)) return false
+    if (isInTime(candidate, this.opts.clock.readTime()) || this.opts.fleet.waiting.countElsewhere(namePlaces(work)) === 0) return false
+    return typeof this.choose(work, this.computeReadingLimit(work), work.excluded) !== 'string'
+  }
+
   private noteFailure (item: Waiting, failure: ChoiceFailure): void {
     item.lastFailure = failure
     if (failure === ChoiceFailures.NO_BACKEND) item.fail(createRefusal(failure, this.spreadRetry(item.work)))
@@ -172,7 +179,6 @@
   private wait (work: RoutedWork): Promise<BackendPlace> {
     const { clock, fleet, policy } = this.opts
     return new Promise((resolve, reject) => {
-      const endTally = fleet.waiting.add(namePlaces(work))
       const leave = (): void => {
         cancels.forEach((cancel) => cancel())
         work.signal.removeEventListener('abort', abandon)
@@ -181,6 +187,7 @@
         fleet.noteLoadChange()
       }
       const candidate = this.forecast.describe(work, policy.patienceBound)
+      let endTally = isInTime(candidate, clock.readTime()) ? fleet.waiting.add(namePlaces(work)) : () => undefined
       const item: Waiting = {
         work,
         candidate,
@@ -200,7 +207,11 @@
       const abandon = (): void => item.fail(new PulleystackError('CALLER_GONE', 'The client went away while the request waited', { ran: Ran.NO }))
       const setTimer = (at: number, task: () => void): (() => void) => clock.setTimer(Math.max(0, at - clock.readTime()), task)
       const cancels = [
-        setTimer(candidate.dueAt, () => this.placeBesideReading(item)),
+        setTimer(candidate.dueAt, () => {
+          endTally()
+          endTally = () => undefined
+          this.placeBesideReading(item)
+        }),
         setTimer(candidate.latestAt, () => {
           this.placeBesideReading(item)
           if (this.waiting.includes(item)) item.fail(createRefusal(item.lastFailure, this.spreadRetry(work)))
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -6,7 +6,7 @@
 import type { NeedAnswer, ResidencyClient } from '@pulleystack/placement.residency'
 import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
-import { BackendQueue } from '../src/index.js'
+import { BackendPlace, BackendQueue } from '../src/index.js'
 import { createStreamProgress } from '../src/relayStream.js'
 import type { RoutedWork } from '../src/RoutedWork.js'
 
@@ -33,11 +33,12 @@
   let queue: BackendQueue
   let clock: ManualClock
   let answer: NeedAnswer
+  let fleet: BackendFleet
 
   beforeEach(() => {
     clock = new ManualClock()
     answer = { coming: false, reason: '' }
-    const fleet = new BackendFleet()
+    fleet = new BackendFleet()
     fleet.replaceAll([createEntry('a'), createEntry('b')])
     const residency = {
       requestWeights: () => Promise.resolve(answer),
@@ -112,4 +113,35 @@
       assert.equal(queue.size, 0)
     })
   })
+
+  describe('when a request that is late waits for a place', () => {
+    const fill = async (): Promise<BackendPlace[]> => Promise.all(Array.from({ length: 16 }, () => queue.acquire(createWork('held'))))
+
+    it('are left to those at other instances that can still be in time', async () => {
+      const places = await fill()
+      const late = { ...createWork('held'), firstTriedAt: -6_000 }
+      let hasPlace = false
+      void queue.acquire(late).then(() => {
+        hasPlace = true
+      })
+      await clock.advance(10)
+      fleet.waiting.takeOther('other', [['s|held', 1]])
+      places[0]?.end()
+      await clock.advance(10)
+      assert.equal(hasPlace, false)
+      fleet.waiting.takeOther('other', [])
+      queue.pump()
+      await clock.advance(10)
+      assert.equal(hasPlace, true)
+    })
+
+    it('are its own when it can still be in time', async () => {
+      const places = await fill()
+      fleet.waiting.takeOther('other', [['s|held', 1]])
+      const waiting = queue.acquire(createWork('held'))
+      await clock.advance(10)
+      places[0]?.end()
+      assert.ok(await waiting instanceof BackendPlace)
+    })
+  })
 })
--- a/routing/admission/src/estimateWaits.ts
+++ b/routing/admission/src/estimateWaits.ts
@@ -8,10 +8,10 @@
   ownLeftMs: readonly number[]
   /** Requests that arrive for these places in a second at this instance. */
   arrivalsPerSecond: number
-  /** Requests that wait here before the one asked about, and all that wait here. */
+  /** Requests that wait here before the one asked about, and all that wait here and can be in time. */
   ahead: number
   waiting: number
-  /** Requests that wait for the same places at other instances. */
+  /** Requests that wait for the same places at other instances and can be in time. */
   waitingElsewhere: number
 }
 
--- a/routing/fleet/src/WaitingTallies.ts
+++ b/routing/fleet/src/WaitingTallies.ts
@@ -1,4 +1,4 @@
-/** How many requests wait for what, at this instance and at the others. */
+/** How many requests that can still be in time wait for what, at this instance and at the others. */
 export class WaitingTallies {
   private readonly own = new Map<string, number>()
   private readonly others = new Map<string, ReadonlyMap<string, number>>()
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -6,7 +6,7 @@
 /** What one instance has in hand at each server where it has something. */
 export interface SharedLoads {
   loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number][]
-  /** How many of its requests wait for what. */
+  /** How many of its requests that can still be in time wait for what. */
   waiting: [name: string, count: number][]
   /** Servers to which no connection comes up. */
   down: string[]
