--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -8,6 +8,8 @@
 
 const PREFIX = 'instances/'
 const SEED_RETRY_MS = 1_000
+/** The store answers a listing within this time unless it is away; only then seeds, which are few, are asked by all that start. */
+const SEED_AFTER_MS = 200
 const TICK_MS = 500
 const LIST_MS = 15_000
 /** In a large system those that start are heard of by their links; the store is asked seldom. */
@@ -198,9 +200,10 @@
     return new Set(this.listServing().map((identity) => identity.instance))
   }
 
-  /** Tries the seeds until some instance is linked; they are all there is while the store is down. */
+  /** Tries the seeds until some instance is linked, if the store does not name any soon; they are all there is while it is down. */
   private async keepSeeds (signal: AbortSignal): Promise<void> {
     const others = this.opts.seeds.filter((address) => address !== this.opts.self.peerAddress)
+    await this.opts.clock.wait(this.opts.settleMs + SEED_AFTER_MS, signal)
     while (!signal.aborted && this.linked.size === 0) {
       await Promise.all(others.map((address) => this.askSeed(address)))
       await this.opts.clock.wait(SEED_RETRY_MS, signal)
--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -44,6 +44,9 @@
   sentBytes = 0
   /** Monotone time at which the link was last used for more than heartbeats. */
   lastUsed: number
+  /** Resolves when the connection has closed. */
+  readonly closed: Promise<void>
+  private noteClosed: () => void = () => undefined
   private readonly nonce = createNonce()
   private theirNonce = ''
   private proven = false
@@ -55,6 +58,9 @@
   constructor (private readonly opts: PeerLinkOptions) {
     this.lastHeard = opts.clock.readTime()
     this.lastUsed = this.lastHeard
+    this.closed = new Promise((resolve) => {
+      this.noteClosed = resolve
+    })
     opts.socket.on('message', (data) => this.receive(data))
     opts.socket.on('close', () => this.finish())
     opts.socket.on('error', () => opts.socket.terminate())
@@ -222,6 +228,7 @@
   private finish (): void {
     for (const id of [...this.pending.keys()]) this.settle(id, err(createCallError('closed the link')))
     this.opts.onClose(this)
+    this.noteClosed()
   }
 }
 
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -202,12 +202,13 @@
     void this.keepLinked(instance, abort.signal)
   }
 
-  /** The task of one neighbour: dial, wait for the end of the link, dial again. */
+  /** The task of one neighbour: dial, wait for the end of the link, dial again. Looking at every link would wake the process many times a second. */
   private async keepLinked (instance: string, signal: AbortSignal): Promise<void> {
     let wait = this.opts.heartbeatMs / 2
     while (!signal.aborted) {
       const link = this.findOpen(instance) ?? await this.openOnce(instance)
-      wait = link ? this.opts.heartbeatMs / 2 : Math.min(MAX_DIAL_WAIT_MS, wait * 2)
+      if (link) await waitUntilClosed(link, signal)
+      wait = link ? this.opts.heartbeatMs / 4 : Math.min(MAX_DIAL_WAIT_MS, wait * 2)
       if (!link && !signal.aborted) this.events.next({ kind: 'silent', instance })
       await this.opts.clock.wait(wait * (0.75 + this.opts.random.readFraction() / 2), signal)
     }
@@ -347,3 +348,16 @@
     this.events.next({ kind: 'silent', instance })
   }
 }
+
+/** Resolves when a link has closed or nobody needs it any more. */
+function waitUntilClosed (link: PeerLink, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (): void => {
+      signal.removeEventListener('abort', finish)
+      resolve()
+    }
+    signal.addEventListener('abort', finish, { once: true })
+    if (signal.aborted) finish()
+    void link.closed.then(finish)
+  })
+}
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -28,6 +28,8 @@
   private readonly subject = new Subject<FleetChange>()
   private readonly untold: SharedPrefix[] = []
   private readonly untoldOutcomes = new Map<string, { failures: number, total: number }>()
+  /** Servers where other instances last had something in hand. */
+  private readonly loadedByPeers = new Map<string, string[]>()
   private readonly loadSubject = new Subject<void>()
 
   get changes (): Observable<FleetChange> {
@@ -120,7 +122,11 @@
 
   /** Takes what another instance has in hand; servers that it doesn't name have nothing from it. */
   applyPeerLoads (instance: string, loads: ReadonlyMap<string, LoadTally>): void {
-    for (const backend of this.backends.values()) backend.takeOther(instance, loads.get(backend.id))
+    for (const id of this.loadedByPeers.get(instance) ?? []) {
+      if (!loads.has(id)) this.backends.get(id)?.takeOther(instance, undefined)
+    }
+    for (const [id, tally] of loads) this.backends.get(id)?.takeOther(instance, tally)
+    this.loadedByPeers.set(instance, [...loads.keys()])
   }
 
   private rebuildService (service: string): void {
