--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -15,7 +15,7 @@
 const WATCHER_WAIT_MS = 700
 /** A watcher's call asks to be answered before copies are this old, so that nobody gets to QUIET_MS on the way of the news. */
 const NEWS_DUE_MS = 900
-/** Shorter waits would only add calls. */
+/** Milliseconds; shorter waits would only add calls. */
 const MIN_WAIT_MS = 50
 /** Whoever has a copy this old watches for itself; with the call it stays well inside what bounds allow. */
 const QUIET_MS = 1_100
@@ -23,7 +23,7 @@
 const OWN_WAIT_MS = 300
 /**
  * After changes the next call waits, so that those of many servers come together: three calls a second at the most, and a change is known 0.3 s
- * later than it could be, an eighth of the tightest bound for changes.
+ * later than it could be, about a seventh of the tightest bound for changes (2 s).
  */
 const SETTLE_MS = 300
 const MIN_BACKOFF_MS = 100
