--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -6,7 +6,7 @@
 import { openExchange } from '@pulleystack/routing.forward'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { WindowBudget } from '@pulleystack/routing.retries'
-import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
 import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
 import type { BackendPlace } from './BackendPlace.js'
 import type { BackendQueue } from './BackendQueue.js'
@@ -199,13 +199,24 @@
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
   if (progress.runs > 0 && !mayRepeat(work)) return false
   if (progress.runs >= work.route.maxAttempts) return false
-  // A server that could not be connected to has seen nothing, so that this costs no budget.
-  const mustPay = error.code !== 'ATTEMPT_FAILED_NOT_RUN'
-  if (mustPay && !opts.findBudget(work.service.name).take()) return false
+  if (!takeRetry(opts, work, error)) return false
   if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
   return true
 }
 
+/** Takes what another attempt costs from the budget; false when there is not enough. */
+function takeRetry (opts: RunOptions, work: RoutedWork, error: PulleystackError): boolean {
+  const { name: service } = work.service
+  const budget = opts.findBudget(service)
+  const facts = budget.describe()
+  // A server that could not be connected to has seen nothing, so that this costs no budget.
+  const isFree = error.code === 'ATTEMPT_FAILED_NOT_RUN'
+  const isAllowed = isFree || budget.take()
+  const verdict: RetryVerdict = isFree ? 'free' : isAllowed ? 'paid' : 'denied'
+  opts.log.record(DecisionKinds.RETRY_JUDGED, { request: work.requestId, service, verdict, ...facts })
+  return isAllowed
+}
+
 function mayRepeat (work: RoutedWork): boolean {
   return work.route.repeat === RepeatModes.REPEATABLE
 }
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -30,6 +30,21 @@
 /** What an instance writes of itself into the store. */
 type InstanceRecord = Omit<KnownInstance, 'instance'>
 
+/** What another instance said of who serves. */
+interface ToldList {
+  serving: readonly PeerIdentity[]
+  /** Monotone time at which it came. */
+  toldAt: number
+}
+
+/** How many of those that serve are known by an own link, and how many only from lists of others. */
+export interface ServingSources {
+  linked: number
+  told: number
+  /** Milliseconds since the oldest of those lists came; undefined when there is none. */
+  oldestListMs: number | undefined
+}
+
 export interface InstanceMeshOptions {
   clock: Clock
   store: ObjectStore
@@ -52,7 +67,7 @@
   private readonly served = new Set<string>()
   private readonly linked = new Set<string>()
   /** What instances that serve told this one, while it stands by, by the teller. */
-  private readonly told = new Map<string, readonly PeerIdentity[]>()
+  private readonly told = new Map<string, ToldList>()
   private readonly subject = new Subject<void>()
   private readonly startedAt: number
   private hasFound = false
@@ -93,12 +108,20 @@
   listServing (): PeerIdentity[] {
     const serving = new Map(this.listLive().filter(isServing).map((identity) => [identity.instance, identity]))
     if (!this.self.standby) return [...serving.values()]
-    for (const identity of [...this.told.values()].flat()) {
+    for (const identity of [...this.told.values()].flatMap((list) => list.serving)) {
       if (!serving.has(identity.instance) && identity.instance !== this.self.instance) serving.set(identity.instance, identity)
     }
     return [...serving.values()]
   }
 
+  /** Where the knowledge of those that serve stems from. */
+  describeServing (): ServingSources {
+    const linked = this.listLive().filter(isServing).length
+    const toldAt = [...this.told.values()].map((list) => list.toldAt)
+    const oldestListMs = toldAt.length > 0 ? Math.round(this.opts.clock.readTime() - Math.min(...toldAt)) : undefined
+    return { linked, told: this.listServing().length - linked, oldestListMs }
+  }
+
   /** How many instances, this one among them, serve, should serve or were ever heard to in this life. */
   countServed (): number {
     return Math.max(this.served.size + 1, countServing(this.directory.size))
@@ -168,7 +191,7 @@
   }
 
   private takeServing (from: string, serving: readonly PeerIdentity[]): void {
-    this.told.set(from, serving)
+    this.told.set(from, { serving, toldAt: this.opts.clock.readTime() })
     for (const { instance, peerAddress, dataHall, capacity = 1 } of serving) this.directory.put({ instance, peerAddress, dataHall, capacity })
   }
 
--- a/membership/mesh/src/index.ts
+++ b/membership/mesh/src/index.ts
@@ -1,5 +1,5 @@
 export { InstanceMesh } from './InstanceMesh.js'
-export type { InstanceMeshOptions } from './InstanceMesh.js'
+export type { InstanceMeshOptions, ServingSources } from './InstanceMesh.js'
 export { InstanceDirectory } from './InstanceDirectory.js'
 export type { KnownInstance } from './InstanceDirectory.js'
 export { SMALL_SYSTEM, countServing, rankServing } from './chooseServing.js'
--- a/program/entry/src/listAddresses.ts
+++ b/program/entry/src/listAddresses.ts
@@ -3,7 +3,9 @@
 /** Client addresses of all instances that take requests, those in the asker's data hall first. */
 export function listAddresses (entry: Entry, dataHall: string): string[] {
   const self = entry.readPhase() === EntryPhases.READY ? [entry.mesh.self] : []
-  return listNearFirst([...self, ...entry.mesh.listServing()], dataHall).map((it) => it.address)
+  const serving = [...self, ...entry.mesh.listServing()]
+  entry.named.note(serving)
+  return listNearFirst(serving, dataHall).map((it) => it.address)
 }
 
 /** Those in the data hall first, each part in the order given. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -18,6 +18,7 @@
 import type { EntryParts } from './EntryParts.js'
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
+import { NamedInstances } from './NamedInstances.js'
 import type { StopPlan } from './StopPlan.js'
 import { watchSources, type SourceFeeds } from './watchSources.js'
 
@@ -48,6 +49,8 @@
   residency: ResidencyService
   metrics: EntryMetrics
   fleet: BackendFleet
+  /** Whom the directory named last. */
+  named: NamedInstances
   readTable: () => RouteTable | undefined
   readPhase: () => EntryPhase
   /** Whether a request that comes now would be served, here or by an instance that it is handed on to. */
@@ -132,7 +135,7 @@
     if (isChosen) state.feeds = beginServing({ ...parts, random, ended, onTable: takeTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
-  return { ...parts, gateway, queue, residency, metrics, readPhase: () => state.phase, isReady, setPhase, leave, ended }
+  return { ...parts, gateway, queue, residency, metrics, named: new NamedInstances(log, mesh), readPhase: () => state.phase, isReady, setPhase, leave, ended }
 }
 
 interface ServingParts extends EntryParts {
--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -15,6 +15,16 @@
   countInstances: () => number
 }
 
+/** What one instance's budget stands on at a moment. */
+export interface BudgetFacts {
+  left: number
+  /** This instance's part of the fixed extra. */
+  extra: number
+  instances: number
+  /** Milliseconds since the budget was first asked for. */
+  lifeMs: number
+}
+
 /**
  * Further attempts that one instance may cause at a service in any window of time, so that all instances together stay
  * within a common bound: a share of its own requests and its part of the fixed extra.
@@ -23,8 +33,11 @@
   private readonly requests = new Array<number>(KEPT).fill(0)
   private readonly attempts = new Array<number>(KEPT).fill(0)
   private newest = 0
+  private readonly startedAt: number
 
-  constructor (private readonly opts: WindowBudgetOptions) {}
+  constructor (private readonly opts: WindowBudgetOptions) {
+    this.startedAt = opts.clock.readTime()
+  }
 
   /** Counts a request of a client. */
   noteRequest (): void {
@@ -43,9 +56,17 @@
   /** Further attempts that could be taken now. */
   get left (): number {
     const oldest = (this.turn() + 1) % KEPT
-    const { ratio, extra, countInstances } = this.opts
-    const part = Math.floor(extra / Math.max(1, countInstances()))
-    return ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + part - sum(this.attempts)
+    return this.opts.ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + this.readExtra() - sum(this.attempts)
+  }
+
+  /** What decides about the next further attempt. */
+  describe (): BudgetFacts {
+    const { clock, countInstances } = this.opts
+    return { left: this.left, extra: this.readExtra(), instances: countInstances(), lifeMs: Math.round(clock.readTime() - this.startedAt) }
+  }
+
+  private readExtra (): number {
+    return Math.floor(this.opts.extra / Math.max(1, this.opts.countInstances()))
   }
 
   /** Empties the buckets whose time has passed; gives the one of now. */
--- a/routing/retries/src/index.ts
+++ b/routing/retries/src/index.ts
@@ -1,6 +1,6 @@
 export { RetryBudget } from './RetryBudget.js'
 export { WindowBudget } from './WindowBudget.js'
-export type { WindowBudgetOptions } from './WindowBudget.js'
+export type { BudgetFacts, WindowBudgetOptions } from './WindowBudget.js'
 export { FailureRate, dropFailing } from './FailureRate.js'
 export { OutlierDetector, listUsable } from './OutlierDetector.js'
 export type { Ejectable } from './OutlierDetector.js'
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -32,6 +32,11 @@
   'peer-joined': { peer: string, incarnation: number }
   /** Nothing was heard of it for too long, or it closed the link. */
   'peer-lost': { peer: string }
+  /**
+   * An answer of the directory names others than the one before: `linked` of them by links of this instance, `told` by other instances only, whose
+   * oldest list came `oldestListMs` ago.
+   */
+  'directory-changed': { added: readonly string[], removed: readonly string[], linked: number, told: number, oldestListMs: number | undefined }
   /** In about the last second `frames` messages to it were left out, since already `backlogBytes` waited to leave. */
   'frames-not-sent': { peer: string, frames: number, backlogBytes: number }
   /** Another instance orders models now. */
@@ -60,6 +65,11 @@
   'attempt-sent': { request: string, backend: string, send: number, running: number, prefillTokens: number, keptTokens: number, leftMs: number }
   /** `ran` says whether the request may have run. */
   'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
+  /**
+   * Whether another attempt may follow: `free`, `paid` or `denied`; `left` of the budget remained before it, of which `extra` does not come from
+   * requests; the budget counts `instances` and this process has lived for `lifeMs`.
+   */
+  'retry-judged': { request: string, service: string, verdict: RetryVerdict, left: number, extra: number, instances: number, lifeMs: number }
   /** The stream is taken up at another server behind event `after`. */
   'stream-resumed': { request: string, after: string | undefined }
   /** The final answer, and for streams when the first event came and the longest pause. */
@@ -91,6 +101,9 @@
   'order-settled': OrderFacts & { answer: string }
 }
 
+/** What was decided about another attempt. */
+export type RetryVerdict = 'free' | 'paid' | 'denied'
+
 interface BackendFacts {
   backend: string
   address: string
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -20,6 +20,7 @@
   BACKEND_EJECTED: 'backend-ejected',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
+  DIRECTORY_CHANGED: 'directory-changed',
   FRAMES_NOT_SENT: 'frames-not-sent',
   HOLDER_CHANGED: 'holder-changed',
   LEASE_TAKEN: 'lease-taken',
@@ -31,6 +32,7 @@
   REQUEST_RELAYED: 'request-relayed',
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
+  RETRY_JUDGED: 'retry-judged',
   STREAM_RESUMED: 'stream-resumed',
   REQUEST_ENDED: 'request-ended',
   /** Placement. */
