--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -114,6 +114,11 @@
     return [...serving.values()]
   }
 
+  /** Whether another instance has told this one who serves. */
+  hasList (teller: string): boolean {
+    return this.told.has(teller)
+  }
+
   /** Where the knowledge of those that serve stems from. */
   describeServing (): ServingSources {
     const linked = this.listLive().filter(isServing).length
--- a/membership/peers/test/WebSocketNetwork.test.ts
+++ b/membership/peers/test/WebSocketNetwork.test.ts
@@ -8,6 +8,9 @@
 const ECHO = defineChannel<string, string>('test.echo')
 const NOTE = defineChannel<string>('test.note')
 
+/** What has not come by then never comes. */
+const NEVER_MS = 20_000
+
 const started: WebSocketNetwork[] = []
 
 async function start (name: string, addresses: Map<string, string>, change: Partial<WebSocketNetworkOptions> = {}): Promise<WebSocketNetwork> {
@@ -100,6 +103,21 @@
     assert.equal(await silent, 'b')
   })
 
+  // Nobody looks after such a link, whoever opened it. Its end was never told, so that instances named ones that had long been off.
+  it('tells that a peer has died which is no neighbour', async () => {
+    const ended = await Promise.all(['a', 'b'].map(async (caller) => {
+      const addresses = new Map<string, string>()
+      const [a, b] = [await start('a', addresses), await start('b', addresses)]
+      const told = new Promise<string>((resolve) => a.peerEvents.subscribe((event) => {
+        if (event.kind !== 'heard') resolve(event.instance)
+      }))
+      await (caller === 'a' ? a.call('b', ECHO, 'open', 2_000) : b.call('a', ECHO, 'open', 2_000))
+      await b.stop()
+      return Promise.race([told, new Promise<string>((resolve) => setTimeout(resolve, NEVER_MS, 'nobody'))])
+    }))
+    assert.deepEqual(ended, ['b', 'b'])
+  })
+
   // A listing of the store that was under way when the instance stopped names neighbours once more.
   it('looks for no neighbour that it is given after its stop', async () => {
     const clock = new ManualClock()
