--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -143,8 +143,8 @@
     const { network } = this.opts
     network.handleCalls(INSTANCES, () => [...this.directory.list(), this.describeSelf()])
     const events = network.peerEvents.subscribe((event) => {
-      if (event.kind === 'heard') this.noteHeard(event.identity)
-      else this.noteSilent(event.instance)
+      if (event.kind === 'heard') this.noteHeard(event.identity, event.isNewLink ?? false)
+      else this.noteLost(event.instance, event.kind === 'silent')
     })
     const lists = network.receive(SERVING).subscribe(({ from, body }) => this.takeServing(from, body))
     signal.addEventListener('abort', () => {
@@ -165,7 +165,7 @@
     this.noteChange()
   }
 
-  private noteHeard (identity: PeerIdentity): void {
+  private noteHeard (identity: PeerIdentity, isNewLink: boolean): void {
     const { instance, peerAddress, dataHall, capacity = 1 } = identity
     const before = this.known.get(instance)
     this.known.set(instance, identity)
@@ -175,7 +175,8 @@
     this.linked.add(instance)
     if (isNew && peerAddress !== '') this.directory.put({ instance, peerAddress, dataHall, capacity })
     if (isNew) this.opts.log.record(DecisionKinds.PEER_JOINED, { peer: instance, incarnation: identity.incarnation })
-    if (isNew && identity.standby) this.tellServing([instance])
+    // A list that was on its way over an earlier link may never have come.
+    if ((isNew || isNewLink) && identity.standby) this.tellServing([instance])
     const isChanged = before?.leaving !== identity.leaving || before.standby !== identity.standby || before.incarnation !== identity.incarnation
     if (isNew || isChanged) this.noteChange()
   }
@@ -200,8 +201,9 @@
     for (const { instance, peerAddress, dataHall, capacity = 1 } of serving) this.directory.put({ instance, peerAddress, dataHall, capacity })
   }
 
-  private noteSilent (instance: string): void {
-    this.directory.noteMissing(instance)
+  private noteLost (instance: string, isSought: boolean): void {
+    if (isSought) this.directory.noteMissing(instance)
+    // It tells no more of those that end from now on.
     this.told.delete(instance)
     if (!this.linked.delete(instance)) return
     this.opts.log.record(DecisionKinds.PEER_LOST, { peer: instance })
--- a/membership/peers/src/PeerNetwork.ts
+++ b/membership/peers/src/PeerNetwork.ts
@@ -27,8 +27,12 @@
 
 /** What the links tell about peers. */
 export type PeerEvent =
-  | { kind: 'heard', identity: PeerIdentity }
+  /** It lives. With a new link, what was sent to it on an earlier one may be lost. */
+  | { kind: 'heard', identity: PeerIdentity, isNewLink?: boolean }
+  /** Nothing was heard of it for too long, or it was dialled in vain. */
   | { kind: 'silent', instance: string }
+  /** Its link ended, and nobody looks after it: nothing more is heard of it, whether it lives or not. */
+  | { kind: 'closed', instance: string }
 
 export type CallHandler<Body, Answer> = (from: string, body: Body) => Promise<Answer> | Answer
 
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -172,6 +172,7 @@
       if (wanted.has(instance)) continue
       abort.abort()
       this.dialling.delete(instance)
+      if (!this.findOpen(instance)) this.events.next({ kind: 'closed', instance })
     }
     for (const instance of wanted) {
       if (!this.dialling.has(instance)) this.startDialling(instance)
@@ -287,13 +288,13 @@
   }
 
   private takeLink (link: PeerLink): void {
-    const instance = link.identity?.instance
-    if (!instance) return
+    if (!link.identity) return
+    const { instance } = link.identity
     const older = this.findOpen(instance)
     const kept = older && this.choosePreferred(instance, older, link)
     this.links.set(instance, kept ?? link)
     if (older) this.closeLater(kept === older ? link : older)
-    this.reportHeard(link)
+    this.events.next({ kind: 'heard', identity: link.identity, isNewLink: true })
   }
 
   /** When both sides have dialled, both keep the link that the one with the lower name opened; else the newer is kept. */
@@ -312,7 +313,10 @@
     this.all.delete(link)
     this.sentByClosed += link.sentBytes
     const instance = link.identity?.instance
-    if (instance && this.links.get(instance) === link) this.links.delete(instance)
+    if (!instance || this.links.get(instance) !== link) return
+    this.links.delete(instance)
+    // A neighbour is dialled again. Of any other peer this is the last that is heard, and whoever counts on its link has to know.
+    if (!this.dialling.has(instance) && !this.stopped.signal.aborted) this.events.next({ kind: 'closed', instance })
   }
 
   private reportHeard (link: PeerLink): void {
--- a/membership/view/src/startMembership.ts
+++ b/membership/view/src/startMembership.ts
@@ -47,7 +47,8 @@
   const subscriptions = [
     network.peerEvents.subscribe((event) => {
       if (event.kind === 'heard') view.noteHeard(event.identity)
-      else view.noteSilent(event.instance)
+      // A link that was opened for one use ends; of that peer others tell.
+      else if (event.kind === 'silent') view.noteSilent(event.instance)
     }),
     network.receive(RUMOURS).subscribe(({ from, body }) => {
       if (view.applyRumour(body)) network.broadcast(RUMOURS, body, from)
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -55,11 +55,11 @@
       opts.onChange()
     }),
     network.peerEvents.subscribe((event) => {
-      if (event.kind === 'silent') {
+      if (event.kind !== 'heard') {
         told.delete(event.instance)
         fleet.applyPeerLoads(event.instance, new Map())
         fleet.waiting.takeOther(event.instance, [])
-      } else if (!told.has(event.identity.instance)) {
+      } else if (event.isNewLink || !told.has(event.identity.instance)) {
         told.add(event.identity.instance)
         schedule()
       }
