--- a/membership/mesh/test/InstanceMesh.test.ts
+++ b/membership/mesh/test/InstanceMesh.test.ts
@@ -61,3 +61,51 @@
     assert.deepEqual(mesh.listServing(), [])
   })
 })
+
+describe('an instance that stands by in a large system', () => {
+  const tellers = new Subject<{ from: string, body: PeerIdentity[] }>()
+  let events: Subject<PeerEvent>
+  let mesh: InstanceMesh
+
+  const nameServing = (): string[] => mesh.listServing().map((identity) => identity.instance)
+
+  beforeEach(() => {
+    events = new Subject()
+    const network = {
+      peerEvents: events,
+      receive: () => tellers,
+      handleCalls: () => undefined,
+      setNeighbours: () => undefined,
+      send: () => true,
+    } as unknown as WebSocketNetwork
+    const store = { listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
+    mesh = new InstanceMesh({ clock: new ManualClock(), store, network, log: new SilentDecisionLog(), self: createIdentity('own', true), seeds: [], settleMs: 0 })
+    mesh.start(new AbortController().signal)
+    events.next({ kind: 'heard', identity: createIdentity('teller', false) })
+  })
+
+  it('names those that it was told of', () => {
+    tellers.next({ from: 'teller', body: [createIdentity('teller', false), createIdentity('told', false)] })
+    assert.deepEqual(nameServing(), ['teller', 'told'])
+  })
+
+  // What a peer says of itself is newer than what a third one says of it: an instance that had said that it leaves was named again.
+  it('believes a peer that leaves, not the list of another that does not know it yet', () => {
+    events.next({ kind: 'heard', identity: createIdentity('leaver', false) })
+    events.next({ kind: 'heard', identity: { ...createIdentity('leaver', false), leaving: true } })
+    tellers.next({ from: 'teller', body: [createIdentity('teller', false), createIdentity('leaver', false)] })
+    assert.deepEqual(nameServing(), ['teller'])
+  })
+
+  it('believes no list of a peer that leaves, which hears of no change any more', () => {
+    tellers.next({ from: 'teller', body: [createIdentity('teller', false), createIdentity('told', false)] })
+    events.next({ kind: 'heard', identity: { ...createIdentity('teller', false), leaving: true } })
+    assert.deepEqual(nameServing(), [])
+  })
+
+  it('believes a list that names a later life of a peer that had left', () => {
+    events.next({ kind: 'heard', identity: { ...createIdentity('leaver', false), leaving: true } })
+    tellers.next({ from: 'teller', body: [{ ...createIdentity('leaver', false), incarnation: 2 }] })
+    assert.deepEqual(nameServing(), ['teller', 'leaver'])
+  })
+})
