--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -106,12 +106,29 @@
 
   /** The other instances that serve clients now; while this one stands by, also those that it only heard of. */
   listServing (): PeerIdentity[] {
-    const serving = new Map(this.listLive().filter(isServing).map((identity) => [identity.instance, identity]))
-    if (!this.self.standby) return [...serving.values()]
-    for (const identity of [...this.told.values()].flatMap((list) => list.serving)) {
-      if (!serving.has(identity.instance) && identity.instance !== this.self.instance) serving.set(identity.instance, identity)
-    }
-    return [...serving.values()]
+    const linked = this.listLive().filter(isServing)
+    if (!this.self.standby) return linked
+    const told = new Map(this.listTold().map((identity) => [identity.instance, identity]))
+    for (const { instance } of linked) told.delete(instance)
+    return [...linked, ...told.values()]
+  }
+
+  /** Those that others name as serving, but for what contradicts what this instance has heard of them itself. */
+  private listTold (): PeerIdentity[] {
+    const told = [...this.told].flatMap(([teller, { serving }]) => this.mayTell(teller) ? serving : [])
+    return told.filter((identity) => identity.instance !== this.self.instance && !this.hasLeft(identity))
+  }
+
+  /** A peer that leaves hears of changes, but tells nobody of them any more. */
+  private mayTell (teller: string): boolean {
+    const identity = this.known.get(teller)
+    return identity !== undefined && isServing(identity)
+  }
+
+  /** Whether a peer says over its own link that it does not serve; a later life of it may have joined since. */
+  private hasLeft ({ instance, incarnation }: PeerIdentity): boolean {
+    const own = this.linked.has(instance) ? this.known.get(instance) : undefined
+    return own !== undefined && !isServing(own) && own.incarnation === incarnation
   }
 
   /** Whether another instance has told this one who serves. */
