--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -5,7 +5,7 @@
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
-import type { WindowBudget } from '@pulleystack/routing.retries'
+import type { RetryPermit, WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
 import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
 import type { BackendPlace } from './BackendPlace.js'
@@ -42,16 +42,21 @@
   stream: StreamProgress
   /** A server's own failure, passed on when no other attempt does better. */
   failure: { answer: ExchangeAnswer, body: Buffer } | undefined
+  /** Why the last attempt failed. */
+  error: PulleystackError | undefined
+  /** What the next attempt costs; undefined when it costs nothing. */
+  permit: RetryPermit | undefined
 }
 
 /** Runs one request to its answer; rejects with the error that the client gets when no server's answer can be passed on. */
 export async function runRequest (opts: RunOptions, work: RoutedWork, client: ClientAnswer): Promise<void> {
-  const progress: RunProgress = { sends: 0, runs: 0, stream: work.stream, failure: undefined }
+  const progress: RunProgress = { sends: 0, runs: 0, stream: work.stream, failure: undefined, error: undefined, permit: undefined }
   for (;;) {
     const place = await acquirePlace(opts, work, progress)
     if (!place) break
     const error = await runAttempt(opts, work, progress, place, client)
     if (!error) return
+    progress.error = error
     if (mayRetry(opts, work, progress, error)) continue
     if (!progress.failure || client.hasBegun) throw createFinalError(progress, error)
     break
@@ -62,14 +67,25 @@
 /** A place for the next attempt; undefined when a server's failure is all there is to pass on. */
 async function acquirePlace (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<BackendPlace | undefined> {
   try {
-    return await opts.queue.acquire(work)
+    const place = await opts.queue.acquire(work)
+    if (!progress.error || takePermit(progress)) return place
+    place.end()
+    throw progress.error
   } catch (thrown) {
+    progress.permit?.giveBack()
     if (progress.failure) return undefined
     const error = convertToError(thrown)
     throw createFinalError(progress, error)
   }
 }
 
+/** Pays for the attempt that is about to be made; false when it can't be paid for any more. */
+function takePermit (progress: RunProgress): boolean {
+  const { permit } = progress
+  progress.permit = undefined
+  return permit?.take() ?? true
+}
+
 /** Sends the request once; gives the error when the answer was not passed on whole. */
 async function runAttempt (
   opts: RunOptions,
@@ -194,27 +210,27 @@
   return error
 }
 
-/** Whether another attempt may be made; takes what it costs from the budget. */
+/** Whether another attempt may be made; reserves what it costs. */
 function mayRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
   if (progress.runs > 0 && !mayRepeat(work)) return false
   if (progress.runs >= work.route.maxAttempts) return false
-  if (!takeRetry(opts, work, error)) return false
+  if (!reserveRetry(opts, work, progress, error)) return false
   if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
   return true
 }
 
-/** Takes what another attempt costs from the budget; false when there is not enough. */
-function takeRetry (opts: RunOptions, work: RoutedWork, error: PulleystackError): boolean {
+/** Reserves what another attempt costs; false when the budget does not allow one. */
+function reserveRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
   const { name: service } = work.service
   const budget = opts.findBudget(service)
   const facts = budget.describe()
   // A server that could not be connected to has seen nothing, so that this costs no budget.
   const isFree = error.code === 'ATTEMPT_FAILED_NOT_RUN'
-  const isAllowed = isFree || budget.take()
-  const verdict: RetryVerdict = isFree ? 'free' : isAllowed ? 'paid' : 'denied'
+  progress.permit = isFree ? undefined : budget.reserve()
+  const verdict: RetryVerdict = isFree ? 'free' : progress.permit ? 'paid' : 'denied'
   opts.log.record(DecisionKinds.RETRY_JUDGED, { request: work.requestId, service, verdict, ...facts })
-  return isAllowed
+  return verdict !== 'denied'
 }
 
 function mayRepeat (work: RoutedWork): boolean {
--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { RetryPermit } from './RetryPermit.js'
 
 const BUCKETS = 10
 /** Attempts count for one bucket longer than requests, so that no window, wherever it begins, holds more than it may. */
@@ -32,6 +33,8 @@
 export class WindowBudget {
   private readonly requests = new Array<number>(KEPT).fill(0)
   private readonly attempts = new Array<number>(KEPT).fill(0)
+  /** Rights that were given out and not used yet. */
+  private reserved = 0
   private newest = 0
   private readonly startedAt: number
 
@@ -45,7 +48,7 @@
     this.requests[bucket] = (this.requests[bucket] ?? 0) + 1
   }
 
-  /** Takes the right to one further attempt; false when there is none. */
+  /** Takes the right to one further attempt that is made now; false when there is none. */
   take (): boolean {
     const bucket = this.turn()
     if (this.left < 1) return false
@@ -53,10 +56,17 @@
     return true
   }
 
+  /** Keeps the right to one further attempt that is made later; undefined when there is none. */
+  reserve (): RetryPermit | undefined {
+    if (this.left < 1) return undefined
+    this.reserved++
+    return new RetryPermit(() => this.reserved--, () => this.take())
+  }
+
   /** Further attempts that could be taken now. */
   get left (): number {
     const oldest = (this.turn() + 1) % KEPT
-    return this.opts.ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + this.readExtra() - sum(this.attempts)
+    return this.opts.ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + this.readExtra() - sum(this.attempts) - this.reserved
   }
 
   /** What decides about the next further attempt. */
--- a/routing/retries/src/index.ts
+++ b/routing/retries/src/index.ts
@@ -1,4 +1,5 @@
 export { RetryBudget } from './RetryBudget.js'
+export { RetryPermit } from './RetryPermit.js'
 export { WindowBudget } from './WindowBudget.js'
 export type { BudgetFacts, WindowBudgetOptions } from './WindowBudget.js'
 export { FailureRate, dropFailing } from './FailureRate.js'
