--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -43,6 +43,8 @@
   residency: ResidencyClient
   /** Hands requests on while no configuration is known here; undefined where each instance answers for itself. */
   relay?: InstanceRelay
+  /** Counts a client's request at a service for the budget of further attempts. */
+  countRequest: (service: string) => void
   /** The routes in force; undefined until a configuration is known. */
   readTable: () => RouteTable | undefined
   /** Whether the routes in force are surely those that have to be; false when a newer configuration may have others. */
@@ -250,8 +252,8 @@
   /** Counts a request; gives what is to be called at its end. */
   private noteDemand (work: RoutedWork): () => void {
     const { generation, service } = work
-    const { residency, findBudget } = this.opts
-    findBudget(service.name).noteRequest()
+    const { residency, countRequest } = this.opts
+    countRequest(service.name)
     if (!generation) return () => undefined
     const asked = { service: service.name, model: generation.model, adapter: generation.adapter }
     // One that comes back was counted before.
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -53,6 +53,8 @@
   self: PeerIdentity
   /** Peer addresses of some instances; may be out of date. */
   seeds: readonly string[]
+  /** The whole system starts for the first time. */
+  isFirstStart?: boolean
   /** Milliseconds after the start before it is said who serves, so that instances that start together find each other. */
   settleMs: number
 }
@@ -71,6 +73,14 @@
   private readonly subject = new Subject<void>()
   private readonly startedAt: number
   private hasFound = false
+  /** The first listing of the store named no instance; undefined before it. */
+  private foundNobody: boolean | undefined
+  /** The first listing of the store did not name this one; undefined before it. */
+  private isNewName: boolean | undefined
+  /** A listing of the store has shown this instance beside all others. */
+  private isListed = false
+  /** Monotone time since which this instance has served and known others; undefined before. */
+  private sharingSince: number | undefined
   /** Ends the wait before the next list of those that serve goes out; undefined while none is due. */
   private cancelTell: (() => void) | undefined
 
@@ -144,6 +154,21 @@
     return { linked, told: this.listServing().length - linked, oldestListMs }
   }
 
+  /**
+   * Milliseconds for which this life has served beside others that could hear of it; infinite when the system has just begun, so that no life of this
+   * instance was before; 0 while that is not known.
+   */
+  readSharingMs (): number {
+    if (this.foundNobody) return Infinity
+    if (this.opts.isFirstStart) return this.isListed ? Infinity : 0
+    return this.sharingSince === undefined ? 0 : this.opts.clock.readTime() - this.sharingSince
+  }
+
+  /** Milliseconds since this life began; infinite when the store knew no former one. */
+  readLifeMs (): number {
+    return this.opts.isFirstStart || this.isNewName ? Infinity : this.opts.clock.readTime() - this.startedAt
+  }
+
   /** How many instances, this one among them, serve, should serve or were ever heard to in this life. */
   countServed (): number {
     return Math.max(this.served.size + 1, countServing(this.directory.size))
@@ -179,6 +204,7 @@
     Object.assign(this.opts.self, changes)
     this.opts.network.announceIdentity()
     if (changes.standby !== undefined) this.chooseNeighbours()
+    this.noteSharing()
     this.noteChange()
   }
 
@@ -268,9 +294,14 @@
   private take (instances: readonly KnownInstance[]): void {
     for (const instance of instances) this.directory.put(instance)
     this.hasFound = true
+    this.noteSharing()
     this.chooseNeighbours()
   }
 
+  private noteSharing (): void {
+    if (this.hasFound && !this.self.standby) this.sharingSince ??= this.opts.clock.readTime()
+  }
+
   private async keepListing (signal: AbortSignal): Promise<void> {
     const { clock, settleMs } = this.opts
     // Instances that start together write first, so that each finds all others when it lists.
@@ -291,6 +322,8 @@
     const listing = await store.listObjects(PREFIX)
     if (listing.isErr()) return false
     const listed = new Map(listing.value.objects.map((object) => [object.key.slice(PREFIX.length), object]))
+    this.foundNobody ??= listed.size === 0
+    this.isNewName ??= !listed.has(self.instance)
     for (const { instance } of this.directory.list()) {
       if (!listed.has(instance) && !this.linked.has(instance)) this.directory.remove(instance)
     }
@@ -300,6 +333,7 @@
     if (this.directory.isFirst()) await this.forgetMissing(listed)
     // Of two instances that write at the same time only a listing after the write is sure to show one to the other.
     if (!isWritten) await this.writeSelf(own?.version ?? 0)
+    this.isListed ||= isWritten
     return isWritten
   }
 
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,15 +1,15 @@
 import type { RouteTable } from '@pulleystack/config.routes'
-import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import type { RandomSource } from '@pulleystack/core.clock'
 import { InstanceRelay, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
 import { listRanked } from '@pulleystack/core.hashing'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { BackendAgent } from '@pulleystack/routing.forward'
-import { WindowBudget } from '@pulleystack/routing.retries'
+import { RetryBudgets } from '@pulleystack/routing.retries'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
-import type { EntrySettings } from './EntrySettings.js'
 import { listNearFirst } from './listAddresses.js'
 
 /** What the gateway for routed requests needs of an entry instance. */
@@ -17,6 +17,7 @@
   random: RandomSource
   fleet: BackendFleet
   mesh: InstanceMesh
+  network: PeerNetwork
   queue: BackendQueue
   residency: ResidencyService
   relay: InstanceRelay
@@ -29,8 +30,9 @@
 
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
-  const { settings, deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  const { deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   const { protocol } = deps
+  const budgets = createBudgets(parts)
   return new RoutedGateway({
     clock,
     random,
@@ -42,7 +44,8 @@
     fleet,
     pace: new StreamPace(clock),
     residency,
-    findBudget: createBudgets(settings, clock, parts.mesh),
+    findBudget: (service) => budgets.find(service),
+    countRequest: (service) => budgets.noteRequest(service),
     readTable,
     isTableCurrent,
     mayBegin,
@@ -61,15 +64,13 @@
   return new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
 }
 
-function createBudgets (settings: EntrySettings, clock: Clock, mesh: InstanceMesh): (service: string) => WindowBudget {
-  const budgets = new Map<string, WindowBudget>()
+function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
-  return (service) => {
-    const present = budgets.get(service)
-    if (present) return present
-    const countInstances = (): number => mesh.countServed()
-    const created = new WindowBudget({ clock, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs, countInstances })
-    budgets.set(service, created)
-    return created
+  const standing = {
+    countInstances: () => mesh.countServed(),
+    readSharingMs: () => mesh.readSharingMs(),
+    readLifeMs: () => mesh.readLifeMs(),
+    listPeers: () => mesh.listServing().map((identity) => identity.instance),
   }
+  return new RetryBudgets({ clock, network, standing, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs })
 }
--- a/program/entry/src/createMesh.ts
+++ b/program/entry/src/createMesh.ts
@@ -40,7 +40,8 @@
     privateNetwork: true,
     onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
   })
-  const settleMs = settings.isFirstStart ? SETTLE_MS : 0
-  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds: settings.seeds, settleMs })
+  const { seeds, isFirstStart } = settings
+  const settleMs = isFirstStart ? SETTLE_MS : 0
+  const mesh: InstanceMesh = new InstanceMesh({ clock, store: deps.store, network, log, self, seeds, isFirstStart, settleMs })
   return { network, mesh }
 }
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -12,7 +12,7 @@
 import { ResidencyClient, type NeedAnswer } from '@pulleystack/placement.residency'
 import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
 import { BackendAgent } from '@pulleystack/routing.forward'
-import { WindowBudget } from '@pulleystack/routing.retries'
+import { RetryBudgets } from '@pulleystack/routing.retries'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import type { Routing } from './createRouting.js'
 import type { Core } from './startInstance.js'
@@ -51,7 +51,7 @@
   }
   replica.changes.subscribe(refresh)
   core.view.serverChanges.subscribe(refresh)
-  const budgets = new Map<string, WindowBudget>()
+  const budgets = createBudgets(core)
   const gateway = new RoutedGateway({
     clock,
     random,
@@ -62,12 +62,8 @@
     fleet,
     pace: new StreamPace(clock),
     residency,
-    findBudget: (service) => {
-      const countInstances = (): number => core.view.listEligible().length
-      const budget = budgets.get(service) ?? new WindowBudget({ clock, ratio: RETRY_RATIO, extra: RETRY_EXTRA, windowMs: RETRY_WINDOW_MS, countInstances })
-      budgets.set(service, budget)
-      return budget
-    },
+    findBudget: (service) => budgets.find(service),
+    countRequest: (service) => budgets.noteRequest(service),
     readTable: () => state.table,
     isTableCurrent: () => true,
     mayBegin: () => true,
@@ -98,6 +94,17 @@
   return { gateway, explain, tryHandle }
 }
 
+/** Budgets for further attempts; here the bound is one of each life of an instance. */
+function createBudgets ({ clock, network, view }: Core): RetryBudgets {
+  const standing = {
+    countInstances: () => view.listEligible().length,
+    readSharingMs: () => Infinity,
+    readLifeMs: () => Infinity,
+    listPeers: () => [],
+  }
+  return new RetryBudgets({ clock, network, standing, ratio: RETRY_RATIO, extra: RETRY_EXTRA, windowMs: RETRY_WINDOW_MS })
+}
+
 /** Plain services have no models to place. */
 class NoResidency extends ResidencyClient {
   override async requestWeights (): Promise<NeedAnswer> {
--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { ExtraLoans } from './ExtraLoans.js'
 import { RetryPermit } from './RetryPermit.js'
 
 const BUCKETS = 10
@@ -14,12 +15,16 @@
   windowMs: number
   /** Instances that draw on the same budget. */
   countInstances: () => number
+  /** Whether the part of the extra is this instance's own, and not still what a former life of it may have spent; always when left out. */
+  ownsPart?: () => boolean
+  /** Whether requests earn further attempts, and a former life may not have spent what came to the same window; always when left out. */
+  mayEarn?: () => boolean
 }
 
 /** What one instance's budget stands on at a moment. */
 export interface BudgetFacts {
   left: number
-  /** This instance's part of the fixed extra. */
+  /** What this instance may spend of the fixed extra. */
   extra: number
   instances: number
   /** Milliseconds since the budget was first asked for. */
@@ -28,7 +33,7 @@
 
 /**
  * Further attempts that one instance may cause at a service in any window of time, so that all instances together stay
- * within a common bound: a share of its own requests and its part of the fixed extra.
+ * within a common bound: a share of its own requests and its part of the fixed extra, less what it has lent of that.
  */
 export class WindowBudget {
   private readonly requests = new Array<number>(KEPT).fill(0)
@@ -37,9 +42,11 @@
   private reserved = 0
   private newest = 0
   private readonly startedAt: number
+  private readonly loans: ExtraLoans
 
   constructor (private readonly opts: WindowBudgetOptions) {
     this.startedAt = opts.clock.readTime()
+    this.loans = new ExtraLoans(opts.clock)
   }
 
   /** Counts a request of a client. */
@@ -66,17 +73,53 @@
   /** Further attempts that could be taken now. */
   get left (): number {
     const oldest = (this.turn() + 1) % KEPT
-    return this.opts.ratio * (sum(this.requests) - (this.requests[oldest] ?? 0)) + this.readExtra() - sum(this.attempts) - this.reserved
+    const counted = this.mayEarn ? sum(this.requests) - (this.requests[oldest] ?? 0) : 0
+    return this.opts.ratio * counted + this.extra - sum(this.attempts) - this.reserved
+  }
+
+  /** An instance's part of the fixed extra when all have theirs. */
+  get part (): number {
+    return Math.floor(this.opts.extra / Math.max(1, this.opts.countInstances()))
+  }
+
+  /** What this instance lacks of its part. */
+  get missing (): number {
+    return this.ownsPart ? 0 : Math.max(0, this.part - this.loans.borrowedAmount)
+  }
+
+  /**
+   * Lends up to half of what is left of the own part to an instance that uses it for so long at the most; gives what was lent. It comes back a window
+   * later, so that no window holds both instances' attempts for it.
+   */
+  lend (amount: number, forMs: number): number {
+    const { windowMs } = this.opts
+    const spare = this.ownsPart ? Math.min(this.left, this.part - this.loans.lentAmount) : 0
+    const lent = Math.max(0, Math.min(Math.floor(amount), Math.ceil(Math.floor(spare) / 2)))
+    if (lent > 0) this.loans.noteLent(lent, forMs + windowMs * KEPT / BUCKETS)
+    return lent
+  }
+
+  /** Adds what another instance has lent for so long. */
+  borrow (amount: number, forMs: number): void {
+    if (amount > 0) this.loans.noteBorrowed(amount, forMs)
   }
 
   /** What decides about the next further attempt. */
   describe (): BudgetFacts {
     const { clock, countInstances } = this.opts
-    return { left: this.left, extra: this.readExtra(), instances: countInstances(), lifeMs: Math.round(clock.readTime() - this.startedAt) }
+    return { left: this.left, extra: this.extra, instances: countInstances(), lifeMs: Math.round(clock.readTime() - this.startedAt) }
   }
 
-  private readExtra (): number {
-    return Math.floor(this.opts.extra / Math.max(1, this.opts.countInstances()))
+  private get ownsPart (): boolean {
+    return this.opts.ownsPart?.() ?? true
+  }
+
+  private get mayEarn (): boolean {
+    return this.opts.mayEarn?.() ?? true
+  }
+
+  private get extra (): number {
+    return this.ownsPart ? this.part - this.loans.lentAmount : this.loans.borrowedAmount
   }
 
   /** Empties the buckets whose time has passed; gives the one of now. */
