--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -5,6 +5,8 @@
 import { Subject, type Observable } from 'rxjs'
 import { SMALL_SYSTEM, countServing } from './chooseServing.js'
 import { InstanceDirectory, type KnownInstance } from './InstanceDirectory.js'
+import { LifeRecord } from './LifeRecord.js'
+import { ToldInstances, isServing } from './ToldInstances.js'
 
 const PREFIX = 'instances/'
 const SEED_RETRY_MS = 1_000
@@ -30,13 +32,6 @@
 /** What an instance writes of itself into the store. */
 type InstanceRecord = Omit<KnownInstance, 'instance'>
 
-/** What another instance said of who serves. */
-interface ToldList {
-  serving: readonly PeerIdentity[]
-  /** Monotone time at which it came. */
-  toldAt: number
-}
-
 /** How many of those that serve are known by an own link, and how many only from lists of others. */
 export interface ServingSources {
   linked: number
@@ -68,19 +63,13 @@
   private readonly known = new Map<string, PeerIdentity>()
   private readonly served = new Set<string>()
   private readonly linked = new Set<string>()
-  /** What instances that serve told this one, while it stands by, by the teller. */
-  private readonly told = new Map<string, ToldList>()
+  /** What instances that serve told this one, while it stands by. */
+  private readonly told: ToldInstances
+  /** What is known of former lives of this instance. */
+  readonly life: LifeRecord
   private readonly subject = new Subject<void>()
   private readonly startedAt: number
   private hasFound = false
-  /** The first listing of the store named no instance; undefined before it. */
-  private foundNobody: boolean | undefined
-  /** The first listing of the store did not name this one; undefined before it. */
-  private isNewName: boolean | undefined
-  /** A listing of the store has shown this instance beside all others. */
-  private isListed = false
-  /** Monotone time since which this instance has served and known others; undefined before. */
-  private sharingSince: number | undefined
   /** Ends the wait before the next list of those that serve goes out; undefined while none is due. */
   private cancelTell: (() => void) | undefined
 
@@ -88,6 +77,8 @@
     const { instance, peerAddress, dataHall, capacity = 1 } = opts.self
     this.directory = new InstanceDirectory(opts.clock, { instance, peerAddress, dataHall, capacity })
     this.startedAt = opts.clock.readTime()
+    this.told = new ToldInstances(opts.clock)
+    this.life = new LifeRecord(opts.clock, opts.isFirstStart ?? false)
   }
 
   /** Tells that an instance joined, left or changed. */
@@ -116,57 +107,23 @@
 
   /** The other instances that serve clients now; while this one stands by, also those that it only heard of. */
   listServing (): PeerIdentity[] {
-    const linked = this.listLive().filter(isServing)
-    if (!this.self.standby) return linked
-    const told = new Map(this.listTold().map((identity) => [identity.instance, identity]))
-    for (const { instance } of linked) told.delete(instance)
-    return [...linked, ...told.values()]
-  }
-
-  /** Those that others name as serving, but for what contradicts what this instance has heard of them itself. */
-  private listTold (): PeerIdentity[] {
-    const told = [...this.told].flatMap(([teller, { serving }]) => this.mayTell(teller) ? serving : [])
-    return told.filter((identity) => identity.instance !== this.self.instance && !this.hasLeft(identity))
-  }
-
-  /** A peer that leaves hears of changes, but tells nobody of them any more. */
-  private mayTell (teller: string): boolean {
-    const identity = this.known.get(teller)
-    return identity !== undefined && isServing(identity)
-  }
-
-  /** Whether a peer says over its own link that it does not serve; a later life of it may have joined since. */
-  private hasLeft ({ instance, incarnation }: PeerIdentity): boolean {
-    const own = this.linked.has(instance) ? this.known.get(instance) : undefined
-    return own !== undefined && !isServing(own) && own.incarnation === incarnation
+    const linked = this.listLive()
+    const serving = linked.filter(isServing)
+    if (!this.self.standby) return serving
+    const named = new Set([this.self.instance, ...serving.map((identity) => identity.instance)])
+    const told = this.told.list(new Map(linked.map((identity) => [identity.instance, identity])))
+    return [...serving, ...told.filter((identity) => !named.has(identity.instance))]
   }
 
   /** Whether another instance has told this one who serves. */
   hasList (teller: string): boolean {
-    return this.told.has(teller)
+    return this.told.hasList(teller)
   }
 
   /** Where the knowledge of those that serve stems from. */
   describeServing (): ServingSources {
     const linked = this.listLive().filter(isServing).length
-    const toldAt = [...this.told.values()].map((list) => list.toldAt)
-    const oldestListMs = toldAt.length > 0 ? Math.round(this.opts.clock.readTime() - Math.min(...toldAt)) : undefined
-    return { linked, told: this.listServing().length - linked, oldestListMs }
-  }
-
-  /**
-   * Milliseconds for which this life has served beside others that could hear of it; infinite when the system has just begun, so that no life of this
-   * instance was before; 0 while that is not known.
-   */
-  readSharingMs (): number {
-    if (this.foundNobody) return Infinity
-    if (this.opts.isFirstStart) return this.isListed ? Infinity : 0
-    return this.sharingSince === undefined ? 0 : this.opts.clock.readTime() - this.sharingSince
-  }
-
-  /** Milliseconds since this life began; infinite when the store knew no former one. */
-  readLifeMs (): number {
-    return this.opts.isFirstStart || this.isNewName ? Infinity : this.opts.clock.readTime() - this.startedAt
+    return { linked, told: this.listServing().length - linked, oldestListMs: this.told.oldestMs }
   }
 
   /** How many instances, this one among them, serve, should serve or were ever heard to in this life. */
@@ -240,14 +197,13 @@
   }
 
   private takeServing (from: string, serving: readonly PeerIdentity[]): void {
-    this.told.set(from, { serving, toldAt: this.opts.clock.readTime() })
+    this.told.take(from, serving)
     for (const { instance, peerAddress, dataHall, capacity = 1 } of serving) this.directory.put({ instance, peerAddress, dataHall, capacity })
   }
 
   private noteLost (instance: string, isSought: boolean): void {
     if (isSought) this.directory.noteMissing(instance)
-    // It tells no more of those that end from now on.
-    this.told.delete(instance)
+    this.told.forget(instance)
     if (!this.linked.delete(instance)) return
     this.opts.log.record(DecisionKinds.PEER_LOST, { peer: instance })
     this.noteChange()
@@ -299,7 +255,7 @@
   }
 
   private noteSharing (): void {
-    if (this.hasFound && !this.self.standby) this.sharingSince ??= this.opts.clock.readTime()
+    if (this.hasFound && !this.self.standby) this.life.noteSharing()
   }
 
   private async keepListing (signal: AbortSignal): Promise<void> {
@@ -322,8 +278,7 @@
     const listing = await store.listObjects(PREFIX)
     if (listing.isErr()) return false
     const listed = new Map(listing.value.objects.map((object) => [object.key.slice(PREFIX.length), object]))
-    this.foundNobody ??= listed.size === 0
-    this.isNewName ??= !listed.has(self.instance)
+    this.life.noteListing(new Set(listed.keys()), self.instance)
     for (const { instance } of this.directory.list()) {
       if (!listed.has(instance) && !this.linked.has(instance)) this.directory.remove(instance)
     }
@@ -333,7 +288,7 @@
     if (this.directory.isFirst()) await this.forgetMissing(listed)
     // Of two instances that write at the same time only a listing after the write is sure to show one to the other.
     if (!isWritten) await this.writeSelf(own?.version ?? 0)
-    this.isListed ||= isWritten
+    if (isWritten) this.life.noteListed()
     return isWritten
   }
 
@@ -357,10 +312,6 @@
   }
 }
 
-function isServing (identity: PeerIdentity): boolean {
-  return !identity.leaving && !identity.standby
-}
-
 function readRecord (instance: string, object: StoredObject): KnownInstance | undefined {
   const record = object.value as Partial<InstanceRecord> | null
   if (typeof record?.peerAddress !== 'string') return undefined
--- a/membership/mesh/src/index.ts
+++ b/membership/mesh/src/index.ts
@@ -1,5 +1,7 @@
 export { InstanceMesh } from './InstanceMesh.js'
 export type { InstanceMeshOptions, ServingSources } from './InstanceMesh.js'
+export { isServing } from './ToldInstances.js'
+export { LifeRecord } from './LifeRecord.js'
 export { InstanceDirectory } from './InstanceDirectory.js'
 export type { KnownInstance } from './InstanceDirectory.js'
 export { SMALL_SYSTEM, countServing, rankServing } from './chooseServing.js'
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from '@pulleystack/core.clock'
 import { InstanceRelay, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
 import { listRanked } from '@pulleystack/core.hashing'
-import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
@@ -57,7 +57,7 @@
 /** Hands requests on to the instances that serve, those of the own data hall first and else always in one order, so that clients see one configuration. */
 export function createRelay ({ settings, deps, clock, log, mesh }: EntryParts & { mesh: InstanceMesh }): InstanceRelay {
   const listTargets = (): RelayTarget[] => {
-    const serving = mesh.listLive().filter((identity) => !identity.leaving && !identity.standby)
+    const serving = mesh.listLive().filter(isServing)
     const ranked = listRanked(settings.instance, serving, (identity) => identity.instance)
     return listNearFirst(ranked, settings.dataHall)
   }
@@ -68,8 +68,8 @@
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
   const standing = {
     countInstances: () => mesh.countServed(),
-    readSharingMs: () => mesh.readSharingMs(),
-    readLifeMs: () => mesh.readLifeMs(),
+    readSharingMs: () => mesh.life.readSharingMs(),
+    readLifeMs: () => mesh.life.readLifeMs(),
     listPeers: () => mesh.listServing().map((identity) => identity.instance),
   }
   return new RetryBudgets({ clock, network, standing, ratio: retryRatio, extra: retryExtra, windowMs: retryWindowMs })
