--- a/membership/mesh/test/InstanceMesh.test.ts
+++ b/membership/mesh/test/InstanceMesh.test.ts
@@ -60,6 +60,13 @@
     assert.deepEqual(lists.map(({ to }) => to), ['late'])
     assert.deepEqual(mesh.listServing(), [])
   })
+
+  // A list that was on its way when a link fell silent never comes, and the next one would follow only with the next change.
+  it('tells one that stands by again when a new link to it is up', () => {
+    events.next({ kind: 'heard', identity: createIdentity('standing0', true), isNewLink: true })
+    events.next({ kind: 'heard', identity: createIdentity('standing0', true) })
+    assert.deepEqual(lists.map(({ to }) => to), ['standing0'])
+  })
 })
 
 describe('an instance that stands by in a large system', () => {
@@ -103,6 +110,16 @@
     assert.deepEqual(nameServing(), [])
   })
 
+  for (const kind of ['silent', 'closed'] as const) {
+    it(`forgets what it was told by a peer whose link is ${kind}`, () => {
+      tellers.next({ from: 'teller', body: [createIdentity('teller', false), createIdentity('told', false)] })
+      events.next({ kind, instance: 'teller' })
+      assert.deepEqual(nameServing(), [])
+      events.next({ kind: 'heard', identity: createIdentity('teller', false), isNewLink: true })
+      assert.deepEqual(nameServing(), ['teller'])
+    })
+  }
+
   it('believes a list that names a later life of a peer that had left', () => {
     events.next({ kind: 'heard', identity: { ...createIdentity('leaver', false), leaving: true } })
     tellers.next({ from: 'teller', body: [{ ...createIdentity('leaver', false), incarnation: 2 }] })
--- a/routing/retries/test/WindowBudget.test.ts
+++ b/routing/retries/test/WindowBudget.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
 import { ManualClock } from '@pulleystack/core.clock'
 import { WindowBudget } from '../src/index.js'
@@ -48,6 +48,47 @@
     assert.equal(budget.take(), false)
   })
 
+  describe('of which a part is lent', () => {
+    const USE_MS = 3_000
+    let clock: ManualClock
+    let budget: WindowBudget
+
+    beforeEach(() => {
+      clock = new ManualClock()
+      budget = new WindowBudget({ ...OPTS, clock, countInstances: () => 6 })
+    })
+
+    it('keeps half of what is left for its own', () => {
+      assert.deepEqual([budget.lend(20, USE_MS), budget.lend(20, USE_MS), budget.left], [5, 2, 2])
+    })
+
+    it('lends nothing of what it has spent', () => {
+      for (let i = 0; i < 7; i++) budget.take()
+      assert.deepEqual([budget.lend(4, USE_MS), budget.left], [1, 1])
+    })
+
+    it('lends no more than its part, however much its requests have earned', () => {
+      for (let i = 0; i < 500; i++) budget.noteRequest()
+      let lent = 0
+      for (let i = 0; i < 20; i++) lent += budget.lend(20, USE_MS)
+      assert.equal(lent, 9)
+    })
+
+    it('has it back only when no window holds the attempts of both', async () => {
+      budget.lend(4, USE_MS)
+      await clock.advance(USE_MS + OPTS.windowMs)
+      assert.equal(countTakes(budget), 5)
+      await clock.advance(OPTS.windowMs * 2)
+      assert.equal(countTakes(budget), 9)
+    })
+
+    it('is not lent on by one that owns no part itself', () => {
+      const borrower = new WindowBudget({ ...OPTS, clock, countInstances: () => 6, ownsPart: () => false })
+      borrower.borrow(4, USE_MS)
+      assert.deepEqual([borrower.left, borrower.lend(1, USE_MS)], [4, 0])
+    })
+  })
+
   it('keeps all instances together within the bound in every window, whatever comes', async () => {
     const step = fc.record({ instance: fc.nat(2), requests: fc.nat(5), tries: fc.nat(20), ms: fc.nat(1_500) })
     await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 60 }), async (steps) => {
