--- a/routing/retries/test/WindowBudget.test.ts
+++ b/routing/retries/test/WindowBudget.test.ts
@@ -48,6 +48,48 @@
     assert.equal(budget.take(), false)
   })
 
+  describe('of which rights are reserved', () => {
+    let clock: ManualClock
+    let budget: WindowBudget
+
+    beforeEach(() => {
+      clock = new ManualClock()
+      budget = new WindowBudget({ ...OPTS, clock, countInstances: () => 27 })
+    })
+
+    it('counts them while they wait, however long that is', async () => {
+      assert.ok(budget.reserve() && budget.reserve())
+      assert.equal(budget.reserve(), undefined)
+      await clock.advance(OPTS.windowMs * 3)
+      assert.equal(budget.left, 0)
+    })
+
+    it('counts one as long as any attempt from the moment that it is used', async () => {
+      const permit = budget.reserve()
+      await clock.advance(OPTS.windowMs * 3)
+      assert.equal(permit?.take(), true)
+      await clock.advance(OPTS.windowMs)
+      assert.equal(budget.left, 1)
+      await clock.advance(OPTS.windowMs)
+      assert.equal(budget.left, 2)
+    })
+
+    it('has back, once, what was not used', () => {
+      const permit = budget.reserve()
+      permit?.giveBack()
+      permit?.giveBack()
+      assert.equal(budget.left, 2)
+    })
+
+    it('refuses one that it can\'t bear any more', () => {
+      let instances = 27
+      const shrinking = new WindowBudget({ ...OPTS, clock, countInstances: () => instances })
+      const permit = shrinking.reserve()
+      instances = 100
+      assert.equal(permit?.take(), false)
+    })
+  })
+
   describe('of which a part is lent', () => {
     const USE_MS = 3_000
     let clock: ManualClock
