--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -330,12 +330,16 @@
 
   private async keepBeating (): Promise<void> {
     const { clock, heartbeatMs, suspectAfterMs } = this.opts
+    let dueAt = clock.readTime() + heartbeatMs
     while (!this.stopped.signal.aborted) {
       await clock.wait(heartbeatMs, this.stopped.signal)
       const now = clock.readTime()
+      // Timers run before sockets are read, so that what peers said while this process was held up is not known yet.
+      const heldUpMs = Math.max(0, now - dueAt)
+      dueAt = now + heartbeatMs
       for (const [instance, link] of this.links) {
         link.sendBeat()
-        if (now - link.lastHeard > suspectAfterMs) this.cutSilent(instance, link)
+        if (now - link.lastHeard - heldUpMs > suspectAfterMs) this.cutSilent(instance, link)
         else if (this.isIdle(instance, link, now)) link.close()
         else this.reportHeard(link)
       }
