--- a/backend/interfaces/src/RoutedProtocol.ts
+++ b/backend/interfaces/src/RoutedProtocol.ts
@@ -26,6 +26,10 @@
   generation: RoutedGeneration | undefined
   /** Newest event that the client has of a stream that is taken up again. */
   lastEventId: string | undefined
+  /** Tokens in and out at the most that the request names; undefined when it names none. */
+  tokens?: number
+  /** The access key that its caller shows. It stands in nothing that is logged or sent to a backend server. */
+  accessKey?: string
 }
 
 /** What the system itself tells a backend server with a request. */
@@ -39,6 +43,10 @@
   /** Event after which a stream goes on. */
   lastEventId: string | undefined
   bodyBytes: number | undefined
+  /** The team whose key the caller showed; undefined when none has it. */
+  team?: string
+  /** The caller's access key is meant for the system alone and left out. */
+  hidesKey?: boolean
 }
 
 /** What the head of a backend server's answer says. */
--- a/config/routes/src/Route.ts
+++ b/config/routes/src/Route.ts
@@ -1,3 +1,5 @@
+import type { Team } from './Team.js'
+
 /** How often one request of a route may run. */
 export const RepeatModes = { REPEATABLE: 'repeatable', ONCE: 'once' } as const
 export type RepeatMode = typeof RepeatModes[keyof typeof RepeatModes]
@@ -34,6 +36,8 @@
   priority: number
   /** Greatest number of backend servers on which one request may run. */
   maxAttempts: number
+  /** Its requests need no access key, also where teams are named; false when left out. */
+  isPublic?: boolean
 }
 
 /** A model that backend servers of a service can hold. */
@@ -87,5 +91,7 @@
   version: number
   routes: readonly Route[]
   services: readonly RoutedService[]
+  /** Teams whose keys callers have to show; undefined where none is asked for. */
+  teams?: readonly Team[]
   limits: ClientLimits
 }
--- a/config/routes/src/RouteTable.ts
+++ b/config/routes/src/RouteTable.ts
@@ -1,10 +1,15 @@
 import type { RandomSource } from '@pulleystack/core.clock'
+import { hashAccessKey } from '@pulleystack/core.hashing'
 import type { Route, RoutedService, RoutingConfig } from './Route.js'
+import type { Team } from './Team.js'
 
 /** The routes and services of one version of the configuration, ready to be looked up. */
 export class RouteTable {
   private readonly routesByHost = new Map<string, Route[]>()
   private readonly services = new Map<string, RoutedService>()
+  /** By the hash of each key, so that the time of a lookup tells nothing of a key. */
+  private readonly teamsByKeyHash = new Map<string, Team>()
+  private readonly teams = new Map<string, Team>()
 
   constructor (readonly config: RoutingConfig) {
     for (const route of config.routes) {
@@ -14,6 +19,10 @@
     }
     for (const routes of this.routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const service of config.services) this.services.set(service.name, service)
+    for (const team of config.teams ?? []) {
+      this.teams.set(team.name, team)
+      for (const hash of team.keyHashes) this.teamsByKeyHash.set(hash, team)
+    }
   }
 
   /** The route whose prefix is the longest that begins the path; `host` may carry a port. */
@@ -22,6 +31,20 @@
     return routes?.find((route) => path.startsWith(route.pathPrefix))
   }
 
+  /** Whether callers have to show a team's access key. */
+  get hasTeams (): boolean {
+    return this.config.teams !== undefined
+  }
+
+  findTeam (name: string): Team | undefined {
+    return this.teams.get(name)
+  }
+
+  /** The team that has this access key. */
+  findTeamByKey (key: string): Team | undefined {
+    return this.teamsByKeyHash.get(hashAccessKey(key))
+  }
+
   findService (name: string): RoutedService | undefined {
     return this.services.get(name)
   }
--- a/config/routes/src/index.ts
+++ b/config/routes/src/index.ts
@@ -1,3 +1,5 @@
 export { RouteTable, chooseTarget } from './RouteTable.js'
+export { QuotaUnits, countUnits } from './Team.js'
+export type { QuotaUnit, Team, TeamQuota } from './Team.js'
 export { RepeatModes } from './Route.js'
 export type { ClientLimits, ModelServing, RepeatMode, Route, RouteTarget, RoutedService, RoutingConfig, ServedModel } from './Route.js'
--- a/config/routes/test/RouteTable.test.ts
+++ b/config/routes/test/RouteTable.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { RandomSource } from '@pulleystack/core.clock'
-import { RepeatModes, RouteTable, chooseTarget, type Route } from '../src/index.js'
+import { hashAccessKey } from '@pulleystack/core.hashing'
+import { RepeatModes, RouteTable, chooseTarget, type Route, type Team } from '../src/index.js'
 
 function createRoute (changes: Partial<Route>): Route {
   return {
@@ -21,8 +22,8 @@
   }
 }
 
-function createTable (routes: Route[]): RouteTable {
-  return new RouteTable({ version: 1, routes, services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+function createTable (routes: Route[], teams?: Team[]): RouteTable {
+  return new RouteTable({ version: 1, routes, services: [], teams, limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
 }
 
 describe('a route table', () => {
@@ -44,6 +45,19 @@
     assert.equal(table.findRoute('a.example', '/ab'), undefined)
   })
 
+  it('finds a team by any of its keys, and keeps none of them', () => {
+    const keyed = createTable([], [{ name: 'valuers', keyHashes: ['k-1', 'k-2'].map(hashAccessKey), priority: 1, quota: undefined }])
+    assert.equal(keyed.findTeamByKey('k-2')?.name, 'valuers')
+    assert.equal(keyed.findTeamByKey('k-3'), undefined)
+    assert.equal(keyed.findTeamByKey(hashAccessKey('k-1')), undefined)
+    assert.doesNotMatch(JSON.stringify(keyed.config), /k-[12]/)
+  })
+
+  it('asks for keys only where teams are named', () => {
+    assert.equal(table.hasTeams, false)
+    assert.equal(createTable([], []).hasTeams, true)
+  })
+
   it('splits requests by weight', () => {
     const route = createRoute({ targets: [{ service: 'x', weight: 90 }, { service: 'y', weight: 10 }] })
     const random = new RandomSource(1)
--- a/core/hashing/src/index.ts
+++ b/core/hashing/src/index.ts
@@ -1,1 +1,2 @@
+export { hashAccessKey } from './hashAccessKey.js'
 export { hashText, listRanked, computeRank, findOwner } from './rendezvous.js'
--- a/gateway/routed/src/PlaceForecast.ts
+++ b/gateway/routed/src/PlaceForecast.ts
@@ -68,7 +68,7 @@
     // A client that has a part of its answer waits as long for each further one.
     const waitsSince = work.stream.events > 0 ? this.opts.clock.readTime() : work.arrivedAt
     return {
-      priority: route.priority,
+      priority: work.priority,
       dueAt: work.firstTriedAt + route.targetLatencyMs - firstMs,
       latestAt: Math.min(work.deadline - heldMs, waitsSince + patienceMs - firstMs),
     }
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
 import type { RoutedProtocol, RoutedRequestFacts } from '@pulleystack/backend.interfaces'
-import { chooseTarget, type Route, type RouteTable } from '@pulleystack/config.routes'
+import { chooseTarget, type Route, type RouteTable, type Team } from '@pulleystack/config.routes'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { listEndToEnd } from '@pulleystack/core.headers'
 import { readBody } from '@pulleystack/gateway.http'
@@ -8,6 +8,7 @@
 import { FirstTries } from '@pulleystack/routing.admission'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
+import { findTeam } from './findTeam.js'
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
 import { UnfinishedRequest, type UnfinishedFacts } from './UnfinishedRequest.js'
@@ -56,10 +57,11 @@
   onOutcome: (outcome: RoutedOutcome) => void
 }
 
-/** A request whose head has come and whose route is known. */
+/** A request whose head has come and whose route and team are known. */
 interface ArrivedRequest {
   table: RouteTable
   route: Route
+  team: Team | undefined
   facts: RoutedRequestFacts
   request: http.IncomingMessage
   arrivedAt: number
@@ -151,9 +153,10 @@
       }
       const route = this.findRoute(table, request)
       outcome.route = route.name
+      const team = findTeam({ table, route, facts, isTableCurrent: this.opts.isTableCurrent })
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
       this.checkMayBegin(deadline)
-      const work = await this.readWork({ table, route, facts, request, arrivedAt, deadline, signal: end.signal })
+      const work = await this.readWork({ table, route, team, facts, request, arrivedAt, deadline, signal: end.signal })
       unfinished.work = work
       // Its body may have taken a while.
       this.checkMayBegin(deadline)
@@ -226,7 +229,7 @@
   }
 
   private async readWork (it: ArrivedRequest): Promise<RoutedWork> {
-    const { table, route, facts, request } = it
+    const { table, route, team, facts, request } = it
     const name = chooseTarget(route, this.opts.random)
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
     const body = hasBody(request) ? await endWith(it.signal, readBody(request, table.config.limits.bodyBytes)) : undefined
@@ -235,6 +238,9 @@
       facts,
       route,
       service,
+      team,
+      priority: team?.priority ?? route.priority,
+      hidesKey: table.hasTeams,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       rawHeaders: listEndToEnd(request.rawHeaders, RELAY_HEADER_NAMES),
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -1,5 +1,5 @@
 import type { RoutedRequestFacts } from '@pulleystack/backend.interfaces'
-import type { Route, RoutedService } from '@pulleystack/config.routes'
+import type { Route, RoutedService, Team } from '@pulleystack/config.routes'
 import type { GenerationDemand } from '@pulleystack/routing.fleet'
 import type { StreamProgress } from './relayStream.js'
 
@@ -12,6 +12,12 @@
   facts: RoutedRequestFacts
   route: Route
   service: RoutedService
+  /** The team whose key its caller showed; undefined where none is asked for. */
+  team: Team | undefined
+  /** 0 is the most urgent. */
+  priority: number
+  /** The access key is meant for the system alone. */
+  hidesKey: boolean
   method: string
   /** Path and query as the client sent them. */
   path: string
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -172,7 +172,9 @@
   const headers = opts.protocol.buildForwardHeaders(work.rawHeaders, {
     backendId: place.backend.id,
     waitMs: Math.max(1, Math.floor(work.deadline - opts.clock.readTime())),
-    priority: work.route.priority,
+    priority: work.priority,
+    team: work.team?.name,
+    hidesKey: work.hidesKey,
     lastEventId: progress.stream.lastEventId,
     bodyBytes: work.body?.length,
   })
--- a/membership/keys/src/accessKeys.ts
+++ b/membership/keys/src/accessKeys.ts
@@ -1,4 +1,5 @@
-import { hash, randomBytes, timingSafeEqual } from 'node:crypto'
+import { randomBytes, timingSafeEqual } from 'node:crypto'
+import { hashAccessKey } from '@pulleystack/core.hashing'
 
 const KEY_BYTES = 24
 
@@ -7,11 +8,6 @@
   return `${prefix}_${randomBytes(KEY_BYTES).toString('base64url')}`
 }
 
-/** SHA-256 in hexadecimal. Keys are long random texts, so that no slow hash is needed. */
-export function hashAccessKey (key: string): string {
-  return hash('sha256', key, 'hex')
-}
-
 /** Compares a key with stored hashes in constant time; looks at all of them. */
 export function matchKeyHash (key: string, hashes: readonly string[]): boolean {
   const given = Buffer.from(hashAccessKey(key))
--- a/membership/keys/src/index.ts
+++ b/membership/keys/src/index.ts
@@ -1,3 +1,3 @@
 export { createAuthority, createCertificate } from './certificates.js'
 export type { KeyPair } from './certificates.js'
-export { createAccessKey, hashAccessKey, matchKeyHash } from './accessKeys.js'
+export { createAccessKey, matchKeyHash } from './accessKeys.js'
--- a/program/cli/src/commands/createKey.ts
+++ b/program/cli/src/commands/createKey.ts
@@ -1,4 +1,5 @@
-import { createAccessKey, hashAccessKey } from '@pulleystack/membership.keys'
+import { hashAccessKey } from '@pulleystack/core.hashing'
+import { createAccessKey } from '@pulleystack/membership.keys'
 import type { Command } from 'cac'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
 
--- a/program/cli/test/processes.test.ts
+++ b/program/cli/test/processes.test.ts
@@ -4,7 +4,7 @@
 import os from 'node:os'
 import path from 'node:path'
 import { after, before, describe, it } from 'node:test'
-import { hashAccessKey } from '@pulleystack/membership.keys'
+import { hashAccessKey } from '@pulleystack/core.hashing'
 import { InstanceRoles } from '@pulleystack/backend.interfaces'
 import { readExample, readStreamText, sendCall, startStandIns, type DemoAnswer, type StandIns } from '@pulleystack/program.demo'
 
--- a/tools/bench/src/entry/configure.ts
+++ b/tools/bench/src/entry/configure.ts
@@ -1,4 +1,4 @@
-import { hashAccessKey } from '@pulleystack/membership.keys'
+import { hashAccessKey } from '@pulleystack/core.hashing'
 import { sendCall } from '@pulleystack/program.demo'
 
 /** Access key of the load's caller. */
--- a/tools/testing/src/configBuilders.ts
+++ b/tools/testing/src/configBuilders.ts
@@ -1,6 +1,6 @@
 import { buildObjectKey, Kinds, type AdapterSpec, type ConfigObject, type ModelSpec, type QuotaSpec, type ServiceSpec } from '@pulleystack/config.objects'
 import { ConfigReplica } from '@pulleystack/config.replica'
-import { hashAccessKey } from '@pulleystack/membership.keys'
+import { hashAccessKey } from '@pulleystack/core.hashing'
 
 const MEBI = 1024 ** 2
 
