--- a/config/settings/src/policySchema.ts
+++ b/config/settings/src/policySchema.ts
@@ -21,6 +21,8 @@
     .describe('Plan loads for a rise or fall of demand to go on. Off: for the mean of the last seconds.'),
   waitForDisk: z.boolean().default(true)
     .describe('Wait for a busy server that has the model in memory or on disk. Off: load from the weight store at a free server.'),
+  pooledQuotas: z.boolean().default(true)
+    .describe('Each request asks the one instance that keeps the quota of its team. Off: every instance counts what the others tell of a moment ago.'),
   ordersInOutage: z.boolean().default(true)
     .describe('The holder of the lease orders on while all instances have lost the store. Off: it stops when the lease runs out.'),
 })
--- a/gateway/routed/src/ClientAnswer.ts
+++ b/gateway/routed/src/ClientAnswer.ts
@@ -7,6 +7,8 @@
 
 const NOT_PASSED_ON = new Set<string>(['content-length', ...RELAY_HEADER_NAMES])
 const DEFAULT_RETRY_SECONDS = 0.25
+/** Answers that tell when to come back. */
+const RETRY_STATUSES: ReadonlySet<number> = new Set([429, 503])
 
 export interface ClientAnswerOptions {
   response: http.ServerResponse
@@ -67,7 +69,7 @@
     const body = JSON.stringify(error.renderBody(requestId))
     const headers: http.OutgoingHttpHeaders = { ...this.opts.ownHeaders, 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
     const status = chooseStatus(error)
-    if (status === 503) headers['retry-after'] = formatSeconds(error.retryAfterSeconds ?? DEFAULT_RETRY_SECONDS)
+    if (RETRY_STATUSES.has(status)) headers['retry-after'] = formatSeconds(error.retryAfterSeconds ?? DEFAULT_RETRY_SECONDS)
     // What is left of a body that was not read would be taken for the next request.
     if (this.opts.mustClose() || !response.req.complete) headers['connection'] = 'close'
     const version = this.opts.readRelayVersion?.()
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -9,6 +9,7 @@
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { ClientAnswer, chooseStatus } from './ClientAnswer.js'
 import { findTeam } from './findTeam.js'
+import type { QuotaGate, QuotaUse } from './QuotaGate.js'
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
 import { UnfinishedRequest, type UnfinishedFacts } from './UnfinishedRequest.js'
@@ -44,6 +45,8 @@
   residency: ResidencyClient
   /** Hands requests on while no configuration is known here; undefined where each instance answers for itself. */
   relay?: InstanceRelay
+  /** Keeps the quotas of teams; undefined where no teams are named. */
+  quotas?: QuotaGate
   /** Counts a client's request at a service for the budget of further attempts. */
   countRequest: (service: string) => void
   /** The routes in force; undefined until a configuration is known. */
@@ -141,6 +144,7 @@
       mustClose: this.opts.mustClose,
     })
     let stream: StreamProgress | undefined
+    let quotaUse: QuotaUse | undefined
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const end = createRequestEnd(response)
     this.ends.add(end)
@@ -156,6 +160,7 @@
       const team = findTeam({ table, route, facts, isTableCurrent: this.opts.isTableCurrent })
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
       this.checkMayBegin(deadline)
+      quotaUse = await endWith(end.signal, this.admit(facts, team))
       const work = await this.readWork({ table, route, team, facts, request, arrivedAt, deadline, signal: end.signal })
       unfinished.work = work
       // Its body may have taken a while.
@@ -170,6 +175,7 @@
       })
     } catch (thrown) {
       const error = end.explain(convertToError(thrown))
+      quotaUse?.settle(error)
       outcome.code = error.code
       outcome.reason = error.message
       outcome.status = error.code === 'CALLER_GONE' ? GONE_STATUS : chooseStatus(error)
@@ -181,6 +187,10 @@
     }
   }
 
+  private async admit ({ requestId, tokens }: RoutedRequestFacts, team: Team | undefined): Promise<QuotaUse | undefined> {
+    return this.opts.quotas?.admit({ requestId, team, tokens })
+  }
+
   private noteUnfinished (request: string | undefined, response: http.ServerResponse, arrivedAt: number): UnfinishedRequest {
     const unfinished = new UnfinishedRequest({ request, response, arrivedAt, isWaiting: (work) => this.opts.queue.isWaiting(work) })
     this.unfinished.add(unfinished)
--- a/gateway/routed/src/index.ts
+++ b/gateway/routed/src/index.ts
@@ -1,3 +1,5 @@
+export { QuotaGate, QuotaOutcomes } from './QuotaGate.js'
+export type { QuotaOutcome } from './QuotaGate.js'
 export { RoutedGateway } from './RoutedGateway.js'
 export type { RoutedGatewayOptions, RoutedOutcome } from './RoutedGateway.js'
 export { BackendPlace } from './BackendPlace.js'
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -126,6 +126,11 @@
     return { linked, told: this.listServing().length - linked, oldestListMs: this.told.oldestMs }
   }
 
+  /** How many instances there may be, this one among them, whether they serve or not; undefined until some were found. */
+  countKnown (): number | undefined {
+    return this.hasFound ? this.directory.size : undefined
+  }
+
   /** How many instances, this one among them, serve, should serve or were ever heard to in this life. */
   countServed (): number {
     return Math.max(this.served.size + 1, countServing(this.directory.size))
--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -1,4 +1,4 @@
-import type { RoutedOutcome } from '@pulleystack/gateway.routed'
+import type { QuotaOutcome, RoutedOutcome } from '@pulleystack/gateway.routed'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
@@ -6,6 +6,10 @@
 
 const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 5, 10, 15]
 
+/** Teams with figures of their own; the rest are counted together. */
+const MAX_TEAMS = 64
+const OTHER_TEAMS = 'others'
+
 /** What the figures are read from. */
 export interface EntryMetricsOptions {
   fleet: Pick<BackendFleet, 'listAll'>
@@ -36,6 +40,15 @@
     registers: [this.registry],
   })
 
+  private readonly units = new Counter({
+    name: 'pulleystack_team_units_total',
+    help: 'Tokens or requests that teams asked for, by what became of them',
+    labelNames: ['team', 'outcome'],
+    registers: [this.registry],
+  })
+
+  private readonly teams = new Set<string>()
+
   constructor (opts: EntryMetricsOptions) {
     this.addGauge('config_version', 'Version of the routing configuration in force', opts.readConfigVersion)
     this.addGauge('backends', 'Backend servers known', () => opts.fleet.listAll().length)
@@ -53,6 +66,11 @@
     this.latency.observe({ service }, ms / 1000)
   }
 
+  countUnits (team: string, outcome: QuotaOutcome, units: number): void {
+    if (this.teams.size < MAX_TEAMS) this.teams.add(team)
+    this.units.inc({ team: this.teams.has(team) ? team : OTHER_TEAMS, outcome }, units)
+  }
+
   /** The figures as text. */
   render (): Promise<string> {
     return this.registry.metrics()
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -4,6 +4,10 @@
   retryRatio: number
   retryExtra: number
   retryWindowMs: number
+  /** Window in which what teams use is counted, over all instances, and by what share and by how many units it may go over their quotas. */
+  quotaWindowMs: number
+  quotaOver: number
+  quotaSlack: number
   /** Milliseconds from a change of the configuration until it has to be in force on every instance. */
   configLagMs: number
   /** Life of the placement lease. */
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,12 +1,14 @@
 import type { RouteTable } from '@pulleystack/config.routes'
+import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
-import { InstanceRelay, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
+import { InstanceRelay, QuotaGate, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
 import { listRanked } from '@pulleystack/core.hashing'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { BackendAgent } from '@pulleystack/routing.forward'
+import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
@@ -21,6 +23,7 @@
   queue: BackendQueue
   residency: ResidencyService
   relay: InstanceRelay
+  limits: TeamLimits
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
   isTableCurrent: () => boolean
@@ -28,6 +31,9 @@
   mustClose: () => boolean
 }
 
+/** What the quotas of teams need of an entry instance. */
+type LimitsParts = Pick<GatewayParts, 'settings' | 'clock' | 'mesh' | 'network' | 'readTable'> & { policy: Policy }
+
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
   const { deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
@@ -45,6 +51,7 @@
     pace: new StreamPace(clock),
     residency,
     findBudget: (service) => budgets.find(service),
+    quotas: new QuotaGate({ log, limits: parts.limits, onUnits: (team, kind, units) => metrics.countUnits(team, kind, units) }),
     countRequest: (service) => budgets.noteRequest(service),
     readTable,
     isTableCurrent,
@@ -64,6 +71,19 @@
   return new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
 }
 
+/** Quotas of teams over all instances. */
+export function createLimits ({ settings, clock, policy, mesh, network, readTable }: LimitsParts): TeamLimits {
+  if (!policy.pooledQuotas) return new CountedLimits({ clock, network, readTable })
+  const { quotaWindowMs, quotaOver, quotaSlack } = settings.bounds
+  const standing = {
+    instance: settings.instance,
+    countInstances: () => mesh.countKnown(),
+    isServing: () => isServing(mesh.self),
+    listServing: () => mesh.listLive().filter(isServing).map((identity) => identity.instance),
+  }
+  return new PooledLimits({ clock, network, standing, readTable, bounds: { windowMs: quotaWindowMs, over: quotaOver, slack: quotaSlack } })
+}
+
 function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
   const standing = {
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -10,7 +10,7 @@
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { createGateway, createRelay } from './createGateway.js'
+import { createGateway, createLimits, createRelay } from './createGateway.js'
 import { createMesh } from './createMesh.js'
 import { createMetrics } from './createMetrics.js'
 import { createResidency } from './createResidency.js'
@@ -107,8 +107,9 @@
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
   const relay = createRelay(parts)
+  const limits = createLimits(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
-  const gateway = createGateway({ ...parts, random, queue, relay, residency, metrics, isTableCurrent, mayBegin, mustClose })
+  const gateway = createGateway({ ...parts, random, queue, relay, limits, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -122,6 +123,7 @@
   mesh.start(ended.signal)
   shareLoads({ clock, network, fleet, countReaders: () => mesh.listServing().length, onChange: () => queue.pump() }, ended.signal)
   residency.start(ended.signal)
+  limits.start(ended.signal)
   const noteReady = (): void => {
     if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
   }
--- /dev/null
+++ b/routing/limits/src/index.ts
@@ -0,0 +1,8 @@
+export { CountedLimits } from './CountedLimits.js'
+export type { CountedLimitsOptions } from './CountedLimits.js'
+export { PooledLimits } from './PooledLimits.js'
+export type { LimitsStanding, PooledLimitsOptions } from './PooledLimits.js'
+export { QuotaPool } from './QuotaPool.js'
+export type { QuotaBounds } from './QuotaPool.js'
+export { TeamLimits } from './TeamLimits.js'
+export type { QuotaVerdict } from './TeamLimits.js'
