--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -6,6 +6,7 @@
 import { BackendDirectory, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { EntrySources } from './EntrySources.js'
+import { UnreadableEntries } from './UnreadableEntries.js'
 
 export interface WatchSourcesOptions {
   clock: Clock
@@ -58,10 +59,16 @@
     else log.record(DecisionKinds.BACKEND_CHANGED, facts)
   })
   opts.signal.addEventListener('abort', () => noteChange.unsubscribe(), { once: true })
+  const unreadable = new UnreadableEntries(opts.clock, log)
   const directory = new BackendDirectory({ clock: opts.clock, fleet, readSettledMs: () => feed.settledMs })
   const take = (object: StoredObject): void => {
     const entry = sources.readBackend(object)
-    if (entry) directory.put(entry)
+    if (entry) {
+      directory.put(entry)
+      return
+    }
+    directory.drop(readName(sources.backendPrefix, object))
+    unreadable.note({ key: object.key, revision: object.version })
   }
   const feed: StoreFeed = follow(opts, sources.backendPrefix, {
     onListing: (objects) => {
--- a/routing/fleet/src/BackendDirectory.ts
+++ b/routing/fleet/src/BackendDirectory.ts
@@ -29,6 +29,13 @@
     this.opts.fleet.put(entry)
   }
 
+  /** The store has an entry of this name that can't be read: it names no server to use. */
+  drop (id: string): void {
+    this.missing.get(id)?.()
+    this.missing.delete(id)
+    this.opts.fleet.remove(id)
+  }
+
   /** The store has the entries of these servers and no others. */
   keepOnly (listed: ReadonlySet<string>): void {
     for (const { id } of this.opts.fleet.listAll()) {
--- a/routing/fleet/src/BackendEntry.ts
+++ b/routing/fleet/src/BackendEntry.ts
@@ -6,8 +6,10 @@
 
 /** What a backend server says of itself. */
 export interface BackendEntry {
-  /** One start of one server; a restart has another. */
+  /** One server; a restart has another id, or the same one with another `startedAt`. */
   id: string
+  /** Unix time of its start in milliseconds; undefined where servers don't tell it. */
+  startedAt?: number
   service: string
   /** host:port; may be given to another server after this one has ended. */
   address: string
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -101,7 +101,10 @@
   /** Takes one new or changed entry. */
   put (entry: BackendEntry): void {
     const present = this.backends.get(entry.id)
-    if (present) {
+    if (present && hasRestarted(present.entry, entry)) {
+      // Nothing that is known of the former life holds: neither what is in hand there, nor what it has read, holds or was ordered.
+      this.remove(entry.id)
+    } else if (present) {
       present.update(entry)
       this.subject.next({ kind: 'updated', backend: present })
       return
@@ -133,3 +136,7 @@
     this.byService.set(service, [...this.backends.values()].filter((backend) => backend.entry.service === service))
   }
 }
+
+function hasRestarted (before: BackendEntry, now: BackendEntry): boolean {
+  return before.startedAt !== undefined && now.startedAt !== undefined && before.startedAt !== now.startedAt
+}
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -25,6 +25,45 @@
     directory.put(createEntry('r2', true))
   })
 
+  it('drops at once a server whose entry can\'t be read, also just after the store was away', () => {
+    settledMs = 0
+    directory.drop('r1')
+    assert.deepEqual(listIds(), ['r2'])
+  })
+
+  describe('with a server that starts again under its id', () => {
+    beforeEach(() => {
+      directory.put({ ...createEntry('r3'), startedAt: 1_000, models: [{ name: 'm', adapters: [] }] })
+      const backend = fleet.find('r3')
+      backend?.prefixes.note('m', [{ id: 'a', tokens: 100 }])
+      backend?.noteModel('n', true)
+      fleet.applyPeerLoads('e2', new Map([['r3', { running: 3, prefillTokens: 10, cacheTokens: 10 }]]))
+    })
+
+    it('knows nothing of the former life', () => {
+      directory.put({ ...createEntry('r3'), startedAt: 2_000, models: [] })
+      const backend = fleet.find('r3')
+      assert.equal(backend?.hasWeights('m'), false)
+      assert.equal(backend.hasWeights('n'), false)
+      assert.equal(backend.readLoad().running, 0)
+      assert.equal(backend.prefixes.countKept('m', [{ id: 'a', tokens: 100 }]), 0)
+    })
+
+    it('tells that the former one is gone, so that orders to it are void', () => {
+      const kinds: string[] = []
+      fleet.changes.subscribe(({ kind }) => kinds.push(kind))
+      directory.put({ ...createEntry('r3'), startedAt: 2_000 })
+      assert.deepEqual(kinds, ['removed', 'added'])
+    })
+
+    it('goes on where the start is the same or isn\'t told', () => {
+      const before = fleet.find('r3')
+      directory.put({ ...createEntry('r3'), startedAt: 1_000 })
+      directory.put(createEntry('r3'))
+      assert.equal(fleet.find('r3'), before)
+    })
+  })
+
   it('drops at once a server whose entry goes', () => {
     directory.remove('r1')
     assert.deepEqual(listIds(), ['r2'])
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -70,6 +70,8 @@
    * requests; the budget counts `instances` and this process has lived for `lifeMs`.
    */
   'retry-judged': { request: string, service: string, verdict: RetryVerdict, left: number, extra: number, instances: number, lifeMs: number }
+  /** An object of the store names no backend server, as it can't be read; `count` of them were passed over since the last line. */
+  'entry-unreadable': { key: string, revision: number, count: number }
   /** The request is beyond its team's quota; it would be inside after `retryAfterMs`. */
   'quota-refused': { request: string | undefined, team: string, units: number, retryAfterMs: number }
   /** The stream is taken up at another server behind event `after`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -33,6 +33,7 @@
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
   RETRY_JUDGED: 'retry-judged',
+  ENTRY_UNREADABLE: 'entry-unreadable',
   QUOTA_REFUSED: 'quota-refused',
   STREAM_RESUMED: 'stream-resumed',
   REQUEST_ENDED: 'request-ended',
