--- a/config/settings/src/policySchema.ts
+++ b/config/settings/src/policySchema.ts
@@ -13,6 +13,8 @@
     .describe('No wait outlasts the time after which clients give a silent stream up. Off: only the deadline bounds it.'),
   pacedReading: z.boolean().default(true)
     .describe('Hold prompts back for moments while a server reads so many that its streams would pause. Off: send them as they come.'),
+  learnedReading: z.boolean().default(true)
+    .describe('Let a server whose streams paused for too long read fewer prompts at a time. Off: all servers read as much.'),
   prefixAffinity: z.boolean().default(true)
     .describe('Prefer servers that have read the beginning of the prompt. Off: every prompt counts as unread.'),
   failureAvoidance: z.boolean().default(true)
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -172,10 +172,17 @@
     const readTokens = Math.max(0, (generation?.promptTokens ?? 0) - place.choice.keptTokens)
     this.forecast.noteServed(work, { ...times, readTokens })
     if (!generation) return
+    this.notePause(place, work)
     const { model, adapter } = generation
     this.opts.residency.noteEnded({ service: service.name, model, adapter }, { heldMs: times.heldMs, readTokens })
   }
 
+  /** A stream that was taken up again paused for its former server's failure, which says nothing of how either reads. */
+  private notePause (place: BackendPlace, { route, stream, excluded }: RoutedWork): void {
+    if (route.longestPauseMs === undefined || stream.events < 2 || excluded.size > 0) return
+    this.opts.fleet.notePause(place.backend, stream.longestPauseMs / route.longestPauseMs, this.opts.clock.readTime())
+  }
+
   private wait (work: RoutedWork): Promise<BackendPlace> {
     const { clock, fleet, policy } = this.opts
     return new Promise((resolve, reject) => {
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -2,6 +2,7 @@
 import { hasWeights, type BackendEntry } from './BackendEntry.js'
 import { NO_LOAD, sumTallies, type LoadTally } from './LoadTally.js'
 import { PrefixMemory } from './PrefixMemory.js'
+import { ReadingShare } from './ReadingShare.js'
 
 const DEFAULT_CACHE_TOKENS = 200_000
 const FIRST_DOWN_MS = 400
@@ -19,6 +20,7 @@
   readonly outlier = new OutlierDetector()
   /** As all instances together see it. */
   readonly failureRate = new FailureRate()
+  readonly readingShare = new ReadingShare()
   readonly prefixes = new PrefixMemory(DEFAULT_CACHE_TOKENS)
   /** Models that came or are to go, as the holder told before the entry does. */
   private readonly modelChanges = new Map<string, boolean>()
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -3,6 +3,7 @@
 import type { BackendEntry } from './BackendEntry.js'
 import type { LoadTally } from './LoadTally.js'
 import type { PromptPart } from './PrefixMemory.js'
+import type { PauseSample } from './ReadingShare.js'
 import { WaitingTallies } from './WaitingTallies.js'
 
 /** What changed in the fleet. */
@@ -27,6 +28,7 @@
   private readonly byService = new Map<string, Backend[]>()
   private readonly subject = new Subject<FleetChange>()
   private readonly untold: SharedPrefix[] = []
+  private readonly untoldPauses = new Map<string, PauseSample>()
   private readonly untoldOutcomes = new Map<string, { failures: number, total: number }>()
   /** Servers where other instances last had something in hand. */
   private readonly loadedByPeers = new Map<string, string[]>()
@@ -59,6 +61,20 @@
     this.untoldOutcomes.set(backend.id, { failures: untold.failures + failures, total: untold.total + 1 })
   }
 
+  /** Learns from the longest pause of a stream that ran at a server, as a share of what its route allows, and remembers it for the other instances. */
+  notePause (backend: Backend, share: number, now: number): void {
+    backend.readingShare.learn({ worst: share, streams: 1 }, now)
+    const untold = this.untoldPauses.get(backend.id) ?? { worst: 0, streams: 0 }
+    this.untoldPauses.set(backend.id, { worst: Math.max(untold.worst, share), streams: untold.streams + 1 })
+  }
+
+  /** Pauses that the other instances have not been told yet. */
+  takeUntoldPauses (): [backend: string, worst: number, streams: number][] {
+    const pauses = [...this.untoldPauses].map(([id, { worst, streams }]): [string, number, number] => [id, Math.round(worst * 100) / 100, streams])
+    this.untoldPauses.clear()
+    return pauses
+  }
+
   /** Outcomes that the other instances have not been told yet. */
   takeUntoldOutcomes (): [backend: string, failures: number, total: number][] {
     const outcomes = [...this.untoldOutcomes].map(([id, { failures, total }]): [string, number, number] => [id, failures, total])
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -118,8 +118,9 @@
   const needed = generation.promptTokens + generation.outputTokens
   if (load.running > 0 && load.cacheTokens + needed > figures.cacheTokens * CACHE_SHARE) return ChoiceFailures.FULL
   const unread = generation.promptTokens - keptTokens
+  const readingLimit = demand.readingLimit * (opts.policy.learnedReading ? backend.readingShare.value : 1)
   // A long prompt counts for half of the limit at most; beside a stream of short ones it would else never find room.
-  if (load.prefillTokens > 0 && load.prefillTokens + Math.min(unread, demand.readingLimit / 2) > demand.readingLimit) return ChoiceFailures.READING
+  if (load.prefillTokens > 0 && load.prefillTokens + Math.min(unread, readingLimit / 2) > readingLimit) return ChoiceFailures.READING
   const ownMs = unread / PREFILL_TOKENS_PER_MS
   const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
   const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -12,6 +12,8 @@
   down: string[]
   /** Answers of servers since the last message, and how many of them failed. */
   outcomes: [backend: string, failures: number, total: number][]
+  /** Longest pauses of streams that ended since the last message, as a share of what was allowed, and how many streams. */
+  pauses: [backend: string, worst: number, streams: number][]
   /** Shared beginnings of prompts that servers have read since the last message. */
   prefixes: [backend: string, weights: string, parts: [id: string, tokens: number][]][]
 }
@@ -51,6 +53,7 @@
       fleet.waiting.takeOther(from, body.waiting)
       for (const [backend, weights, parts] of body.prefixes) fleet.find(backend)?.prefixes.note(weights, parts.map(([id, tokens]) => ({ id, tokens })))
       for (const [backend, failures, total] of body.outcomes) fleet.find(backend)?.failureRate.add(failures, total, opts.clock.readTime())
+      for (const [backend, worst, streams] of body.pauses) fleet.find(backend)?.readingShare.learn({ worst, streams }, opts.clock.readTime())
       for (const backend of body.down) fleet.find(backend)?.noteReportedDown(opts.clock.readTime())
       opts.onChange()
     }),
@@ -88,6 +91,7 @@
     waiting: fleet.waiting.listOwn(),
     down: down.map(({ id }) => id),
     outcomes: fleet.takeUntoldOutcomes(),
+    pauses: fleet.takeUntoldPauses(),
     prefixes: fleet.takeUntold().map(({ backend, weights, parts }) => [backend, weights, parts.map(({ id, tokens }) => [id, tokens])]),
   }
 }
