--- a/routing/limits/src/QuotaPool.ts
+++ b/routing/limits/src/QuotaPool.ts
@@ -66,7 +66,8 @@
       return { isGranted: true }
     }
     const retryAfterMs = this.estimateWait(units)
-    this.promised += units
+    // Nobody waits longer than a window, so that what was promised beyond it is asked for by nobody.
+    this.promised = Math.min(this.promised + units, this.earningPerMs * this.opts.bounds.windowMs)
     return { isGranted: false, retryAfterMs }
   }
 
--- a/routing/limits/test/PooledLimits.test.ts
+++ b/routing/limits/test/PooledLimits.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { RandomSource } from '@pulleystack/core.clock'
+import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import fc from 'fast-check'
-import { LimitsBench, Ways, createQuota, type Way } from './LimitsBench.js'
+import { QuotaPool } from '../src/index.js'
+import { BOUNDS, LimitsBench, Ways, createQuota, type Way } from './LimitsBench.js'
 
 /** Tokens a second of a small team, and of a prompt of its requests. */
 const SMALL = 29_000
@@ -109,6 +110,16 @@
     assert.equal(bench.uses.length, 1)
   })
 
+  it('tells those who are refused times that lie apart, and none beyond what anybody waits', async () => {
+    const clock = new ManualClock()
+    const pool = new QuotaPool({ clock, bounds: BOUNDS, countInstances: () => 1 }, createQuota(SMALL))
+    pool.add(1_000)
+    pool.take(SMALL)
+    const told = Array.from({ length: 100 }, () => pool.take(PROMPT)).flatMap((verdict) => verdict.isGranted ? [] : [verdict.retryAfterMs])
+    assert.ok((told[1] ?? 0) - (told[0] ?? 0) >= PROMPT / SMALL * 1000 * 0.9)
+    assert.ok(Math.max(...told) <= BOUNDS.windowMs * 1.5)
+  })
+
   it('binds as soon as it is lowered', async () => {
     const bench = new LimitsBench(FLEET, createQuota(LARGE))
     await bench.clock.advance(LEAD_MS)
