--- a/config/settings/src/policySchema.ts
+++ b/config/settings/src/policySchema.ts
@@ -2,7 +2,7 @@
 
 /**
  * Mechanisms that decide where requests run and which models sit where. Each can be switched off, to its plain alternative, so that what it is worth
- * can be measured and a suspicion during an incident can be tried out.
+ * can be measured and a suspicion during an incident can be tried out. One that gains at some deployments and loses at others is off unless chosen.
  */
 export const policySchema = z.strictObject({
   waitEstimate: z.boolean().default(true)
@@ -13,8 +13,8 @@
     .describe('No wait outlasts the time after which clients give a silent stream up. Off: only the deadline bounds it.'),
   pacedReading: z.boolean().default(true)
     .describe('Hold prompts back for moments while a server reads so many that its streams would pause. Off: send them as they come.'),
-  learnedReading: z.boolean().default(true)
-    .describe('Let a server whose streams paused for too long read fewer prompts at a time. Off: all servers read as much.'),
+  learnedReading: z.boolean().default(false)
+    .describe('Let a server whose streams paused for too long read fewer prompts at a time; off unless chosen. Off: all servers read as much.'),
   prefixAffinity: z.boolean().default(true)
     .describe('Prefer servers that have read the beginning of the prompt. Off: every prompt counts as unread.'),
   failureAvoidance: z.boolean().default(true)
@@ -31,5 +31,5 @@
 
 export type Policy = z.infer<typeof policySchema>
 
-/** All mechanisms on. */
+/** What is in force when nothing is chosen. */
 export const DEFAULT_POLICY: Policy = Object.freeze(policySchema.parse({}))
