--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -45,8 +45,8 @@
   residency: ResidencyClient
   /** Hands requests on while no configuration is known here; undefined where each instance answers for itself. */
   relay?: InstanceRelay
-  /** Keeps the quotas of teams; undefined where no teams are named. */
-  quotas?: QuotaGate
+  /** Keeps the quotas of teams; undefined where none are kept. */
+  quotas?: QuotaGate | undefined
   /** Counts a client's request at a service for the budget of further attempts. */
   countRequest: (service: string) => void
   /** The routes in force; undefined until a configuration is known. */
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -1,13 +1,13 @@
+import type { QuotaBounds } from '@pulleystack/routing.limits'
+
 /** Bounds that every entry instance keeps. */
 export interface EntryBounds {
   /** Further attempts for each request and beside those, in one window, over all instances. */
   retryRatio: number
   retryExtra: number
   retryWindowMs: number
-  /** Window in which what teams use is counted, over all instances, and by what share and by how many units it may go over their quotas. */
-  quotaWindowMs: number
-  quotaOver: number
-  quotaSlack: number
+  /** How far all instances together may go over the quotas of teams; undefined where no quotas are kept. */
+  quota: QuotaBounds | undefined
   /** Milliseconds from a change of the configuration until it has to be in force on every instance. */
   configLagMs: number
   /** Life of the placement lease. */
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -23,7 +23,7 @@
   queue: BackendQueue
   residency: ResidencyService
   relay: InstanceRelay
-  limits: TeamLimits
+  limits: TeamLimits | undefined
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
   isTableCurrent: () => boolean
@@ -36,7 +36,7 @@
 
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
-  const { deps, clock, random, log, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  const { deps, clock, random, log, limits, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   const { protocol } = deps
   const budgets = createBudgets(parts)
   return new RoutedGateway({
@@ -51,7 +51,7 @@
     pace: new StreamPace(clock),
     residency,
     findBudget: (service) => budgets.find(service),
-    quotas: new QuotaGate({ log, limits: parts.limits, onUnits: (team, kind, units) => metrics.countUnits(team, kind, units) }),
+    quotas: limits && new QuotaGate({ log, limits, onUnits: (team, outcome, units) => metrics.countUnits(team, outcome, units) }),
     countRequest: (service) => budgets.noteRequest(service),
     readTable,
     isTableCurrent,
@@ -71,17 +71,18 @@
   return new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
 }
 
-/** Quotas of teams over all instances. */
-export function createLimits ({ settings, clock, policy, mesh, network, readTable }: LimitsParts): TeamLimits {
+/** Quotas of teams over all instances; undefined where none are kept, so that nothing is told for them either. */
+export function createLimits ({ settings, clock, policy, mesh, network, readTable }: LimitsParts): TeamLimits | undefined {
+  const bounds = settings.bounds.quota
+  if (!bounds) return undefined
   if (!policy.pooledQuotas) return new CountedLimits({ clock, network, readTable })
-  const { quotaWindowMs, quotaOver, quotaSlack } = settings.bounds
   const standing = {
     instance: settings.instance,
     countInstances: () => mesh.countKnown(),
     isServing: () => isServing(mesh.self),
     listServing: () => mesh.listLive().filter(isServing).map((identity) => identity.instance),
   }
-  return new PooledLimits({ clock, network, standing, readTable, bounds: { windowMs: quotaWindowMs, over: quotaOver, slack: quotaSlack } })
+  return new PooledLimits({ clock, network, standing, readTable, bounds })
 }
 
 function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -123,7 +123,7 @@
   mesh.start(ended.signal)
   shareLoads({ clock, network, fleet, countReaders: () => mesh.listServing().length, onChange: () => queue.pump() }, ended.signal)
   residency.start(ended.signal)
-  limits.start(ended.signal)
+  limits?.start(ended.signal)
   const noteReady = (): void => {
     if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
   }
--- a/routing/limits/src/PooledLimits.ts
+++ b/routing/limits/src/PooledLimits.ts
@@ -6,14 +6,10 @@
 import { QuotaPool, type QuotaBounds } from './QuotaPool.js'
 import { TeamLimits, type QuotaVerdict } from './TeamLimits.js'
 
-/** Time that an instance brings: milliseconds by the groups of teams that they are for; from one on standby, the same for all teams. */
-interface EarnedTime {
-  /** Monotone time of the sender. */
-  sentAt: number
-  groups: 'all' | [group: number, ms: number][]
-  /** With `all`. */
-  ms?: number
-}
+/** Milliseconds that an instance brings for groups of teams; one on standby knows no teams and lends them for all. `sentAt` is its monotone time. */
+type EarnedTime =
+  | { kind: 'brought', sentAt: number, groups: [group: number, ms: number][] }
+  | { kind: 'lent', sentAt: number, ms: number }
 
 const EARNED = defineChannel<EarnedTime>('limits.earned')
 const ASKED = defineChannel<{ team: string, units: number, quota: TeamQuota }, QuotaVerdict>('limits.asked')
@@ -63,7 +59,7 @@
   /** Monotone times at which peers last brought time. */
   private readonly broughtAt = new Map<string, number>()
   private earnedSince: number
-  /** Time that instances on standby brought and that is not passed on yet. */
+  /** Time that instances on standby lent and that is not brought to pools yet. */
   private lentMs = 0
 
   constructor (private readonly opts: PooledLimitsOptions) {
@@ -104,11 +100,6 @@
     else if (owner !== undefined) this.opts.network.send(owner, GIVEN_BACK, { team: team.name, units })
   }
 
-  /** Units of a team at hand here; undefined when another instance has its pool. */
-  readLeft (team: string): number | undefined {
-    return this.findOwner(findGroup(team)) === this.self ? this.pools.get(team)?.left : undefined
-  }
-
   private get self (): string {
     return this.opts.standing.instance
   }
@@ -141,25 +132,32 @@
 
   /** Brings what was earned since the last time to where it is spent. */
   private bring (): void {
-    const { clock, standing, network } = this.opts
+    const { clock, standing } = this.opts
     const now = clock.readTime()
     const earnedMs = Math.min(KEEP_MS, now - this.earnedSince)
     const ms = earnedMs + this.lentMs
     this.earnedSince = now
     this.lentMs = 0
     if (standing.countInstances() === undefined) return
-    if (!standing.isServing()) {
-      const keeper = findOwner(this.self, standing.listServing())
-      if (keeper !== undefined) network.send(keeper, EARNED, { sentAt: now, groups: 'all', ms })
-      return
-    }
+    if (standing.isServing()) this.bringToPools(ms, now)
+    else this.lend(ms, now)
+  }
+
+  /** Leaves it to an instance that serves where the time goes, as this one knows no teams. */
+  private lend (ms: number, now: number): void {
+    const { network, standing } = this.opts
+    const borrower = findOwner(this.self, standing.listServing())
+    if (borrower !== undefined) network.send(borrower, EARNED, { kind: 'lent', sentAt: now, ms })
+  }
+
+  private bringToPools (ms: number, now: number): void {
     const byOwner = new Map<string, [number, number][]>()
     for (const group of this.listGroups()) {
       const owner = this.findOwner(group)
       if (owner === this.self) this.addTime(group, ms)
       else if (owner !== undefined) byOwner.set(owner, [...byOwner.get(owner) ?? [], [group, ms]])
     }
-    for (const [owner, groups] of byOwner) network.send(owner, EARNED, { sentAt: now, groups })
+    for (const [owner, groups] of byOwner) this.opts.network.send(owner, EARNED, { kind: 'brought', sentAt: now, groups })
   }
 
   /** Groups that have a team with a quota. */
@@ -168,11 +166,11 @@
     return new Set(teams.filter((team) => team.quota).map((team) => findGroup(team.name)))
   }
 
-  private takeEarned (from: string, { sentAt, groups, ms = 0 }: EarnedTime): void {
-    if (this.isLate(from, sentAt)) return
+  private takeEarned (from: string, earned: EarnedTime): void {
+    if (this.isLate(from, earned.sentAt)) return
     this.broughtAt.set(from, this.opts.clock.readTime())
-    if (groups === 'all') this.lentMs += ms
-    else for (const [group, groupMs] of groups) this.addTime(group, groupMs)
+    if (earned.kind === 'lent') this.lentMs += earned.ms
+    else for (const [group, ms] of earned.groups) this.addTime(group, ms)
   }
 
   /** Whether a message was held up on its way or came twice: what it brings would be spent beside what was earned since. */
--- a/routing/limits/src/QuotaPool.ts
+++ b/routing/limits/src/QuotaPool.ts
@@ -76,12 +76,6 @@
     this.level = Math.min(this.capacity, this.level + units)
   }
 
-  /** Units at hand. */
-  get left (): number {
-    this.fade()
-    return Math.min(this.level, this.capacity)
-  }
-
   /** Milliseconds until units will be at hand, behind those that were promised some before. */
   private estimateWait (units: number): number {
     const missing = Math.max(0, units - this.overdraft - this.level) + this.promised
