--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -17,6 +17,7 @@
 import { RELAY_HEADER_NAMES, readMinVersion } from './relayHeaders.js'
 import { createRequestEnd, endWith, waitUntilSent, type RequestEnd } from './RequestEnd.js'
 import { runRequest, type RunOptions } from './runRequest.js'
+import { waitForReads } from './waitForReads.js'
 
 const UNCONFIGURED_RETRY_SECONDS = 0.5
 /** By then a client asks another instance, or this one has asked the store twice more. */
@@ -160,6 +161,7 @@
       const team = findTeam({ table, route, facts, isTableCurrent: this.opts.isTableCurrent })
       const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
       this.checkMayBegin(deadline)
+      await endWith(end.signal, waitForReads())
       quotaUse = await endWith(end.signal, this.admit(facts, team))
       const work = await this.readWork({ table, route, team, facts, request, arrivedAt, deadline, signal: end.signal })
       unfinished.work = work
@@ -220,6 +222,7 @@
     this.checkMayBegin(deadline)
     const cancel = this.opts.clock.setTimer(Math.max(0, deadline - this.opts.clock.readTime()), () => end.expire())
     try {
+      await endWith(end.signal, waitForReads())
       const body = hasBody(request) ? await endWith(end.signal, readBody(request, RELAY_BODY_BYTES)) : undefined
       const { method = 'GET', url: path = '/', rawHeaders } = request
       const clientDeadline = facts.waitMs === undefined ? undefined : arrivedAt + facts.waitMs
