--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -254,6 +254,7 @@
       team,
       priority: team?.priority ?? route.priority,
       hidesKey: table.hasTeams,
+      host: (request.headers.host ?? '').toLowerCase(),
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       rawHeaders: listEndToEnd(request.rawHeaders, RELAY_HEADER_NAMES),
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -18,6 +18,8 @@
   priority: number
   /** The access key is meant for the system alone. */
   hidesKey: boolean
+  /** Whom the client asked, in lower case. */
+  host: string
   method: string
   /** Path and query as the client sent them. */
   path: string
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -3,7 +3,7 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
-import { openExchange } from '@pulleystack/routing.forward'
+import { openExchange, type ServerProbe } from '@pulleystack/routing.forward'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { RetryPermit, WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
@@ -11,6 +11,7 @@
 import type { BackendPlace } from './BackendPlace.js'
 import type { BackendQueue } from './BackendQueue.js'
 import type { ClientAnswer } from './ClientAnswer.js'
+import { hashWork } from './hashWork.js'
 import { relayStream, type StreamProgress } from './relayStream.js'
 import type { RoutedWork } from './RoutedWork.js'
 import type { StreamPace } from './StreamPace.js'
@@ -25,6 +26,7 @@
   clock: Clock
   random: RandomSource
   agent: BackendAgent
+  probe: ServerProbe
   protocol: RoutedProtocol
   queue: BackendQueue
   fleet: BackendFleet
@@ -122,6 +124,8 @@
   } catch (thrown) {
     const error = attempt.signal.aborted && attempt.signal.reason instanceof PulleystackError ? withRan(attempt.signal.reason, thrown) : convertToError(thrown)
     if (error.ran !== Ran.NO && progress.runs < progress.sends) progress.runs++
+    // A server that was silent may still be there; that its connections broke is what tells.
+    if (error.code === 'ATTEMPT_FAILED_UNKNOWN' && !attempt.signal.aborted) await noteBroken(opts, work, place, { send: progress.sends, sentAt })
     return noteServerFailure(opts, work, place, error, facts)
   } finally {
     attempt.release()
@@ -192,6 +196,15 @@
   }
 }
 
+/** Finds out whether the server ended under the request, or only broke that connection. */
+async function noteBroken (opts: RunOptions, work: RoutedWork, { backend }: BackendPlace, { send, sentAt }: { send: number, sentAt: number }): Promise<void> {
+  const sentMs = Math.round(opts.clock.readTime() - sentAt)
+  const { address } = backend.entry
+  if (!await opts.probe.hasEnded(address)) return
+  const facts = { request: work.requestId, identity: hashWork(work), backend: backend.id, address }
+  opts.log.record(DecisionKinds.SERVER_ENDED, { ...facts, send, sentMs, events: work.stream.events })
+}
+
 function noteServerFailure (
   opts: RunOptions,
   work: RoutedWork,
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -7,7 +7,7 @@
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
-import { BackendAgent } from '@pulleystack/routing.forward'
+import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import type { EntryMetrics } from './EntryMetrics.js'
@@ -44,6 +44,7 @@
     random,
     log,
     agent: new BackendAgent(clock),
+    probe: new ServerProbe(clock),
     protocol,
     relay: parts.relay,
     queue,
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -11,7 +11,7 @@
 import { hashAccessKey } from '@pulleystack/core.hashing'
 import { ResidencyClient, type NeedAnswer } from '@pulleystack/placement.residency'
 import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
-import { BackendAgent } from '@pulleystack/routing.forward'
+import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import type { Routing } from './createRouting.js'
@@ -57,6 +57,7 @@
     random,
     log,
     agent: new BackendAgent(clock),
+    probe: new ServerProbe(clock),
     protocol: new OwnRoutedProtocol(),
     queue,
     fleet,
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -65,6 +65,11 @@
   'attempt-sent': { request: string, backend: string, send: number, running: number, prefillTokens: number, keptTokens: number, leftMs: number }
   /** `ran` says whether the request may have run. */
   'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
+  /**
+   * A connection broke and none comes up any more: the server ended under the request, `sentMs` after it was sent there; `identity` is the same
+   * whenever the request comes again.
+   */
+  'server-ended': { request: string, identity: string, backend: string, address: string, send: number, sentMs: number, events: number }
   /**
    * Whether another attempt may follow: `free`, `paid` or `denied`; `left` of the budget remained before it, of which `extra` does not come from
    * requests; the budget counts `instances` and this process has lived for `lifeMs`.
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -32,6 +32,7 @@
   REQUEST_RELAYED: 'request-relayed',
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
+  SERVER_ENDED: 'server-ended',
   RETRY_JUDGED: 'retry-judged',
   ENTRY_UNREADABLE: 'entry-unreadable',
   QUOTA_REFUSED: 'quota-refused',
