--- a/core/errors/src/resultCodes.ts
+++ b/core/errors/src/resultCodes.ts
@@ -52,6 +52,7 @@
   INSTANCE_STOPPING: buildCode(3014, 503, Ran.NO, 'This instance is stopping; use another address.'),
   BACKEND_REFUSED: buildCode(3015, 502, Ran.NO, 'The backend server refused the work.'),
   CONFIG_OUTDATED: buildCode(3016, 503, Ran.NO, 'This instance does not know the newest configuration yet.'),
+  REQUEST_ENDS_SERVERS: buildCode(3017, 503, Ran.NO, 'Backend servers ended while they ran this very request; it is kept from the others.'),
   INTERNAL: buildCode(3099, 500, Ran.UNKNOWN, 'A fault of this program.'),
   OBJECT_INVALID: buildCode(4001, 400, Ran.NO, 'An object does not match its schema.'),
   REFERENCE_MISSING: buildCode(4002, 400, Ran.NO, 'An object refers to one that does not exist.'),
--- a/gateway/routed/src/BackendPlace.ts
+++ b/gateway/routed/src/BackendPlace.ts
@@ -18,6 +18,7 @@
   private prefilling: number
   private ended = false
   private begunAt: number | undefined
+  private readonly suspects: number
 
   constructor (
     readonly choice: BackendChoice,
@@ -26,11 +27,13 @@
     private readonly onChange: (change: PlaceChange) => void,
   ) {
     this.takenAt = clock.readTime()
+    this.suspects = work.isSuspect ? 1 : 0
     this.prefilling = Math.max(0, (work.generation?.promptTokens ?? 0) - choice.keptTokens)
     const { own } = choice.backend
     own.running++
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
+    own.suspects += this.suspects
     onChange(PlaceChanges.TAKEN)
   }
 
@@ -63,6 +66,7 @@
     this.releasePrefill()
     this.backend.own.running--
     this.backend.own.cacheTokens -= this.cacheTokens
+    this.backend.own.suspects -= this.suspects
     this.onChange(PlaceChanges.ENDED)
   }
 
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -152,7 +152,7 @@
   private choose (work: RoutedWork, readingLimit: number, excluded: ReadonlySet<string>): BackendChoice | ChoiceFailure {
     return chooseBackend({
       backends: this.opts.fleet.list(work.service.name),
-      demand: { dataHall: this.opts.dataHall, excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit },
+      demand: { dataHall: this.opts.dataHall, excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit, mustBeApart: work.mustBeApart },
       figures: work.service.serving,
       policy: this.opts.policy,
       random: this.opts.random,
--- a/gateway/routed/src/RequestEnd.ts
+++ b/gateway/routed/src/RequestEnd.ts
@@ -33,6 +33,8 @@
   expire: () => void
   /** The instance ends before the request could. */
   abandon: () => void
+  /** It is known by now that the request can't be served. */
+  refuse: (error: PulleystackError) => void
   /** The reason for which the request ended, or what went wrong by itself. */
   explain: (error: PulleystackError) => PulleystackError
   release: () => void
@@ -49,6 +51,7 @@
     signal: abort.signal,
     expire: () => abort.abort(new PulleystackError('DEADLINE_UNKNOWN', 'The time of the request is over')),
     abandon: () => abort.abort(new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request could', { retryAfterSeconds: 0 })),
+    refuse: (error) => abort.abort(error),
     explain: (error) => {
       const reason: unknown = abort.signal.reason
       if (!(reason instanceof PulleystackError)) return error
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -97,10 +97,13 @@
   private readonly ends = new Set<RequestEnd>()
   /** Holds requests longer than `ends`, until their answers have left. */
   private readonly unfinished = new Set<UnfinishedRequest>()
+  /** Requests that are run or wait for it. */
+  private readonly works = new Map<RoutedWork, RequestEnd>()
   private readonly firstTries: FirstTries
 
   constructor (private readonly opts: RoutedGatewayOptions) {
     this.firstTries = new FirstTries(opts.clock)
+    opts.suspects.changes.subscribe((identity) => this.refuseWaiting(identity))
   }
 
   /** Requests that have not been answered whole, or whose answers have not left for their clients' connections. */
@@ -171,7 +174,9 @@
       if (route.streams) stream = work.stream
       const cancel = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => end.expire())
       const endInHand = this.noteDemand(work)
+      this.works.set(work, end)
       await runRequest(this.opts, work, client).finally(() => {
+        this.works.delete(work)
         cancel()
         endInHand()
       })
@@ -189,6 +194,14 @@
     }
   }
 
+  /** Refuses those that wait and turn out to be the same request under which servers end. */
+  private refuseWaiting (identity: string): void {
+    for (const [work, end] of this.works) {
+      const refusal = this.opts.queue.isWaiting(work) ? this.opts.suspects.findRefusal(work, identity) : undefined
+      if (refusal) end.refuse(refusal)
+    }
+  }
+
   private async admit ({ requestId, tokens }: RoutedRequestFacts, team: Team | undefined): Promise<QuotaUse | undefined> {
     return this.opts.quotas?.admit({ requestId, team, tokens })
   }
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -37,6 +37,12 @@
   stream: StreamProgress
   /** Ends with the client or at the deadline. */
   signal: AbortSignal
+  /** The same whenever the request comes again, under whichever id; undefined until it is asked for. */
+  identity?: string
+  /** A server has ended under it, and others keep away from where it runs. */
+  isSuspect?: boolean
+  /** More than one has, and it runs on no server where another suspect is. */
+  mustBeApart?: boolean
 }
 
 /** What a request's generation will likely take. */
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -3,18 +3,19 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
-import { openExchange, type ServerProbe } from '@pulleystack/routing.forward'
+import { openExchange } from '@pulleystack/routing.forward'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
+import type { SuspectRun } from '@pulleystack/routing.quarantine'
 import type { RetryPermit, WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
 import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
 import type { BackendPlace } from './BackendPlace.js'
 import type { BackendQueue } from './BackendQueue.js'
 import type { ClientAnswer } from './ClientAnswer.js'
-import { hashWork } from './hashWork.js'
 import { relayStream, type StreamProgress } from './relayStream.js'
 import type { RoutedWork } from './RoutedWork.js'
 import type { StreamPace } from './StreamPace.js'
+import type { SuspectGate } from './SuspectGate.js'
 
 const CONNECT_MS = 300
 const MAX_BODY_BYTES = 32 << 20
@@ -26,7 +27,7 @@
   clock: Clock
   random: RandomSource
   agent: BackendAgent
-  probe: ServerProbe
+  suspects: SuspectGate
   protocol: RoutedProtocol
   queue: BackendQueue
   fleet: BackendFleet
@@ -54,9 +55,9 @@
 export async function runRequest (opts: RunOptions, work: RoutedWork, client: ClientAnswer): Promise<void> {
   const progress: RunProgress = { sends: 0, runs: 0, stream: work.stream, failure: undefined, error: undefined, permit: undefined }
   for (;;) {
-    const place = await acquirePlace(opts, work, progress)
-    if (!place) break
-    const error = await runAttempt(opts, work, progress, place, client)
+    const right = await acquireRight(opts, work, progress)
+    if (!right) break
+    const error = await runAttempt(opts, work, progress, right, client)
     if (!error) return
     progress.error = error
     if (mayRetry(opts, work, progress, error)) continue
@@ -66,12 +67,19 @@
   if (progress.failure) client.sendWhole(progress.failure.answer, progress.failure.body)
 }
 
-/** A place for the next attempt; undefined when a server's failure is all there is to pass on. */
-async function acquirePlace (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<BackendPlace | undefined> {
+/** What one attempt needs. */
+interface AttemptRight {
+  place: BackendPlace
+  run: SuspectRun
+}
+
+/** The right to the next attempt; undefined when a server's failure is all there is to pass on. */
+async function acquireRight (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<AttemptRight | undefined> {
   try {
-    const place = await opts.queue.acquire(work)
-    if (!progress.error || takePermit(progress)) return place
-    place.end()
+    const right = await admitToPlace(opts, work)
+    if (!progress.error || takePermit(progress)) return right
+    right.run.release()
+    right.place.end()
     throw progress.error
   } catch (thrown) {
     progress.permit?.giveBack()
@@ -81,6 +89,26 @@
   }
 }
 
+/** A place for a request that may run; what becomes known of it while it waits for the place is judged anew. */
+async function admitToPlace (opts: RunOptions, work: RoutedWork): Promise<AttemptRight> {
+  for (;;) {
+    const run = await opts.suspects.admit(work)
+    const place = await acquirePlace(opts, work, run)
+    if (!opts.suspects.hasChanged(work)) return { place, run }
+    place.end()
+    run.release()
+  }
+}
+
+async function acquirePlace (opts: RunOptions, work: RoutedWork, run: SuspectRun): Promise<BackendPlace> {
+  try {
+    return await opts.queue.acquire(work)
+  } catch (thrown) {
+    run.release()
+    throw thrown
+  }
+}
+
 /** Pays for the attempt that is about to be made; false when it can't be paid for any more. */
 function takePermit (progress: RunProgress): boolean {
   const { permit } = progress
@@ -93,10 +121,10 @@
   opts: RunOptions,
   work: RoutedWork,
   progress: RunProgress,
-  place: BackendPlace,
+  { place, run }: AttemptRight,
   client: ClientAnswer,
 ): Promise<PulleystackError | undefined> {
-  const { clock, log } = opts
+  const { clock, log, suspects } = opts
   const sentAt = clock.readTime()
   const attempt = createAttemptSignal(clock, work, {
     isWatched: mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts,
@@ -116,6 +144,7 @@
     progress.runs++
     place.backend.noteReached(clock.readTime())
     const failed = await passOn(opts, { work, progress, place, client, answer, attempt })
+    suspects.noteServed(work)
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
     const hasFailed = answer.status >= SERVER_FAILURE
     opts.fleet.noteOutcome(place.backend, hasFailed, clock.readTime())
@@ -125,10 +154,13 @@
     const error = attempt.signal.aborted && attempt.signal.reason instanceof PulleystackError ? withRan(attempt.signal.reason, thrown) : convertToError(thrown)
     if (error.ran !== Ran.NO && progress.runs < progress.sends) progress.runs++
     // A server that was silent may still be there; that its connections broke is what tells.
-    if (error.code === 'ATTEMPT_FAILED_UNKNOWN' && !attempt.signal.aborted) await noteBroken(opts, work, place, { send: progress.sends, sentAt })
+    if (error.code === 'ATTEMPT_FAILED_UNKNOWN' && !attempt.signal.aborted) {
+      await suspects.noteBroken(work, { backend: place.backend, run, send: progress.sends, sentAt })
+    }
     return noteServerFailure(opts, work, place, error, facts)
   } finally {
     attempt.release()
+    run.release()
     place.end()
   }
 }
@@ -196,15 +228,6 @@
   }
 }
 
-/** Finds out whether the server ended under the request, or only broke that connection. */
-async function noteBroken (opts: RunOptions, work: RoutedWork, { backend }: BackendPlace, { send, sentAt }: { send: number, sentAt: number }): Promise<void> {
-  const sentMs = Math.round(opts.clock.readTime() - sentAt)
-  const { address } = backend.entry
-  if (!await opts.probe.hasEnded(address)) return
-  const facts = { request: work.requestId, identity: hashWork(work), backend: backend.id, address }
-  opts.log.record(DecisionKinds.SERVER_ENDED, { ...facts, send, sentMs, events: work.stream.events })
-}
-
 function noteServerFailure (
   opts: RunOptions,
   work: RoutedWork,
--- a/gateway/routed/test/RoutedGateway.test.ts
+++ b/gateway/routed/test/RoutedGateway.test.ts
@@ -5,6 +5,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import { ManualClock } from '@pulleystack/core.clock'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
+import { NEVER } from 'rxjs'
 import { RoutedGateway, type RoutedGatewayOptions } from '../src/index.js'
 
 const TIMEOUT_MS = 2_000
@@ -53,6 +54,7 @@
       clock,
       log: new SilentDecisionLog(),
       protocol: { readRequest: () => ({ requestId: 'q' }), buildOwnHeaders: () => ({}) },
+      suspects: { changes: NEVER },
       readTable: () => table,
       mustClose: () => false,
       onOutcome: () => undefined,
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -78,6 +78,7 @@
         buildForwardHeaders: () => ['Host', 'h'],
         readAnswer: (_: number, headers: http.IncomingHttpHeaders) => ({ requestId: 'q', signed: true, notRun: headers.unused !== undefined }),
       },
+      suspects: { hasChanged: () => false, admit: () => Promise.resolve({ isOnly: false, release: () => undefined }), noteServed: () => undefined },
       queue: { acquire, hasPlaceBeside: () => true },
       fleet: { noteOutcome: () => undefined },
       log: new SilentDecisionLog(),
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,7 +1,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
-import { InstanceRelay, QuotaGate, RoutedGateway, StreamPace, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
+import { InstanceRelay, QuotaGate, RoutedGateway, StreamPace, SuspectGate, type BackendQueue, type RelayTarget } from '@pulleystack/gateway.routed'
 import { listRanked } from '@pulleystack/core.hashing'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
@@ -9,6 +9,7 @@
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
+import { LoneRunRule, Quarantine, SuspectArchive, Verdicts } from '@pulleystack/routing.quarantine'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
@@ -24,6 +25,7 @@
   residency: ResidencyService
   relay: InstanceRelay
   limits: TeamLimits | undefined
+  quarantine: Quarantine
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
   isTableCurrent: () => boolean
@@ -36,7 +38,7 @@
 
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
-  const { deps, clock, random, log, limits, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  const { deps, clock, random, log, limits, quarantine, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   const { protocol } = deps
   const budgets = createBudgets(parts)
   return new RoutedGateway({
@@ -44,7 +46,7 @@
     random,
     log,
     agent: new BackendAgent(clock),
-    probe: new ServerProbe(clock),
+    suspects: new SuspectGate({ clock, log, fleet, quarantine, probe: new ServerProbe(clock) }),
     protocol,
     relay: parts.relay,
     queue,
@@ -81,11 +83,24 @@
     instance: settings.instance,
     countInstances: () => mesh.countKnown(),
     isServing: () => isServing(mesh.self),
-    listServing: () => mesh.listLive().filter(isServing).map((identity) => identity.instance),
+    listServing: () => listServing(mesh),
   }
   return new PooledLimits({ clock, network, standing, readTable, bounds })
 }
 
+/** What all instances together know of requests under which servers ended. */
+export function createQuarantine ({ settings, deps, clock, mesh, network }: Pick<GatewayParts, 'settings' | 'deps' | 'clock' | 'mesh' | 'network'>): Quarantine {
+  const archive = new SuspectArchive({ clock, store: deps.store, isRefused: (identity) => quarantine.judge(identity) === Verdicts.REFUSED })
+  const standing = { instance: settings.instance, listServing: () => listServing(mesh) }
+  const quarantine: Quarantine = new Quarantine({ clock, network, standing, rule: new LoneRunRule(), archive })
+  return quarantine
+}
+
+/** The other instances that serve and have a live link. */
+function listServing (mesh: InstanceMesh): string[] {
+  return mesh.listLive().filter(isServing).map((identity) => identity.instance)
+}
+
 function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
   const standing = {
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -10,7 +10,7 @@
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import { createGateway, createLimits, createRelay } from './createGateway.js'
+import { createGateway, createLimits, createQuarantine, createRelay } from './createGateway.js'
 import { createMesh } from './createMesh.js'
 import { createMetrics } from './createMetrics.js'
 import { createResidency } from './createResidency.js'
@@ -108,8 +108,9 @@
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
   const relay = createRelay(parts)
   const limits = createLimits(parts)
+  const quarantine = createQuarantine(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
-  const gateway = createGateway({ ...parts, random, queue, relay, limits, residency, metrics, isTableCurrent, mayBegin, mustClose })
+  const gateway = createGateway({ ...parts, random, queue, relay, limits, quarantine, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -124,6 +125,7 @@
   shareLoads({ clock, network, fleet, countReaders: () => mesh.listServing().length, onChange: () => queue.pump() }, ended.signal)
   residency.start(ended.signal)
   limits?.start(ended.signal)
+  quarantine.start(ended.signal)
   const noteReady = (): void => {
     if (state.phase === EntryPhases.STARTING && state.table !== undefined && fleet.listAll().length > 0) setPhase(EntryPhases.READY)
   }
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -7,11 +7,12 @@
 import { explainRoute, type RouteExplanation } from '@pulleystack/gateway.admin'
 import { findAllowedService } from '@pulleystack/gateway.callers'
 import { parseBearer, sendError } from '@pulleystack/gateway.http'
-import { BackendQueue, RoutedGateway, StreamPace } from '@pulleystack/gateway.routed'
+import { BackendQueue, RoutedGateway, StreamPace, SuspectGate } from '@pulleystack/gateway.routed'
 import { hashAccessKey } from '@pulleystack/core.hashing'
 import { ResidencyClient, type NeedAnswer } from '@pulleystack/placement.residency'
 import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
 import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
+import { LoneRunRule, Quarantine } from '@pulleystack/routing.quarantine'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import type { Routing } from './createRouting.js'
@@ -57,7 +58,7 @@
     random,
     log,
     agent: new BackendAgent(clock),
-    probe: new ServerProbe(clock),
+    suspects: new SuspectGate({ clock, log, fleet, quarantine: createQuarantine(core), probe: new ServerProbe(clock) }),
     protocol: new OwnRoutedProtocol(),
     queue,
     fleet,
@@ -106,6 +107,15 @@
   return new RetryBudgets({ clock, network, standing, ratio: RETRY_RATIO, extra: RETRY_EXTRA, windowMs: RETRY_WINDOW_MS })
 }
 
+/** Requests under which servers ended, as all instances know them; after all of them have ended at once nobody does. */
+function createQuarantine ({ clock, network, view, ended }: Core): Quarantine {
+  const { instance } = view.self
+  const listServing = (): string[] => view.listEligible().map((identity) => identity.instance).filter((other) => other !== instance)
+  const quarantine = new Quarantine({ clock, network, standing: { instance, listServing }, rule: new LoneRunRule() })
+  quarantine.start(ended.signal)
+  return quarantine
+}
+
 /** Plain services have no models to place. */
 class NoResidency extends ResidencyClient {
   override async requestWeights (): Promise<NeedAnswer> {
--- a/routing/fleet/src/LoadTally.ts
+++ b/routing/fleet/src/LoadTally.ts
@@ -6,10 +6,12 @@
   prefillTokens: number
   /** Tokens that running requests may come to hold in the KV cache. */
   cacheTokens: number
+  /** Running requests under which a server has ended before. */
+  suspects: number
 }
 
 /** A tally of nothing. */
-export const NO_LOAD: LoadTally = Object.freeze({ running: 0, prefillTokens: 0, cacheTokens: 0 })
+export const NO_LOAD: LoadTally = Object.freeze({ running: 0, prefillTokens: 0, cacheTokens: 0, suspects: 0 })
 
 /** The sum of tallies. */
 export function sumTallies (tallies: Iterable<LoadTally>): LoadTally {
@@ -18,6 +20,7 @@
     sum.running += tally.running
     sum.prefillTokens += tally.prefillTokens
     sum.cacheTokens += tally.cacheTokens
+    sum.suspects += tally.suspects
   }
   return sum
 }
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -25,6 +25,8 @@
   queueShare: number
   /** Prompt tokens that a server may have to read at a time, this request's among them; a server that reads nothing takes any prompt. */
   readingLimit: number
+  /** It may run on no server where a request is under which a server has ended before. */
+  mustBeApart?: boolean
 }
 
 /** Why no backend server was chosen. */
@@ -61,6 +63,11 @@
 const HOLD_UP_SHARE = 0.04
 /** Milliseconds by which a server in another data hall must be faster; twice the way there and back, for the bytes between halls cost too. */
 const OTHER_HALL_MS = 4
+/**
+ * Milliseconds by which another server may be slower and is taken all the same when on this one a request runs under which a server has ended before:
+ * it may take all that runs beside it along. A first choice, a little under what a short stream lasts.
+ */
+const SUSPECT_MS = 200
 /** Share of the KV cache that running requests may come to fill; guesses of their length are off by more than the rest at times. */
 const CACHE_SHARE = 0.92
 
@@ -104,12 +111,14 @@
 function rateBackend (backend: Backend, opts: RateOptions): RatedBackend | ChoiceFailure {
   const { demand, figures } = opts
   const load = backend.readLoad()
+  if (demand.mustBeApart && load.suspects > 0) return ChoiceFailures.FULL
+  const suspectMs = load.suspects * SUSPECT_MS
   const hallMs = backend.entry.dataHall === demand.dataHall ? 0 : OTHER_HALL_MS
   // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
   const jitter = opts.random.readFraction()
   if (!demand.generation || !figures) {
     if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return ChoiceFailures.FULL
-    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + hallMs + jitter }
+    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + hallMs + suspectMs + jitter }
   }
   const { generation } = demand
   const weights = nameWeights(generation.model, generation.adapter)
@@ -124,5 +133,5 @@
   const ownMs = unread / PREFILL_TOKENS_PER_MS
   const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
   const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
-  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + hallMs + jitter }
+  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + hallMs + suspectMs + jitter }
 }
--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -5,7 +5,7 @@
 
 /** What one instance has in hand at each server where it has something. */
 export interface SharedLoads {
-  loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number][]
+  loads: [backend: string, running: number, prefillTokens: number, cacheTokens: number, suspects?: number][]
   /** How many of its requests that can still be in time wait for what. */
   waiting: [name: string, count: number][]
   /** Servers to which no connection comes up. */
@@ -80,14 +80,23 @@
 }
 
 function readTallies (shared: SharedLoads): Map<string, LoadTally> {
-  return new Map(shared.loads.map(([backend, running, prefillTokens, cacheTokens]) => [backend, { running, prefillTokens, cacheTokens }]))
+  const entries = shared.loads.map(([backend, running, prefillTokens, cacheTokens, suspects = 0]): [string, LoadTally] => [
+    backend,
+    { running, prefillTokens, cacheTokens, suspects },
+  ])
+  return new Map(entries)
+}
+
+/** Suspects are rare, and left out when there are none. */
+function packTally (id: string, { running, prefillTokens, cacheTokens, suspects }: LoadTally): SharedLoads['loads'][number] {
+  return suspects > 0 ? [id, running, prefillTokens, cacheTokens, suspects] : [id, running, prefillTokens, cacheTokens]
 }
 
 function buildLoads (fleet: BackendFleet, now: number): SharedLoads {
   const busy = fleet.listAll().filter((backend) => backend.own.running > 0)
   const down = fleet.listAll().filter((backend) => !backend.isReachable(now))
   return {
-    loads: busy.map(({ id, own }) => [id, own.running, own.prefillTokens, own.cacheTokens]),
+    loads: busy.map(({ id, own }) => packTally(id, own)),
     waiting: fleet.waiting.listOwn(),
     down: down.map(({ id }) => id),
     outcomes: fleet.takeUntoldOutcomes(),
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -37,7 +37,7 @@
       const backend = fleet.find('r3')
       backend?.prefixes.note('m', [{ id: 'a', tokens: 100 }])
       backend?.noteModel('n', true)
-      fleet.applyPeerLoads('e2', new Map([['r3', { running: 3, prefillTokens: 10, cacheTokens: 10 }]]))
+      fleet.applyPeerLoads('e2', new Map([['r3', { running: 3, prefillTokens: 10, cacheTokens: 10, suspects: 0 }]]))
     })
 
     it('knows nothing of the former life', () => {
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -112,9 +112,9 @@
   })
 
   it('counts what other instances have in hand', () => {
-    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0 }]]))
+    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0, suspects: 0 }]]))
     assert.equal(chooseId(), 'r2')
-    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0 }], ['r2', { running: 8, prefillTokens: 0, cacheTokens: 0 }]]))
+    fleet.applyPeerLoads('e2', new Map([['r1', { running: 8, prefillTokens: 0, cacheTokens: 0, suspects: 0 }], ['r2', { running: 8, prefillTokens: 0, cacheTokens: 0, suspects: 0 }]]))
     assert.equal(choose(), ChoiceFailures.FULL)
     fleet.applyPeerLoads('e2', new Map())
     assert.equal(chooseId(), 'r1')
--- /dev/null
+++ b/routing/quarantine/src/Quarantine.ts
@@ -0,0 +1,203 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { findOwner } from '@pulleystack/core.hashing'
+import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
+import { Subject, filter, type Observable, type Subscription } from 'rxjs'
+import { RunLeases, type LeaseAnswer } from './RunLeases.js'
+import type { ServerEnd, SuspectNews } from './Suspect.js'
+import type { SuspectArchive } from './SuspectArchive.js'
+import { Verdicts, type SuspectRule, type Verdict } from './SuspectRule.js'
+import { SuspectTable } from './SuspectTable.js'
+
+interface LeaseRequest {
+  identity: string
+  lease: string
+  /** Milliseconds after which the run has surely ended. */
+  forMs: number
+  mustBeOnly: boolean
+}
+
+// No later message makes up for a lost one.
+const NEWS = defineChannel<SuspectNews[]>('quarantine.news', { isOnce: true })
+const LEASE = defineChannel<LeaseRequest, LeaseAnswer>('quarantine.lease')
+const LEASE_ENDED = defineChannel<{ identity: string, lease: string }>('quarantine.lease-ended', { isOnce: true })
+
+/** An instance answers within a few milliseconds, unless it is gone or does not run. */
+const LEASE_CALL_MS = 250
+/** A request that may not run beside another run of it waits for that run's end so long at most; streams on the users' sheets last two to four seconds. */
+const WAIT_MS = 3_000
+/** It looks so often whether that run has ended without word. */
+const LOOK_AGAIN_MS = 100
+/** Suspects that are told over a new link, the newest first: 40 KB with two ends each. */
+const MAX_TOLD = 512
+
+/** How an instance stands among those that send requests to servers. */
+export interface QuarantineStanding {
+  instance: string
+  /** The other instances that serve and have a live link. */
+  listServing: () => readonly string[]
+}
+
+export interface QuarantineOptions {
+  clock: Clock
+  network: PeerNetwork
+  standing: QuarantineStanding
+  rule: SuspectRule
+  /** Keeps refused requests over the ends of all instances; undefined where nothing does. */
+  archive?: SuspectArchive
+}
+
+/** The right to one run of a suspect. */
+export interface SuspectRun {
+  /** No other run of the request is under way, as far as its owner knows. */
+  isOnly: boolean
+  /** To be called once the run has ended. */
+  release: () => void
+}
+
+const UNCOUNTED_RUN: SuspectRun = { isOnly: false, release: () => undefined }
+
+/**
+ * What all instances together know of requests under which servers ended. Each tells the others of an end at once; who may run a suspect when no other
+ * run of it may be under way is decided by one instance that all agree on (rendezvous hashing over those that serve).
+ */
+export class Quarantine {
+  private readonly table: SuspectTable
+  private readonly leases: RunLeases
+  private readonly changed = new Subject<string>()
+  private lastLease = 0
+
+  constructor (private readonly opts: QuarantineOptions) {
+    this.table = new SuspectTable(opts.rule, () => opts.clock.readTime())
+    this.leases = new RunLeases(opts.clock)
+  }
+
+  /** Tells which requests are judged anew. */
+  get changes (): Observable<string> {
+    return this.changed
+  }
+
+  /** Requests that are remembered. */
+  get size (): number {
+    return this.table.size
+  }
+
+  /** Ends of servers under a request since it last ended well. */
+  listEnds (identity: string): ServerEnd[] {
+    return this.table.find(identity)?.listOpen() ?? []
+  }
+
+  judge (identity: string): Verdict {
+    return this.table.judge(identity)
+  }
+
+  /** Begins to listen to the others and reads what is kept; goes on until the signal ends. */
+  start (signal: AbortSignal): void {
+    const { network } = this.opts
+    network.handleCalls(LEASE, (_, request) => this.grant(request))
+    const subscriptions: Subscription[] = [
+      network.receive(NEWS).subscribe(({ body }) => this.takeNews(body)),
+      network.receive(LEASE_ENDED).subscribe(({ body }) => this.leases.release(body.identity, body.lease)),
+      network.peerEvents.subscribe((event) => {
+        if (event.kind === 'heard' && event.isNewLink) this.tellAll(event.identity.instance)
+      }),
+    ]
+    signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
+    void this.opts.archive?.load(signal).then((news) => this.takeNews(news))
+    this.changed.subscribe((identity) => this.keepOrForget(identity, signal))
+  }
+
+  /**
+   * The right to run a request for so long at most. Waits while another run of it has to end first, since that one most likely shows that the request is
+   * innocent; undefined when it may not run or the signal ends.
+   */
+  async acquire (identity: string, forMs: number, signal: AbortSignal): Promise<SuspectRun | undefined> {
+    const { clock } = this.opts
+    const until = clock.readTime() + Math.min(WAIT_MS, forMs)
+    for (;;) {
+      const verdict = this.judge(identity)
+      if (verdict === Verdicts.REFUSED) return undefined
+      const run = verdict === Verdicts.FREE ? UNCOUNTED_RUN : await this.tryAcquire(identity, { forMs, mustBeOnly: verdict === Verdicts.ALONE })
+      if (run) return run
+      if (clock.readTime() >= until || signal.aborted) return undefined
+      await this.waitForChange(identity)
+    }
+  }
+
+  /** A server ended under a request. */
+  noteServerEnd (identity: string, end: ServerEnd): void {
+    this.tell(identity, this.table.take({ identity, ends: [end], cleared: [] }))
+  }
+
+  /** A run of the request ended well. */
+  noteGoodEnd (identity: string): void {
+    this.tell(identity, this.table.noteGoodEnd(identity))
+  }
+
+  private async tryAcquire (identity: string, { forMs, mustBeOnly }: { forMs: number, mustBeOnly: boolean }): Promise<SuspectRun | undefined> {
+    const { instance, listServing } = this.opts.standing
+    const lease = `${instance}/${this.lastLease++}`
+    const owner = findOwner(`suspects/${identity}`, [instance, ...listServing()]) ?? instance
+    const answer = await this.askOwner(owner, { identity, lease, forMs, mustBeOnly })
+    // Without its owner's word a request runs like any other unless two servers have ended under it.
+    if (answer === undefined) return mustBeOnly ? undefined : UNCOUNTED_RUN
+    if (!answer.isGranted) return undefined
+    return { isOnly: answer.isOnly, release: () => this.releaseAt(owner, identity, lease) }
+  }
+
+  /** Resolves when the request is judged anew, or it is time to look again. */
+  private waitForChange (identity: string): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        cancel()
+        subscription.unsubscribe()
+        resolve()
+      }
+      const cancel = this.opts.clock.setTimer(LOOK_AGAIN_MS, finish)
+      const subscription = this.changed.pipe(filter((changed) => changed === identity)).subscribe(finish)
+    })
+  }
+
+  private async askOwner (owner: string, request: LeaseRequest): Promise<LeaseAnswer | undefined> {
+    if (owner === this.opts.standing.instance) return this.grant(request)
+    const answer = await this.opts.network.call(owner, LEASE, request, LEASE_CALL_MS)
+    return answer.unwrapOr(undefined)
+  }
+
+  /** Decides about a run as the owner of the request, which may know of more ends than the instance that asks. */
+  private grant ({ identity, lease, forMs, mustBeOnly }: LeaseRequest): LeaseAnswer {
+    const verdict = this.judge(identity)
+    if (verdict === Verdicts.REFUSED) return { isGranted: false, isOnly: false }
+    return this.leases.acquire(identity, lease, { forMs, mustBeOnly: mustBeOnly || verdict === Verdicts.ALONE })
+  }
+
+  private releaseAt (owner: string, identity: string, lease: string): void {
+    if (owner === this.opts.standing.instance) this.leases.release(identity, lease)
+    else this.opts.network.send(owner, LEASE_ENDED, { identity, lease })
+  }
+
+  private tell (identity: string, isNew: boolean): void {
+    const suspect = this.table.find(identity)
+    if (!isNew || !suspect) return
+    this.opts.network.broadcast(NEWS, [suspect.describe()])
+    this.changed.next(identity)
+  }
+
+  private tellAll (peer: string): void {
+    const news = this.table.list().slice(-MAX_TOLD).map((suspect) => suspect.describe())
+    if (news.length > 0) this.opts.network.send(peer, NEWS, news)
+  }
+
+  private takeNews (news: readonly SuspectNews[]): void {
+    for (const each of news) {
+      if (this.table.take(each)) this.changed.next(each.identity)
+    }
+  }
+
+  private keepOrForget (identity: string, signal: AbortSignal): void {
+    const { archive } = this.opts
+    const suspect = this.table.find(identity)
+    if (!archive || !suspect) return
+    if (this.judge(identity) === Verdicts.REFUSED) void archive.keep(suspect.describe(), signal)
+    else if (suspect.listOpen().length === 0) void archive.forget(identity)
+  }
+}
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -67,9 +67,11 @@
   'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
   /**
    * A connection broke and none comes up any more: the server ended under the request, `sentMs` after it was sent there; `identity` is the same
-   * whenever the request comes again.
+   * whenever the request comes again, and `ends` servers have ended under it since it last ended well.
    */
-  'server-ended': { request: string, identity: string, backend: string, address: string, send: number, sentMs: number, events: number }
+  'server-ended': { request: string, identity: string, backend: string, address: string, send: number, sentMs: number, events: number, ends: number }
+  /** So many servers have ended under the request that it isn't sent to another: never (`refused`), or not beside another run of it (`alone`). */
+  'suspect-refused': { request: string, identity: string, ends: number, verdict: string }
   /**
    * Whether another attempt may follow: `free`, `paid` or `denied`; `left` of the budget remained before it, of which `extra` does not come from
    * requests; the budget counts `instances` and this process has lived for `lifeMs`.
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -33,6 +33,7 @@
   ATTEMPT_SENT: 'attempt-sent',
   ATTEMPT_FAILED: 'attempt-failed',
   SERVER_ENDED: 'server-ended',
+  SUSPECT_REFUSED: 'suspect-refused',
   RETRY_JUDGED: 'retry-judged',
   ENTRY_UNREADABLE: 'entry-unreadable',
   QUOTA_REFUSED: 'quota-refused',
--- a/tools/bench/src/benches.ts
+++ b/tools/bench/src/benches.ts
@@ -11,5 +11,6 @@
   'drain': async () => (await import('./fleet/runDrain.js')).runDrain,
   'placement': async () => (await import('./placement/runPlacement.js')).runPlacement,
   'plan-scale': async () => (await import('./placement/runPlanScale.js')).runPlanScale,
+  'suspects': async () => (await import('./routing/runSuspects.js')).runSuspects,
   'capacity': async () => (await import('./capacity/runCapacity.js')).runCapacity,
 }
