--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -103,7 +103,7 @@
 
   constructor (private readonly opts: RoutedGatewayOptions) {
     this.firstTries = new FirstTries(opts.clock)
-    opts.suspects.changes.subscribe((identity) => this.refuseWaiting(identity))
+    opts.suspects.changes.subscribe((identity) => this.endRefused(identity))
   }
 
   /** Requests that have not been answered whole, or whose answers have not left for their clients' connections. */
@@ -195,7 +195,7 @@
   }
 
   /** Refuses those that wait and turn out to be the same request under which servers end. */
-  private refuseWaiting (identity: string): void {
+  private endRefused (identity: string): void {
     for (const [work, end] of this.works) {
       const refusal = this.opts.queue.isWaiting(work) ? this.opts.suspects.findRefusal(work, identity) : undefined
       if (refusal) end.refuse(refusal)
--- a/gateway/routed/src/SuspectGate.ts
+++ b/gateway/routed/src/SuspectGate.ts
@@ -44,9 +44,9 @@
     const verdict = this.judge(work)
     work.isSuspect = verdict !== Verdicts.FREE
     work.mustBeApart = verdict === Verdicts.ALONE
-    if (verdict === Verdicts.FREE) return FREE_RUN
-    const run = await quarantine.acquire(this.identify(work), Math.max(0, work.deadline - clock.readTime()), work.signal)
-    if (!run) throw this.refuse(work)
+    if (verdict === Verdicts.FREE && quarantine.isLoaded) return FREE_RUN
+    const run = await quarantine.acquire(this.readIdentity(work), Math.max(0, work.deadline - clock.readTime()), work.signal)
+    if (!run) throw this.createRefusal(work)
     return run
   }
 
@@ -60,7 +60,7 @@
     const { clock, log, probe, quarantine } = this.opts
     const sentMs = Math.round(clock.readTime() - sentAt)
     if (!this.isExpectedToStay(backend) || !await probe.hasEnded(backend.entry.address)) return
-    const identity = this.identify(work)
+    const identity = this.readIdentity(work)
     quarantine.noteServerEnd(identity, { life: nameLife(backend), wasOnlyRun: run.isOnly })
     const facts = { request: work.requestId, identity, backend: backend.id, address: backend.entry.address }
     log.record(DecisionKinds.SERVER_ENDED, { ...facts, send, sentMs, events: work.stream.events, ends: quarantine.listEnds(identity).length })
@@ -68,13 +68,13 @@
 
   /** A server has run the request to its end. */
   noteServed (work: RoutedWork): void {
-    if (this.opts.quarantine.size > 0) this.opts.quarantine.noteGoodEnd(this.identify(work))
+    if (this.opts.quarantine.size > 0) this.opts.quarantine.noteGoodEnd(this.readIdentity(work))
   }
 
   /** The refusal of a request that is judged anew while it waits; undefined when it may go on. */
   findRefusal (work: RoutedWork, identity: string): PulleystackError | undefined {
-    if (this.identify(work) !== identity || this.judge(work) !== Verdicts.REFUSED) return undefined
-    return this.refuse(work)
+    if (this.readIdentity(work) !== identity || this.judge(work) !== Verdicts.REFUSED) return undefined
+    return this.createRefusal(work)
   }
 
   /** Identities that are judged anew. */
@@ -84,10 +84,10 @@
 
   // Nothing is hashed while no request is remembered, which is nearly always.
   private judge (work: RoutedWork): Verdict {
-    return this.opts.quarantine.size === 0 ? Verdicts.FREE : this.opts.quarantine.judge(this.identify(work))
+    return this.opts.quarantine.size === 0 ? Verdicts.FREE : this.opts.quarantine.judge(this.readIdentity(work))
   }
 
-  private identify (work: RoutedWork): string {
+  private readIdentity (work: RoutedWork): string {
     work.identity ??= hashWork(work)
     return work.identity
   }
@@ -97,8 +97,8 @@
     return !backend.entry.draining && this.opts.fleet.find(backend.id) === backend
   }
 
-  private refuse (work: RoutedWork): PulleystackError {
-    const identity = this.identify(work)
+  private createRefusal (work: RoutedWork): PulleystackError {
+    const identity = this.readIdentity(work)
     const verdict = this.judge(work)
     const ends = this.opts.quarantine.listEnds(identity).length
     this.opts.log.record(DecisionKinds.SUSPECT_REFUSED, { request: work.requestId, identity, ends, verdict })
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -9,7 +9,7 @@
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
-import { LoneRunRule, Quarantine, SuspectArchive, Verdicts } from '@pulleystack/routing.quarantine'
+import { LoneRunRule, Quarantine } from '@pulleystack/routing.quarantine'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
@@ -90,10 +90,8 @@
 
 /** What all instances together know of requests under which servers ended. */
 export function createQuarantine ({ settings, deps, clock, mesh, network }: Pick<GatewayParts, 'settings' | 'deps' | 'clock' | 'mesh' | 'network'>): Quarantine {
-  const archive = new SuspectArchive({ clock, store: deps.store, isRefused: (identity) => quarantine.judge(identity) === Verdicts.REFUSED })
   const standing = { instance: settings.instance, listServing: () => listServing(mesh) }
-  const quarantine: Quarantine = new Quarantine({ clock, network, standing, rule: new LoneRunRule(), archive })
-  return quarantine
+  return new Quarantine({ clock, network, standing, rule: new LoneRunRule(), store: deps.store })
 }
 
 /** The other instances that serve and have a live link. */
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -1,10 +1,11 @@
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import { Subject, filter, type Observable, type Subscription } from 'rxjs'
 import { RunLeases, type LeaseAnswer } from './RunLeases.js'
 import type { ServerEnd, SuspectNews } from './Suspect.js'
-import type { SuspectArchive } from './SuspectArchive.js'
+import { SuspectArchive } from './SuspectArchive.js'
 import { Verdicts, type SuspectRule, type Verdict } from './SuspectRule.js'
 import { SuspectTable } from './SuspectTable.js'
 
@@ -23,6 +24,8 @@
 
 /** An instance answers within a few milliseconds, unless it is gone or does not run. */
 const LEASE_CALL_MS = 250
+/** Requests wait so long at most for what the store keeps; it answers within a few milliseconds unless it is away, and then they run without. */
+const LOAD_MS = 300
 /** A request that may not run beside another run of it waits for that run's end so long at most; streams on the users' sheets last two to four seconds. */
 const WAIT_MS = 3_000
 /** It looks so often whether that run has ended without word. */
@@ -42,8 +45,8 @@
   network: PeerNetwork
   standing: QuarantineStanding
   rule: SuspectRule
-  /** Keeps refused requests over the ends of all instances; undefined where nothing does. */
-  archive?: SuspectArchive
+  /** Keeps the worst suspects over the end of all instances; undefined where nothing does. */
+  store?: ObjectStore
 }
 
 /** The right to one run of a suspect. */
@@ -64,11 +67,17 @@
   private readonly table: SuspectTable
   private readonly leases: RunLeases
   private readonly changed = new Subject<string>()
+  private readonly archive: SuspectArchive | undefined
+  /** Settles when what is kept has been read or is waited for no longer; undefined from then on. */
+  private loaded: Promise<void> | undefined
   private lastLease = 0
 
   constructor (private readonly opts: QuarantineOptions) {
     this.table = new SuspectTable(opts.rule, () => opts.clock.readTime())
     this.leases = new RunLeases(opts.clock)
+    const { clock, store } = opts
+    const sources = { judge: (identity: string) => this.judge(identity), describe: (identity: string) => this.listEnds(identity) }
+    this.archive = store && new SuspectArchive({ clock, store, ...sources })
   }
 
   /** Tells which requests are judged anew. */
@@ -93,7 +102,7 @@
   /** Begins to listen to the others and reads what is kept; goes on until the signal ends. */
   start (signal: AbortSignal): void {
     const { network } = this.opts
-    network.handleCalls(LEASE, (_, request) => this.grant(request))
+    network.handleCalls(LEASE, (_, request) => this.judgeLease(request))
     const subscriptions: Subscription[] = [
       network.receive(NEWS).subscribe(({ body }) => this.takeNews(body)),
       network.receive(LEASE_ENDED).subscribe(({ body }) => this.leases.release(body.identity, body.lease)),
@@ -102,7 +111,7 @@
       }),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-    void this.opts.archive?.load(signal).then((news) => this.takeNews(news))
+    void this.load(signal)
     this.changed.subscribe((identity) => this.keepOrForget(identity, signal))
   }
 
@@ -112,6 +121,7 @@
    */
   async acquire (identity: string, forMs: number, signal: AbortSignal): Promise<SuspectRun | undefined> {
     const { clock } = this.opts
+    await this.loaded
     const until = clock.readTime() + Math.min(WAIT_MS, forMs)
     for (;;) {
       const verdict = this.judge(identity)
@@ -123,6 +133,11 @@
     }
   }
 
+  /** Whether requests need not wait for what is kept from before the start. */
+  get isLoaded (): boolean {
+    return this.loaded === undefined
+  }
+
   /** A server ended under a request. */
   noteServerEnd (identity: string, end: ServerEnd): void {
     this.tell(identity, this.table.take({ identity, ends: [end], cleared: [] }))
@@ -133,6 +148,14 @@
     this.tell(identity, this.table.noteGoodEnd(identity))
   }
 
+  private async load (signal: AbortSignal): Promise<void> {
+    if (!this.archive) return
+    const reading = this.archive.load(signal).then((news) => this.takeNews(news))
+    this.loaded = Promise.race([reading, this.opts.clock.wait(LOAD_MS, signal)])
+    await this.loaded
+    this.loaded = undefined
+  }
+
   private async tryAcquire (identity: string, { forMs, mustBeOnly }: { forMs: number, mustBeOnly: boolean }): Promise<SuspectRun | undefined> {
     const { instance, listServing } = this.opts.standing
     const lease = `${instance}/${this.lastLease++}`
@@ -158,13 +181,13 @@
   }
 
   private async askOwner (owner: string, request: LeaseRequest): Promise<LeaseAnswer | undefined> {
-    if (owner === this.opts.standing.instance) return this.grant(request)
+    if (owner === this.opts.standing.instance) return this.judgeLease(request)
     const answer = await this.opts.network.call(owner, LEASE, request, LEASE_CALL_MS)
     return answer.unwrapOr(undefined)
   }
 
   /** Decides about a run as the owner of the request, which may know of more ends than the instance that asks. */
-  private grant ({ identity, lease, forMs, mustBeOnly }: LeaseRequest): LeaseAnswer {
+  private judgeLease ({ identity, lease, forMs, mustBeOnly }: LeaseRequest): LeaseAnswer {
     const verdict = this.judge(identity)
     if (verdict === Verdicts.REFUSED) return { isGranted: false, isOnly: false }
     return this.leases.acquire(identity, lease, { forMs, mustBeOnly: mustBeOnly || verdict === Verdicts.ALONE })
@@ -194,10 +217,9 @@
   }
 
   private keepOrForget (identity: string, signal: AbortSignal): void {
-    const { archive } = this.opts
-    const suspect = this.table.find(identity)
-    if (!archive || !suspect) return
-    if (this.judge(identity) === Verdicts.REFUSED) void archive.keep(suspect.describe(), signal)
-    else if (suspect.listOpen().length === 0) void archive.forget(identity)
+    const { archive } = this
+    const verdict = this.judge(identity)
+    if (verdict === Verdicts.ALONE || verdict === Verdicts.REFUSED) void archive?.keep(identity, signal)
+    else if (this.listEnds(identity).length === 0) void archive?.forget(identity)
   }
 }
--- a/routing/quarantine/src/SuspectArchive.ts
+++ b/routing/quarantine/src/SuspectArchive.ts
@@ -1,26 +1,30 @@
 import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import type { ServerEnd, SuspectNews } from './Suspect.js'
+import { Verdicts, type Verdict } from './SuspectRule.js'
 
 const PREFIX = 'suspects/'
 /** The store is asked again so often while it is away. */
 const RETRY_MS = 1_000
-/** News of other suspects at the same server come within this time; after them a request may turn out not to be proven. */
-const SETTLE_MS = 500
+/** Writes of one life at most; when a data hall is lost twice, hundreds have two ends, and the store has other work then. */
+const MAX_WRITTEN = 256
 
 export interface SuspectArchiveOptions {
   clock: Clock
   store: ObjectStore
-  /** Whether the request is still refused. */
-  isRefused: (identity: string) => boolean
+  judge: (identity: string) => Verdict
+  /** The ends that are known. */
+  describe: (identity: string) => readonly ServerEnd[]
 }
 
 /**
- * Keeps refused requests in the store, so that instances that all died at once refuse them still. That takes one call for each such request and one
- * for each life of an instance.
+ * Keeps requests with two ends or more in the store, so that instances that all died at once know them still. That takes one call for each such request
+ * and one for each life of an instance.
  */
 export class SuspectArchive {
-  private readonly kept = new Set<string>()
+  /** How requests were judged when they were written, or read. */
+  private readonly kept = new Map<string, Verdict | undefined>()
+  private written = 0
 
   constructor (private readonly opts: SuspectArchiveOptions) {}
 
@@ -36,25 +40,35 @@
 
   private readAll (objects: readonly StoredObject[]): SuspectNews[] {
     const all = objects.flatMap(({ key, value }) => readNews(key.slice(PREFIX.length), value) ?? [])
-    for (const { identity } of all) this.kept.add(identity)
+    for (const { identity } of all) this.kept.set(identity, undefined)
     return all
   }
 
-  /** Writes a refused request, as soon as the store answers. */
-  async keep (news: SuspectNews, signal: AbortSignal): Promise<void> {
-    const { identity, ends } = news
-    if (this.kept.has(identity)) return
-    this.kept.add(identity)
-    await this.opts.clock.wait(SETTLE_MS, signal)
-    while (!signal.aborted && this.opts.isRefused(identity)) {
-      const written = await this.opts.store.writeObject(PREFIX + identity, { ends }, 0)
-      // Another instance has written it.
-      if (written.isOk() || written.error.code === 'STORE_CONFLICT') return
-      await this.opts.clock.wait(RETRY_MS, signal)
+  /** Writes what is known of a request, as soon as the store answers; not again while it is judged the same. */
+  async keep (identity: string, signal: AbortSignal): Promise<void> {
+    const { clock, describe, judge } = this.opts
+    const verdict = judge(identity)
+    if (this.kept.get(identity) === verdict || this.written >= MAX_WRITTEN) return
+    this.kept.set(identity, verdict)
+    this.written++
+    while (!signal.aborted && mustKeep(judge(identity))) {
+      const written = await this.write(identity, describe(identity))
+      if (written) return
+      await clock.wait(RETRY_MS, signal)
     }
     this.kept.delete(identity)
   }
 
+  private async write (identity: string, ends: readonly ServerEnd[]): Promise<boolean> {
+    const { store } = this.opts
+    const key = PREFIX + identity
+    const present = await store.readObject(key)
+    if (present.isErr()) return false
+    // Of two instances that write at once one is late, and knows as much as the other.
+    const written = await store.writeObject(key, { ends }, present.value?.version ?? 0)
+    return written.isOk()
+  }
+
   /** Takes a request out that has ended well after all. */
   async forget (identity: string): Promise<void> {
     if (!this.kept.delete(identity)) return
@@ -77,3 +91,8 @@
   const end = value as Partial<ServerEnd> | null
   return typeof end?.life === 'string' && typeof end.wasOnlyRun === 'boolean'
 }
+
+/** Whether a request so judged is to be known also after all instances have ended at once. */
+function mustKeep (verdict: Verdict): boolean {
+  return verdict === Verdicts.ALONE || verdict === Verdicts.REFUSED
+}
--- a/routing/quarantine/src/SuspectTable.ts
+++ b/routing/quarantine/src/SuspectTable.ts
@@ -32,7 +32,7 @@
 
   /** Takes what an instance knows of a request; true when something in it was new. */
   take ({ identity, ends, cleared }: SuspectNews): boolean {
-    const suspect = this.touch(identity)
+    const suspect = this.ensureLast(identity)
     const added = ends.filter((end) => suspect.addEnd(end, this.readTime()))
     for (const { life } of added) this.noteLife(life, identity)
     const isCleared = suspect.clear(cleared)
@@ -56,7 +56,7 @@
     return others.some((other) => (this.suspects.get(other)?.listOpen().length ?? 0) > 1)
   }
 
-  private touch (identity: string): Suspect {
+  private ensureLast (identity: string): Suspect {
     const suspect = this.suspects.get(identity) ?? new Suspect(identity)
     this.suspects.delete(identity)
     this.suspects.set(identity, suspect)
--- a/routing/quarantine/test/QuarantineBench.ts
+++ b/routing/quarantine/test/QuarantineBench.ts
@@ -1,5 +1,7 @@
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
+import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import { FakeHub } from '@pulleystack/membership.fake-network'
+import type { PeerEvent, PeerIdentity } from '@pulleystack/membership.peers'
 import { Quarantine, Verdicts, type SuspectRule, type SuspectRun } from '../src/index.js'
 
 /** A server begins to run a lethal request at once and ends so much later; the record of one shows 40 to 130 ms. */
@@ -73,6 +75,7 @@
   readonly clock = new ManualClock()
   readonly outcome: ScenarioOutcome = { endedByLethal: 0, laterArrivals: 0, innocent: 0, refusedWrongly: 0, lost: 0 }
   readonly hub: FakeHub
+  readonly store = new MemoryObjectStore({ clock: this.clock })
   readonly servers: Server[]
   instances: Instance[]
   private readonly random: RandomSource
@@ -108,6 +111,14 @@
     this.instances = this.instances.map(({ name }) => this.startInstance(name))
   }
 
+  /** One instance ends, and one of the same name starts that knows nothing. */
+  restart (at: number): void {
+    const { ended, name } = this.instances[at] as Instance
+    ended.abort()
+    this.instances[at] = this.startInstance(name)
+    for (const other of this.instances) if (other.name !== name) this.hub.findNode(other.name)?.events.next(this.createHeard(name))
+  }
+
   /** The lethal request comes once to some instance. */
   async bringLethal (at = this.random.readBelow(this.instances.length)): Promise<void> {
     const instance = this.instances[at % this.instances.length] as Instance
@@ -210,12 +221,21 @@
     return { life: `s${this.lives++}`, isUp: true, running: new Set() }
   }
 
+  private createHeard (name: string): PeerEvent {
+    return { kind: 'heard', identity: createIdentity(name), isNewLink: true }
+  }
+
   private startInstance (name: string): Instance {
-    const identity = { instance: name, incarnation: 0, address: name, peerAddress: name, region: 'r', dataHall: 'h', leaving: false }
+    const identity = createIdentity(name)
     const network = this.hub.createNode(identity)
     const ended = new AbortController()
-    const quarantine = new Quarantine({ clock: this.clock, network, standing: { instance: name, listServing: () => network.listLinked() }, rule: this.rule })
+    const standing = { instance: name, listServing: () => network.listLinked() }
+    const quarantine = new Quarantine({ clock: this.clock, network, standing, rule: this.rule, store: this.store })
     quarantine.start(ended.signal)
     return { name, quarantine, ended }
   }
 }
+
+function createIdentity (name: string): PeerIdentity {
+  return { instance: name, incarnation: 0, address: name, peerAddress: name, region: 'r', dataHall: 'h', leaving: false }
+}
