--- a/core/errors/src/resultCodes.ts
+++ b/core/errors/src/resultCodes.ts
@@ -72,6 +72,7 @@
   SETTINGS_UNREADABLE: buildCode(6002, 400, Ran.NO, 'The settings file cannot be read.'),
   USAGE: buildCode(6003, 400, Ran.NO, 'The command line cannot be understood.'),
   INSTANCE_UNREACHABLE: buildCode(6004, 503, Ran.UNKNOWN, 'No entry instance answered the command.'),
+  CERTIFICATE_INVALID: buildCode(6005, 400, Ran.NO, 'A certificate and its key cannot be loaded.'),
   LEASE_LOST: buildCode(7001, 409, Ran.NO, 'The lease of a placement shard ended or went to another instance.'),
   MEMORY_EXCEEDED: buildCode(7002, 409, Ran.NO, 'The reservation does not fit the accelerator.'),
   ORDER_REFUSED: buildCode(7003, 409, Ran.NO, 'The engine refused an order.'),
--- a/membership/keys/src/index.ts
+++ b/membership/keys/src/index.ts
@@ -1,3 +1,3 @@
-export { createAuthority, createCertificate } from './certificates.js'
-export type { KeyPair } from './certificates.js'
+export { createAuthority, createCertificate, createKeys, loadPair } from './certificates.js'
+export type { CertificateOptions, KeyPair } from './certificates.js'
 export { createAccessKey, matchKeyHash } from './accessKeys.js'
