--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -5,6 +5,8 @@
 const BUCKETS = 10
 /** Attempts count for one bucket longer than requests, so that no window, wherever it begins, holds more than it may. */
 const KEPT = BUCKETS + 1
+/** Requests of two windows are remembered, since what earns is the least that came in any window of the last one. */
+const KEPT_REQUESTS = 2 * BUCKETS + 1
 
 export interface WindowBudgetOptions {
   clock: Clock
@@ -34,30 +36,38 @@
 /**
  * Further attempts that one instance may cause at a service in any window of time, so that all instances together stay
  * within a common bound: a share of its own requests and its part of the fixed extra, less what it has lent of that.
+ *
+ * Instances spend their last at different moments, and one that dies no more. With the requests of its own last window each would count other ones, and
+ * those twice whose clients went from one instance to another: 193 attempts were made where 192 were allowed, when seven of eight instances had died. So
+ * requests earn by the window of the last one that held the fewest: whatever window of attempts is looked at, all instances then count no more than came
+ * in the window before it. Callers lose 8 % of all further
+ * attempts while everything fails (488 for 534 in 30 s at 60 requests a second, 8 instances), and while traffic grows its growth of 10 s.
  */
 export class WindowBudget {
-  private readonly requests = new Array<number>(KEPT).fill(0)
+  private readonly requests = new Array<number>(KEPT_REQUESTS).fill(0)
   private readonly attempts = new Array<number>(KEPT).fill(0)
   /** Rights that were given out and not used yet. */
   private reserved = 0
   private newest = 0
+  private readonly firstBucket: number
   private readonly startedAt: number
   private readonly loans: ExtraLoans
 
   constructor (private readonly opts: WindowBudgetOptions) {
     this.startedAt = opts.clock.readTime()
+    this.firstBucket = this.turn()
     this.loans = new ExtraLoans(opts.clock)
   }
 
   /** Counts a request of a client. */
   noteRequest (): void {
-    const bucket = this.turn()
+    const bucket = this.turn() % KEPT_REQUESTS
     this.requests[bucket] = (this.requests[bucket] ?? 0) + 1
   }
 
   /** Takes the right to one further attempt that is made now; false when there is none. */
   take (): boolean {
-    const bucket = this.turn()
+    const bucket = this.turn() % KEPT
     if (this.left < 1) return false
     this.attempts[bucket] = (this.attempts[bucket] ?? 0) + 1
     return true
@@ -72,9 +82,9 @@
 
   /** Further attempts that could be taken now. */
   get left (): number {
-    const oldest = (this.turn() + 1) % KEPT
-    const counted = this.mayEarn ? sum(this.requests) - (this.requests[oldest] ?? 0) : 0
-    return this.opts.ratio * counted + this.extra - sum(this.attempts) - this.reserved
+    this.turn()
+    const earning = this.mayEarn ? this.countEarning() : 0
+    return this.opts.ratio * earning + this.extra - sum(this.attempts) - this.reserved
   }
 
   /** An instance's part of the fixed extra when all have theirs. */
@@ -110,6 +120,25 @@
     return { left: this.left, extra: this.extra, instances: countInstances(), lifeMs: Math.round(clock.readTime() - this.startedAt) }
   }
 
+  /** The fewest requests of any window of the last one; windows that began before this budget say nothing. */
+  private countEarning (): number {
+    const age = this.newest - this.firstBucket
+    const shifts = Math.max(0, Math.min(BUCKETS, age - BUCKETS + 1))
+    let counted = 0
+    for (let back = 0; back < BUCKETS; back++) counted += this.readRequests(back)
+    let least = counted
+    for (let shift = 1; shift <= shifts; shift++) {
+      counted += this.readRequests(shift + BUCKETS - 1) - this.readRequests(shift - 1)
+      least = Math.min(least, counted)
+    }
+    return least
+  }
+
+  /** Requests of the bucket so many before that of now. */
+  private readRequests (back: number): number {
+    return this.newest < back ? 0 : this.requests[(this.newest - back) % KEPT_REQUESTS] ?? 0
+  }
+
   private get ownsPart (): boolean {
     return this.opts.ownsPart?.() ?? true
   }
@@ -122,15 +151,15 @@
     return this.ownsPart ? this.part - this.loans.lentAmount : this.loans.borrowedAmount
   }
 
-  /** Empties the buckets whose time has passed; gives the one of now. */
+  /** Empties the buckets whose time has passed; gives the number of the one of now. */
   private turn (): number {
     const now = Math.floor(this.opts.clock.readTime() / (this.opts.windowMs / BUCKETS))
-    for (let at = Math.max(this.newest + 1, now - KEPT + 1); at <= now; at++) {
-      this.requests[at % KEPT] = 0
+    for (let at = Math.max(this.newest + 1, now - KEPT_REQUESTS + 1); at <= now; at++) {
+      this.requests[at % KEPT_REQUESTS] = 0
       this.attempts[at % KEPT] = 0
     }
     this.newest = Math.max(this.newest, now)
-    return now % KEPT
+    return now
   }
 }
 
--- a/routing/retries/test/BudgetBench.ts
+++ b/routing/retries/test/BudgetBench.ts
@@ -44,6 +44,22 @@
     else this.denied++
   }
 
+  /** As `request`, without the moment between the failure and the further attempt. */
+  requestAtOnce (name: string, isFailing: boolean): void {
+    const life = this.lives.get(name)
+    if (!life) return
+    life.budgets.noteRequest(SERVICE)
+    this.requests.push(this.clock.readTime())
+    if (!isFailing) return
+    if (life.budgets.find(SERVICE).take()) this.attempts.push(this.clock.readTime())
+    else this.denied++
+  }
+
+  /** Instances that run. */
+  listLiving (): string[] {
+    return this.names.filter((name) => this.lives.has(name))
+  }
+
   /** Ends a life at once; the next one begins a moment later. */
   restart (name: string): void {
     if (!this.lives.delete(name)) return
--- a/routing/retries/test/RetryBudgets.test.ts
+++ b/routing/retries/test/RetryBudgets.test.ts
@@ -73,8 +73,27 @@
     assert.ok(bench.measureExcess() <= 0, `${bench.measureExcess()} too many`)
   })
 
+  // Seen: 193 further attempts within 10 s where 192 were allowed. Seven of eight instances were killed after they had spent what their requests of the
+  // last 10 s had earned. Clients went to the eighth, which earned by their requests again, so that the window held what two windows' requests had earned.
+  it('keep it when most are killed and all clients go to those that are left', async () => {
+    const STEP_MS = 50
+    const PER_STEP = 3
+    const FAILS_FROM_S = 6
+    for (const seed of SEEDS) {
+      const random = new RandomSource(seed)
+      const bench = new BudgetBench(NAMES)
+      const killAtMs = Math.floor(FAILS_FROM_S + 2 + seed * 0.65) * 1_000
+      for (let ms = 0; ms < 30_000; ms += STEP_MS) {
+        if (ms >= killAtMs && ms < killAtMs + STEP_MS) for (const name of NAMES.slice(1)) bench.restart(name)
+        for (let at = 0; at < PER_STEP; at++) bench.requestAtOnce(random.pickOne(bench.listLiving()), ms >= FAILS_FROM_S * 1_000)
+        await bench.clock.advance(STEP_MS)
+      }
+      assert.ok(bench.measureExcess() <= 0, `seed ${seed}, killed at ${killAtMs} ms: ${bench.measureExcess()} too many`)
+    }
+  })
+
   // What callers lose by the bound: one in ten requests fails here while an instance is restarted every 2 s, so that each is new for most of the time.
-  // 15 of 335 failures are denied a further attempt; without loans it would be 215, and none if each life had its whole part again.
+  // 19 of 335 failures are denied a further attempt; without loans it would be 215, and none if each life had its whole part again.
   it('leave a service with little traffic its further attempts while instances are restarted in turn', async () => {
     const days = await Promise.all(SEEDS.map((seed) => playRestarts(seed, RESTART_EVERY_S)))
     const denied = days.reduce((sum, day) => sum + day.denied, 0)
