--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -30,7 +30,7 @@
 const WAIT_MS = 3_000
 /** It looks so often whether that run has ended without word. */
 const LOOK_AGAIN_MS = 100
-/** Suspects that are told over a new link, the newest first: 40 KB with two ends each. */
+/** Suspects that are told over a new link, the newest first: 74 KB with two ends each. */
 const MAX_TOLD = 512
 
 /** How an instance stands among those that send requests to servers. */
--- a/routing/quarantine/src/SuspectTable.ts
+++ b/routing/quarantine/src/SuspectTable.ts
@@ -1,7 +1,7 @@
 import { Suspect, type ServerEnd, type SuspectNews } from './Suspect.js'
 import { Verdicts, type SuspectRule, type Verdict } from './SuspectRule.js'
 
-/** Requests that are kept at most: 1 MB with two ends each. A server takes up to 64 requests along, so that 60 ends in a row fit. */
+/** Requests that are kept at most: 3 MB with two ends each. A server takes up to 64 requests along, so that 60 ends in a row fit. */
 const MAX_SUSPECTS = 4_096
 
 /** The requests under which servers ended, as one instance knows them. When it is full the one goes that was heard of least lately; refused ones stay. */
