--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -236,7 +236,7 @@
     const cancel = this.opts.clock.setTimer(Math.max(0, deadline - this.opts.clock.readTime()), () => end.expire())
     try {
       await endWith(end.signal, waitForReads())
-      const body = hasBody(request) ? await endWith(end.signal, readBody(request, RELAY_BODY_BYTES)) : undefined
+      const body = await readRequestBody(request, RELAY_BODY_BYTES, end.signal)
       const { method = 'GET', url: path = '/', rawHeaders } = request
       const clientDeadline = facts.waitMs === undefined ? undefined : arrivedAt + facts.waitMs
       const { requestId } = facts
@@ -258,7 +258,7 @@
     const { table, route, team, facts, request } = it
     const name = chooseTarget(route, this.opts.random)
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
-    const body = hasBody(request) ? await endWith(it.signal, readBody(request, table.config.limits.bodyBytes)) : undefined
+    const body = await readRequestBody(request, table.config.limits.bodyBytes, it.signal)
     return {
       requestId: facts.requestId ?? '',
       facts,
@@ -308,6 +308,14 @@
   }
 }
 
+/** The body, and the end of its connection if that has come behind it: nothing behind a large body is read before the body has been taken. */
+async function readRequestBody (request: http.IncomingMessage, limitBytes: number, signal: AbortSignal): Promise<Buffer | undefined> {
+  if (!hasBody(request)) return undefined
+  const body = await endWith(signal, readBody(request, limitBytes))
+  await endWith(signal, waitForReads())
+  return body
+}
+
 function hasBody (request: http.IncomingMessage): boolean {
   return request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
 }
