--- a/routing/fleet/src/shareLoads.ts
+++ b/routing/fleet/src/shareLoads.ts
@@ -18,6 +18,8 @@
   prefixes: [backend: string, weights: string, parts: [id: string, tokens: number][]][]
 }
 
+/** What a message tells that leaves everything out; peers of an older version leave out what they don't know. */
+const NOTHING: SharedLoads = { loads: [], waiting: [], down: [], outcomes: [], pauses: [], prefixes: [] }
 const LOADS = defineChannel<SharedLoads>('fleet.loads')
 const SHARE_MS = 100
 /** Up to so many readers hear ten times a second; beyond it each instance sends and reads 120 messages a second at the most. */
@@ -49,12 +51,7 @@
   const subscriptions = [
     fleet.loadChanges.subscribe(schedule),
     network.receive(LOADS).subscribe(({ from, body }) => {
-      fleet.applyPeerLoads(from, readTallies(body))
-      fleet.waiting.takeOther(from, body.waiting)
-      for (const [backend, weights, parts] of body.prefixes) fleet.find(backend)?.prefixes.note(weights, parts.map(([id, tokens]) => ({ id, tokens })))
-      for (const [backend, failures, total] of body.outcomes) fleet.find(backend)?.failureRate.add(failures, total, opts.clock.readTime())
-      for (const [backend, worst, streams] of body.pauses) fleet.find(backend)?.readingShare.learn({ worst, streams }, opts.clock.readTime())
-      for (const backend of body.down) fleet.find(backend)?.noteReportedDown(opts.clock.readTime())
+      takeLoads(fleet, from, { ...NOTHING, ...body }, opts.clock.readTime())
       opts.onChange()
     }),
     network.peerEvents.subscribe((event) => {
@@ -74,6 +71,16 @@
   }, { once: true })
 }
 
+/** Takes what a peer tells. */
+function takeLoads (fleet: BackendFleet, from: string, shared: SharedLoads, now: number): void {
+  fleet.applyPeerLoads(from, readTallies(shared))
+  fleet.waiting.takeOther(from, shared.waiting)
+  for (const [backend, weights, parts] of shared.prefixes) fleet.find(backend)?.prefixes.note(weights, parts.map(([id, tokens]) => ({ id, tokens })))
+  for (const [backend, failures, total] of shared.outcomes) fleet.find(backend)?.failureRate.add(failures, total, now)
+  for (const [backend, worst, streams] of shared.pauses) fleet.find(backend)?.readingShare.learn({ worst, streams }, now)
+  for (const backend of shared.down) fleet.find(backend)?.noteReportedDown(now)
+}
+
 /** Many instances tell less often, so that nobody has to read more. */
 function computeShareMs (readers: number): number {
   return SHARE_MS * Math.max(1, readers / READERS_AT_FULL_RATE)
