--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -17,6 +17,7 @@
   network: Pick<WebSocketNetwork, 'backlogBytes' | 'unsentFrames'>
   readConfigVersion: () => number
   readWaiting: () => number
+  readSuspects: () => number
   /** The copies that this instance holds; none before it serves. */
   listCopies: () => readonly { prefix: string, ageMs: number }[]
   readTimerDelayMs: () => number
@@ -54,6 +55,7 @@
     this.addGauge('backends', 'Backend servers known', () => opts.fleet.listAll().length)
     this.addGauge('peers', 'Other instances with a live link', () => opts.mesh.listLive().length)
     this.addGauge('waiting_requests', 'Requests that wait for a place', opts.readWaiting)
+    this.addGauge('suspect_requests', 'Requests that are remembered since a server ended under them', opts.readSuspects)
     this.addGauge('peer_backlog_bytes', 'Bytes that wait to leave for peers', () => opts.network.backlogBytes)
     this.addGauge('timer_delay_seconds', 'Longest delay of a timer in the last seconds', () => opts.readTimerDelayMs() / 1000)
     this.addCopyAges(opts.listCopies)
--- a/program/entry/src/createMetrics.ts
+++ b/program/entry/src/createMetrics.ts
@@ -14,13 +14,14 @@
   network: WebSocketNetwork
   readTable: () => RouteTable | undefined
   readWaiting: () => number
+  readSuspects: () => number
   listCopies: () => readonly StoreFeed[]
   signal: AbortSignal
 }
 
 /** The figures, timers' delay among them, which is sampled until the signal ends. */
 export function createMetrics (parts: MetricsParts): EntryMetrics {
-  const { clock, fleet, mesh, network, readTable, readWaiting, listCopies, signal } = parts
+  const { clock, fleet, mesh, network, readTable, readWaiting, readSuspects, listCopies, signal } = parts
   const timerDelay = new TimerDelay(clock)
   timerDelay.start(signal)
   return new EntryMetrics({
@@ -29,6 +30,7 @@
     network,
     readConfigVersion: () => readTable()?.config.version ?? 0,
     readWaiting,
+    readSuspects,
     listCopies,
     readTimerDelayMs: () => timerDelay.longestMs,
   })
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -101,14 +101,14 @@
     onChange: () => queue.pump(),
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
+  const quarantine = createQuarantine(parts)
   const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
-  const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, listCopies })
+  const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, readSuspects: () => quarantine.size, listCopies })
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayBegin = (deadline: number): boolean => state.stopPlan?.mayBegin(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
   const relay = createRelay(parts)
   const limits = createLimits(parts)
-  const quarantine = createQuarantine(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
   const gateway = createGateway({ ...parts, random, queue, relay, limits, quarantine, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
--- a/program/entry/test/EntryMetrics.test.ts
+++ b/program/entry/test/EntryMetrics.test.ts
@@ -10,6 +10,7 @@
     network: state,
     readConfigVersion: () => 7,
     readWaiting: () => 0,
+    readSuspects: () => 0,
     listCopies: () => state.copies,
     readTimerDelayMs: () => 250,
   })
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -29,7 +29,10 @@
 /** A request that may not run beside another run of it waits for that run's end so long at most; streams on the users' sheets last two to four seconds. */
 const WAIT_MS = 3_000
 /** It looks so often whether that run has ended without word. */
-const LOOK_AGAIN_MS = 100
+const LOOK_AGAIN_MS = 250
+/** Requests that were not heard of for so long, and aren't refused, are forgotten; looked for so often. */
+const FORGET_MS = 3_600_000
+const SWEEP_MS = 60_000
 /** Suspects that are told over a new link, the newest first: 74 KB with two ends each. */
 const MAX_TOLD = 512
 
@@ -70,6 +73,8 @@
   private readonly archive: SuspectArchive | undefined
   /** Settles when what is kept has been read or is waited for no longer; undefined from then on. */
   private loaded: Promise<void> | undefined
+  /** Ends what was started; undefined before. */
+  private signal: AbortSignal | undefined
   private lastLease = 0
 
   constructor (private readonly opts: QuarantineOptions) {
@@ -112,7 +117,8 @@
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
     void this.load(signal)
-    this.changed.subscribe((identity) => this.keepOrForget(identity, signal))
+    void this.keepSweeping(signal)
+    this.signal = signal
   }
 
   /**
@@ -148,6 +154,13 @@
     this.tell(identity, this.table.noteGoodEnd(identity))
   }
 
+  private async keepSweeping (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.opts.clock.wait(SWEEP_MS, signal)
+      this.table.forgetOlder(FORGET_MS)
+    }
+  }
+
   private async load (signal: AbortSignal): Promise<void> {
     if (!this.archive) return
     const reading = this.archive.load(signal).then((news) => this.takeNews(news))
@@ -203,6 +216,8 @@
     if (!isNew || !suspect) return
     this.opts.network.broadcast(NEWS, [suspect.describe()])
     this.changed.next(identity)
+    // Whoever saw it writes it; the others only know.
+    if (this.signal) this.keepOrForget(identity, this.signal)
   }
 
   private tellAll (peer: string): void {
--- a/routing/quarantine/src/SuspectTable.ts
+++ b/routing/quarantine/src/SuspectTable.ts
@@ -50,6 +50,14 @@
     return false
   }
 
+  /** Forgets those that were not heard of for so long, but for refused ones. */
+  forgetOlder (ms: number): void {
+    const before = this.readTime() - ms
+    for (const { identity, endedAt } of this.list()) {
+      if (endedAt < before && this.judge(identity) !== Verdicts.REFUSED) this.remove(identity)
+    }
+  }
+
   /** Whether another request that was there when a server ended has an end elsewhere too. */
   private isShared (identity: string, { life }: ServerEnd): boolean {
     const others = [...this.byLife.get(life) ?? []].filter((other) => other !== identity)
--- a/routing/quarantine/test/Quarantine.test.ts
+++ b/routing/quarantine/test/Quarantine.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
-import { describe, it } from 'node:test'
+import { beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
-import { LoneRunRule } from '../src/index.js'
+import { LoneRunRule, Verdicts } from '../src/index.js'
+import { SuspectTable } from '../src/SuspectTable.js'
 import { QuarantineBench, type Scenario } from './QuarantineBench.js'
 
 /** What the users allow later than 3 s after the third end. */
@@ -85,3 +86,63 @@
     }
   })
 })
+
+describe('what is remembered of requests', () => {
+  const news = (identity: string, wasOnlyRun: boolean, ...lives: string[]) => ({ identity, ends: lives.map((life) => ({ life, wasOnlyRun })), cleared: [] })
+  let now: number
+  let table: SuspectTable
+
+  beforeEach(() => {
+    now = 0
+    table = new SuspectTable(new LoneRunRule(), () => now)
+  })
+
+  it('goes after a while, but for those that are refused', () => {
+    table.take(news('bystander', false, 's1'))
+    table.take(news('lethal', true, 's1', 's2'))
+    assert.equal(table.judge('lethal'), Verdicts.REFUSED)
+    now = 2_000
+    table.forgetOlder(1_000)
+    assert.deepEqual(table.list().map(({ identity }) => identity), ['lethal'])
+  })
+
+  it('is bounded, and the refused stay', () => {
+    table.take(news('lethal', true, 's1', 's2'))
+    for (let at = 0; at < 5_000; at++) table.take(news(`i${at}`, false, 's3'))
+    assert.equal(table.size, 4_096)
+    assert.equal(table.judge('lethal'), Verdicts.REFUSED)
+  })
+
+  it('tells a request that was alone from two that were together at each end', () => {
+    table.take(news('one', true, 's1', 's2'))
+    table.take(news('other', true, 's1', 's2'))
+    assert.deepEqual(['one', 'other'].map((identity) => table.judge(identity)), [Verdicts.REFUSED, Verdicts.REFUSED])
+    table = new SuspectTable(new LoneRunRule(), () => now)
+    for (const identity of ['one', 'other']) {
+      table.take(news(identity, false, 's1'))
+      table.take(news(identity, true, 's2'))
+    }
+    assert.deepEqual(['one', 'other'].map((identity) => table.judge(identity)), [Verdicts.ALONE, Verdicts.ALONE])
+    table.take(news('one', true, 's3'))
+    assert.deepEqual(['one', 'other'].map((identity) => table.judge(identity)), [Verdicts.REFUSED, Verdicts.ALONE])
+  })
+
+  it('is cleared by a good end, and a request that ends well far more often than not is free at once', () => {
+    table.take(news('often', false, 's1', 's2', 's3'))
+    assert.equal(table.judge('often'), Verdicts.ALONE)
+    assert.equal(table.noteGoodEnd('often'), true)
+    assert.equal(table.judge('often'), Verdicts.FREE)
+    for (let at = 0; at < 50; at++) table.noteGoodEnd('often')
+    table.take(news('often', false, 's4', 's5'))
+    assert.equal(table.judge('often'), Verdicts.FREE)
+  })
+
+  it('is the same in whichever order it is heard, and however often', () => {
+    const all = [news('q', true, 's1'), news('q', false, 's2'), { identity: 'q', ends: [], cleared: ['s1'] }]
+    fc.assert(fc.property(fc.shuffledSubarray([0, 1, 2, 0, 1, 2], { minLength: 6 }), (order) => {
+      const heard = new SuspectTable(new LoneRunRule(), () => 0)
+      for (const at of order) heard.take(all[at] as typeof all[number])
+      assert.deepEqual(heard.find('q')?.listOpen().map(({ life }) => life), ['s2'])
+    }), { seed: 45 })
+  })
+})
