--- a/gateway/routed/src/SuspectGate.ts
+++ b/gateway/routed/src/SuspectGate.ts
@@ -82,7 +82,7 @@
     return this.opts.quarantine.changes
   }
 
-  // Nothing is hashed while no request is remembered, which is nearly always.
+  // Nothing is hashed while no request is remembered: until a server ends, and from an hour after the last end on.
   private judge (work: RoutedWork): Verdict {
     return this.opts.quarantine.size === 0 ? Verdicts.FREE : this.opts.quarantine.judge(this.readIdentity(work))
   }
--- a/routing/quarantine/src/SuspectArchive.ts
+++ b/routing/quarantine/src/SuspectArchive.ts
@@ -18,7 +18,7 @@
 }
 
 /**
- * Keeps requests with two ends or more in the store, so that instances that all died at once know them still. That takes one call for each such request
+ * Keeps requests with two ends or more in the store, so that instances that all died at once know them still. That takes two calls for each such request
  * and one for each life of an instance.
  */
 export class SuspectArchive {
--- a/routing/retries/src/WindowBudget.ts
+++ b/routing/retries/src/WindowBudget.ts
@@ -37,11 +37,11 @@
  * Further attempts that one instance may cause at a service in any window of time, so that all instances together stay
  * within a common bound: a share of its own requests and its part of the fixed extra, less what it has lent of that.
  *
- * Instances spend their last at different moments, and one that dies no more. With the requests of its own last window each would count other ones, and
- * those twice whose clients went from one instance to another: 193 attempts were made where 192 were allowed, when seven of eight instances had died. So
- * requests earn by the window of the last one that held the fewest: whatever window of attempts is looked at, all instances then count no more than came
- * in the window before it. Callers lose 8 % of all further
- * attempts while everything fails (488 for 534 in 30 s at 60 requests a second, 8 instances), and while traffic grows its growth of 10 s.
+ * Instances spend their last at different moments, and one that died spends no more. Counting the requests of its own last window, each would count
+ * other ones, and those of clients that went from one instance to another twice: 193 attempts were made where 192 were allowed, when seven of eight
+ * instances had died. So requests earn by the window of the last one that held the fewest: whatever window of attempts is looked at, all instances then
+ * count no more than came in the window before it. Callers lose 8 % of all further attempts while everything fails (488 for 534 in 30 s at 60 requests
+ * a second, 8 instances), and while traffic grows its growth of 10 s.
  */
 export class WindowBudget {
   private readonly requests = new Array<number>(KEPT_REQUESTS).fill(0)
