--- a/backend/interfaces/src/RoutedProtocol.ts
+++ b/backend/interfaces/src/RoutedProtocol.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
+import type { ServerStatement } from './ServerStatement.js'
 
 /** One part of a prompt; parts with the same id have the same text. */
 export interface RoutedPromptPart {
@@ -56,6 +57,8 @@
   signed: boolean
   /** The server did not run the request and never will. */
   notRun: boolean
+  /** What the server says of itself; undefined when it says nothing. */
+  statement?: ServerStatement | undefined
 }
 
 /** How routed requests and their answers are marked; every platform has headers of its own. */
--- a/backend/interfaces/src/WeightsClient.ts
+++ b/backend/interfaces/src/WeightsClient.ts
@@ -1,5 +1,7 @@
 import type { PulleystackError } from '@pulleystack/core.errors'
 import type { Result } from 'neverthrow'
+import { Subject, type Observable } from 'rxjs'
+import type { ServerStatement } from './ServerStatement.js'
 
 /** What a model server says of its weights; it lags by a fraction of a second. */
 export interface WeightsState {
@@ -46,8 +48,26 @@
   backendId: string
 }
 
+/** What a server said of itself in the answer to a report or an order. */
+export interface TargetStatement {
+  target: WeightsTarget
+  call: 'report' | 'order'
+  statement: ServerStatement
+}
+
 /** Reads and changes what model servers hold. An error of `sendOrder` says by `ran` whether the order may still be carried out. */
 export abstract class WeightsClient {
+  private readonly subject = new Subject<TargetStatement>()
+
+  /** What servers say of themselves in their answers, whatever the answers are. */
+  get statements (): Observable<TargetStatement> {
+    return this.subject
+  }
+
+  protected tellStatement (stated: TargetStatement): void {
+    this.subject.next(stated)
+  }
+
   abstract readState (target: WeightsTarget): Promise<Result<WeightsState, PulleystackError>>
   abstract sendOrder (target: WeightsTarget, order: WeightsOrder): Promise<Result<OrderAnswer, PulleystackError>>
 }
--- a/core/headers/src/index.ts
+++ b/core/headers/src/index.ts
@@ -1,1 +1,2 @@
 export { listEndToEnd } from './listEndToEnd.js'
+export { parseRetryAfter } from './parseRetryAfter.js'
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -4,7 +4,7 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
-import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { StatementSources, type BackendFleet, type StatementIntake } from '@pulleystack/routing.fleet'
 import type { SuspectRun } from '@pulleystack/routing.quarantine'
 import type { RetryPermit, WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
@@ -31,6 +31,7 @@
   protocol: RoutedProtocol
   queue: BackendQueue
   fleet: BackendFleet
+  statements: StatementIntake
   /** When events that came close together are written. */
   pace: StreamPace
   log: DecisionLog
@@ -225,6 +226,7 @@
     body: work.body,
     requestId: work.requestId,
     connectMs: CONNECT_MS,
+    onStatement: (statement) => opts.statements.take(place.backend, statement, StatementSources.REQUEST),
   }
 }
 
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -6,7 +6,7 @@
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
-import type { BackendFleet } from '@pulleystack/routing.fleet'
+import type { BackendFleet, StatementIntake } from '@pulleystack/routing.fleet'
 import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
 import { LoneRunRule, Quarantine } from '@pulleystack/routing.quarantine'
@@ -26,6 +26,7 @@
   relay: InstanceRelay
   limits: TeamLimits | undefined
   quarantine: Quarantine
+  statements: StatementIntake
   metrics: EntryMetrics
   readTable: () => RouteTable | undefined
   isTableCurrent: () => boolean
@@ -38,7 +39,7 @@
 
 /** The gateway for routed requests, with a retry budget for each service. */
 export function createGateway (parts: GatewayParts): RoutedGateway {
-  const { deps, clock, random, log, limits, quarantine, queue, fleet, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
+  const { deps, clock, random, log, limits, quarantine, queue, fleet, statements, residency, metrics, readTable, isTableCurrent, mayBegin, mustClose } = parts
   const { protocol } = deps
   const budgets = createBudgets(parts)
   return new RoutedGateway({
@@ -51,6 +52,7 @@
     relay: parts.relay,
     queue,
     fleet,
+    statements,
     pace: new StreamPace(clock),
     residency,
     findBudget: (service) => budgets.find(service),
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -19,6 +19,7 @@
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import { NamedInstances } from './NamedInstances.js'
+import { startStatements } from './startStatements.js'
 import type { StopPlan } from './StopPlan.js'
 import { watchSources, type SourceFeeds } from './watchSources.js'
 
@@ -102,6 +103,7 @@
   })
   const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
   const quarantine = createQuarantine(parts)
+  const statements = startStatements(parts, ended.signal)
   const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
   const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, readSuspects: () => quarantine.size, listCopies })
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
@@ -110,7 +112,7 @@
   const relay = createRelay(parts)
   const limits = createLimits(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
-  const gateway = createGateway({ ...parts, random, queue, relay, limits, quarantine, residency, metrics, isTableCurrent, mayBegin, mustClose })
+  const gateway = createGateway({ ...parts, random, queue, relay, limits, quarantine, statements, residency, metrics, isTableCurrent, mayBegin, mustClose })
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
--- /dev/null
+++ b/program/entry/src/startStatements.ts
@@ -0,0 +1,14 @@
+import { StatementIntake, StatementSources, type BackendFleet } from '@pulleystack/routing.fleet'
+import type { EntryParts } from './EntryParts.js'
+
+/** Takes what backend servers say of themselves in any answer, until the signal ends. */
+export function startStatements ({ deps, clock, log, fleet }: EntryParts & { fleet: BackendFleet }, signal: AbortSignal): StatementIntake {
+  const statements = new StatementIntake({ clock, log })
+  const subscription = deps.weights.statements.subscribe(({ target, call, statement }) => {
+    const backend = fleet.find(target.backendId)
+    const source = call === 'order' ? StatementSources.ORDER : StatementSources.REPORT
+    if (backend?.entry.address === target.address) statements.take(backend, statement, source)
+  })
+  signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
+  return statements
+}
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -28,6 +28,13 @@
   'backend-removed': BackendFacts
   /** It failed too often and is left alone for a while. */
   'backend-ejected': { backend: string, address: string }
+  /**
+   * A server said of itself, in the head of an answer to this instance (`source`: `request`, `order` or `report`) or to another one (`peer`), that it leaves,
+   * or that it wants nothing for `retryAfterMs`. What it has said before and what ends no later is not told again.
+   */
+  'backend-stated': { backend: string, address: string, source: string, leaving: boolean, retryAfterMs: number | undefined }
+  /** It said something that can't be read, and that is passed over; `count` answers did since the last line. */
+  'statement-unreadable': { backend: string, value: string, count: number }
   /** A link to another instance is up. */
   'peer-joined': { peer: string, incarnation: number }
   /** Nothing was heard of it for too long, or it closed the link. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -18,6 +18,8 @@
   BACKEND_CHANGED: 'backend-changed',
   BACKEND_REMOVED: 'backend-removed',
   BACKEND_EJECTED: 'backend-ejected',
+  BACKEND_STATED: 'backend-stated',
+  STATEMENT_UNREADABLE: 'statement-unreadable',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
   DIRECTORY_CHANGED: 'directory-changed',
