--- a/gateway/routed/src/BackendPlace.ts
+++ b/gateway/routed/src/BackendPlace.ts
@@ -1,11 +1,13 @@
 import type { Clock } from '@pulleystack/core.clock'
-import type { Backend, BackendChoice } from '@pulleystack/routing.fleet'
+import type { Backend, BackendChoice, CreditUse } from '@pulleystack/routing.fleet'
 import type { ServedTimes } from './PlaceForecast.js'
 import type { RoutedWork } from './RoutedWork.js'
 
 /** What changed about a place. */
 export const PlaceChanges = {
   TAKEN: 'taken',
+  /** A server that is taken up again after a rest may have more. */
+  CREDITED: 'credited',
   /** The server has read the prompt. */
   READ: 'read',
   ENDED: 'ended',
@@ -17,6 +19,7 @@
   private readonly takenAt: number
   private prefilling: number
   private ended = false
+  private readonly credit: CreditUse
   private begunAt: number | undefined
   private readonly suspects: number
 
@@ -34,6 +37,7 @@
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
     own.suspects += this.suspects
+    this.credit = choice.backend.stated.backoff.take()
     onChange(PlaceChanges.TAKEN)
   }
 
@@ -41,6 +45,11 @@
     return this.choice.backend
   }
 
+  /** The server took the request; after a rest more may be sent there by that. */
+  noteAnswered (): void {
+    if (this.credit.noteAnswered()) this.onChange(PlaceChanges.CREDITED)
+  }
+
   /** The server has read the prompt. */
   notePrefilled (): void {
     this.begunAt ??= this.clock.readTime()
@@ -67,6 +76,7 @@
     this.backend.own.running--
     this.backend.own.cacheTokens -= this.cacheTokens
     this.backend.own.suspects -= this.suspects
+    this.credit.end()
     this.onChange(PlaceChanges.ENDED)
   }
 
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -54,6 +54,8 @@
   private waiting: Waiting[] = []
   private isClosed = false
   private readonly forecast: PlaceForecast
+  /** When the queue looks again although nothing has happened; undefined while it has no reason to. */
+  private wake: { at: number, cancel: () => void } | undefined
 
   constructor (private readonly opts: BackendQueueOptions) {
     this.forecast = new PlaceForecast(opts)
@@ -121,7 +123,8 @@
     item.lastFailure = failure
     if (failure === ChoiceFailures.NO_BACKEND) item.fail(createRefusal(failure, this.spreadRetry(item.work)))
     else if (failure === ChoiceFailures.NOT_RESIDENT) this.askForWeights(item, false)
-    else if (failure === ChoiceFailures.FULL) this.judgeFull(item)
+    else if (failure === ChoiceFailures.FULL) this.judgePlaces(item, () => this.forecast.estimatePlace(item.work, this.countAhead(item)))
+    else if (failure === ChoiceFailures.BACKING_OFF) this.judgeBackoff(item)
     else this.judge(item, this.forecast.estimateReading(item.work, this.countAhead(item)))
   }
 
@@ -240,13 +243,34 @@
     else this.waiting.sort((a, b) => a.candidate.priority - b.candidate.priority || a.work.arrivedAt - b.work.arrivedAt)
   }
 
-  /** Refuses a request for which no place will come free in time; a copy of its weights that is on the way brings many. */
-  private judgeFull (item: Waiting): void {
+  /** Refuses a request that can't wait until the first server takes requests again; one that can is tried then. */
+  private judgeBackoff (item: Waiting): void {
+    const leftMs = this.forecast.readBackoffMs(item.work)
+    if (leftMs === undefined) return
+    this.judgePlaces(item, () => ({ inTimeMs: leftMs, lateMs: leftMs }))
+    if (this.waiting.includes(item)) this.scheduleWake(leftMs)
+  }
+
+  /** Looks again after so long, or when it is to look sooner anyway. */
+  private scheduleWake (ms: number): void {
+    const { clock } = this.opts
+    const at = clock.readTime() + ms
+    if (this.wake && this.wake.at <= at) return
+    this.wake?.cancel()
+    const cancel = clock.setTimer(ms, () => {
+      this.wake = undefined
+      this.pump()
+    })
+    this.wake = { at, cancel }
+  }
+
+  /** Refuses a request for which no place will come in time; a copy of its weights that is on the way brings many. */
+  private judgePlaces (item: Waiting, estimate: () => WaitEstimate | undefined): void {
     this.askForWeights(item, true)
     const { work, candidate, needAnswer } = item
     if (work.generation && !needAnswer) return
     if (needAnswer?.coming && item.answeredAt + needAnswer.expectedMs <= candidate.latestAt) return
-    this.judge(item, this.forecast.estimatePlace(work, this.countAhead(item)))
+    this.judge(item, estimate())
   }
 
   private judge (item: Waiting, estimate: WaitEstimate | undefined): void {
@@ -326,6 +350,7 @@
 
 function createRefusal (failure: ChoiceFailure, retryAfterSeconds: number): PulleystackError {
   const opts = { retryAfterSeconds }
+  if (failure === ChoiceFailures.BACKING_OFF) return new PulleystackError('OVERLOADED', 'All servers that could run the request want rest', opts)
   if (failure === ChoiceFailures.FULL) return new PulleystackError('OVERLOADED', 'All servers that could run the request are full', opts)
   return new PulleystackError('NO_RUNNER', `No server could run the request: ${failure}`, opts)
 }
--- a/gateway/routed/src/PlaceForecast.ts
+++ b/gateway/routed/src/PlaceForecast.ts
@@ -108,11 +108,22 @@
     return taken.map(({ at }) => Math.max(heldMs * OVERDUE_SHARE, at + heldMs - now)).sort((a, b) => a - b)
   }
 
+  /** Milliseconds until the first of the servers that could run the request and want rest takes requests again; undefined when none wants rest. */
+  readBackoffMs (work: RoutedWork): number | undefined {
+    const now = this.opts.clock.readTime()
+    const waits = this.listStaying(work, now).map((backend) => backend.stated.backoff.readLeftMs(now)).filter((ms) => ms > 0)
+    return waits.length === 0 ? undefined : Math.min(...waits)
+  }
+
   private listHolding (work: RoutedWork): Backend[] {
-    const { generation } = work
     const now = this.opts.clock.readTime()
-    const present = this.opts.fleet.list(work.service.name).filter((backend) => !backend.entry.draining && backend.isReachable(now))
-    return generation ? present.filter((backend) => backend.hasWeights(generation.model, generation.adapter)) : present
+    return this.listStaying(work, now).filter((backend) => !backend.stated.backoff.isActive(now))
+  }
+
+  /** Servers that have what the request needs, stay and can be reached. */
+  private listStaying ({ service, generation }: RoutedWork, now: number): Backend[] {
+    const staying = this.opts.fleet.list(service.name).filter((backend) => backend.isStaying(now))
+    return generation ? staying.filter((backend) => backend.hasWeights(generation.model, generation.adapter)) : staying
   }
 
   private readHigh (means: RecentMean, work: RoutedWork): number | undefined {
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -144,6 +144,7 @@
     const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
     progress.runs++
     place.backend.noteReached(clock.readTime())
+    place.noteAnswered()
     const failed = await passOn(opts, { work, progress, place, client, answer, attempt })
     suspects.noteServed(work)
     if (failed) return noteServerFailure(opts, work, place, failed, facts)
@@ -238,7 +239,8 @@
   facts: { request: string, backend: string, send: number },
 ): PulleystackError {
   const { backend } = place
-  work.excluded.add(backend.id)
+  // One that wants rest is left alone by all requests until then, and may have this one afterwards.
+  if (!backend.stated.backoff.isActive(opts.clock.readTime())) work.excluded.add(backend.id)
   opts.log.record(DecisionKinds.ATTEMPT_FAILED, { ...facts, code: error.code, ran: error.ran, reason: error.message })
   if (error.code === 'ATTEMPT_FAILED_NOT_RUN') backend.noteUnreachable(opts.clock.readTime())
   const isSilent = error.code === 'DEADLINE_UNKNOWN' && work.stream.events === 0
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { RepeatModes } from '@pulleystack/config.routes'
 import { ManualClock } from '@pulleystack/core.clock'
+import { Backend } from '@pulleystack/routing.fleet'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { WindowBudget } from '@pulleystack/routing.retries'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
@@ -55,8 +56,8 @@
     server = createServer()
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
-    const backend = { id: 'b', entry: { address }, noteReached: () => undefined, readLoad: () => ({ running: 0, prefillTokens: 0 }), outlier: { noteSuccess: () => undefined } }
-    const place = { backend, choice: { keptTokens: 0 }, notePrefilled: () => undefined, end: () => undefined } as unknown as BackendPlace
+    const backend = new Backend({ id: 'b', service: 's', address, dataHall: 'z', slots: 1, draining: false, models: undefined, inMemory: [], onDisk: [] })
+    const place = { backend, choice: { keptTokens: 0 }, noteAnswered: () => undefined, notePrefilled: () => undefined, end: () => undefined } as unknown as BackendPlace
     let acquired = 0
     let noteAsked = (): void => undefined
     hasAskedAgain = new Promise((resolve) => {
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -136,7 +136,7 @@
       ...load ? { loading: load.model } : {},
       busyMs: this.estimateBusyMs(backend.id),
       fresh: loadedAt.filter(([, at]) => at > now - FRESH_MS).map(([model]) => model),
-      heldMs: Math.max(0, this.readHoldOff(backend.id) - now),
+      heldMs: Math.max(backend.stated.backoff.readLeftMs(now), this.readHoldOff(backend.id) - now),
       running: backend.readLoad().running,
     }
   }
@@ -166,7 +166,9 @@
 
   /** Brings an adapter to one of the servers that have its model, the least busy of them. */
   async bringAdapter (it: WantedAdapter): Promise<void> {
-    const [backend] = [...it.holding].sort((a, b) => this.rateForAdapter(a) - this.rateForAdapter(b))
+    const now = this.opts.clock.readTime()
+    const rested = it.holding.filter((holding) => !holding.stated.backoff.isActive(now))
+    const [backend] = rested.sort((a, b) => this.rateForAdapter(a) - this.rateForAdapter(b))
     if (!backend) return
     const orders = this.findOrders(backend)
     const onChange = (model: string, adapter: string, present: boolean): void => this.opts.onChange({ backend: backend.id, model, adapter, present })
--- a/program/entry/src/startStatements.ts
+++ b/program/entry/src/startStatements.ts
@@ -1,9 +1,16 @@
-import { StatementIntake, StatementSources, type BackendFleet } from '@pulleystack/routing.fleet'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
+import { StatementIntake, StatementSources, shareDepartures, type BackendFleet } from '@pulleystack/routing.fleet'
 import type { EntryParts } from './EntryParts.js'
 
+export interface StatementsParts extends EntryParts {
+  fleet: BackendFleet
+  network: PeerNetwork
+}
+
 /** Takes what backend servers say of themselves in any answer, until the signal ends. */
-export function startStatements ({ deps, clock, log, fleet }: EntryParts & { fleet: BackendFleet }, signal: AbortSignal): StatementIntake {
-  const statements = new StatementIntake({ clock, log })
+export function startStatements ({ deps, clock, log, fleet, network }: StatementsParts, signal: AbortSignal): StatementIntake {
+  const statements = new StatementIntake({ clock, log, fleet })
+  shareDepartures({ network, fleet }, signal)
   const subscription = deps.weights.statements.subscribe(({ target, call, statement }) => {
     const backend = fleet.find(target.backendId)
     const source = call === 'order' ? StatementSources.ORDER : StatementSources.REPORT
--- a/program/instance/src/createRouted.ts
+++ b/program/instance/src/createRouted.ts
@@ -62,7 +62,7 @@
     protocol: new OwnRoutedProtocol(),
     queue,
     fleet,
-    statements: new StatementIntake({ clock, log }),
+    statements: new StatementIntake({ clock, log, fleet }),
     pace: new StreamPace(clock),
     residency,
     findBudget: (service) => budgets.find(service),
--- a/routing/fleet/src/Backend.ts
+++ b/routing/fleet/src/Backend.ts
@@ -3,6 +3,7 @@
 import { NO_LOAD, sumTallies, type LoadTally } from './LoadTally.js'
 import { PrefixMemory } from './PrefixMemory.js'
 import { ReadingShare } from './ReadingShare.js'
+import { StatedFacts } from './StatedFacts.js'
 
 const DEFAULT_CACHE_TOKENS = 200_000
 const FIRST_DOWN_MS = 400
@@ -31,7 +32,21 @@
   private downUntil = -Infinity
   private reachedAt = -Infinity
 
-  constructor (public entry: BackendEntry) {}
+  private current: BackendEntry
+
+  constructor (entry: BackendEntry, readonly stated = new StatedFacts({ id: entry.id, startedAt: entry.startedAt })) {
+    this.current = this.merge(entry)
+  }
+
+  /** The server's entry, with what it said of itself since. */
+  get entry (): BackendEntry {
+    return this.current
+  }
+
+  /** Whether it doesn't leave, and a connection would likely come up. */
+  isStaying (now: number): boolean {
+    return !this.current.draining && this.isReachable(now)
+  }
 
   /** Whether a connection would likely come up. */
   isReachable (now: number): boolean {
@@ -105,6 +120,11 @@
     for (const model of this.adapterChanges.keys()) {
       if (!hasWeights(entry, model)) this.adapterChanges.delete(model)
     }
-    this.entry = entry
+    this.current = this.merge(entry)
+  }
+
+  // An entry may have been written before the server said it, or go on saying otherwise until the store has taken its word.
+  private merge (entry: BackendEntry): BackendEntry {
+    return this.stated.isLeaving && !entry.draining ? { ...entry, draining: true } : entry
   }
 }
--- a/routing/fleet/src/BackendEntry.ts
+++ b/routing/fleet/src/BackendEntry.ts
@@ -25,6 +25,13 @@
   onDisk: readonly string[]
 }
 
+/** One life of a server, from a start to its end. */
+export type ServerLife = Pick<BackendEntry, 'id' | 'startedAt'>
+
+export function nameLife ({ id, startedAt }: ServerLife): string {
+  return startedAt === undefined ? id : `${id}@${startedAt}`
+}
+
 /** The name of a model or, with an adapter, of the pair. */
 export function nameWeights (model: string, adapter: string | undefined): string {
   return adapter === undefined ? model : `${model}/${adapter}`
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -1,9 +1,10 @@
 import { Subject, type Observable } from 'rxjs'
 import { Backend } from './Backend.js'
-import type { BackendEntry } from './BackendEntry.js'
+import { nameLife, type BackendEntry, type ServerLife } from './BackendEntry.js'
 import type { LoadTally } from './LoadTally.js'
 import type { PromptPart } from './PrefixMemory.js'
 import type { PauseSample } from './ReadingShare.js'
+import { StatementMemory } from './StatedFacts.js'
 import { WaitingTallies } from './WaitingTallies.js'
 
 /** What changed in the fleet. */
@@ -33,6 +34,8 @@
   /** Servers where other instances last had something in hand. */
   private readonly loadedByPeers = new Map<string, string[]>()
   private readonly loadSubject = new Subject<void>()
+  private readonly statements = new StatementMemory()
+  private readonly departureSubject = new Subject<ServerLife>()
 
   get changes (): Observable<FleetChange> {
     return this.subject
@@ -125,12 +128,48 @@
       this.subject.next({ kind: 'updated', backend: present })
       return
     }
-    const backend = new Backend(entry)
+    const backend = new Backend(entry, this.statements.find(entry))
     this.backends.set(entry.id, backend)
     this.rebuildService(entry.service)
     this.subject.next({ kind: 'added', backend })
   }
 
+  /** Tells of servers that said to this instance that they leave. */
+  get departures (): Observable<ServerLife> {
+    return this.departureSubject
+  }
+
+  /** Lives that said that they leave, to whichever instance, the newest first. */
+  listDepartures (limit: number): ServerLife[] {
+    return this.statements.listLeaving(limit)
+  }
+
+  /** The server said to this instance that it leaves; gives whether that was news. */
+  noteLeaving ({ stated }: Backend): boolean {
+    if (!this.takeDeparture(stated.life)) return false
+    this.departureSubject.next(stated.life)
+    return true
+  }
+
+  /** A life of a server is known to leave, whether its entry is known or not; gives whether that was news. */
+  takeDeparture (life: ServerLife): boolean {
+    const present = this.backends.get(life.id)
+    const isCurrent = present !== undefined && nameLife(present.entry) === nameLife(life)
+    const facts = isCurrent ? present.stated : this.statements.find(life)
+    if (facts.isLeaving) return false
+    facts.isLeaving = true
+    this.statements.put(facts)
+    if (isCurrent) this.put(present.entry)
+    return true
+  }
+
+  /** The server wants no requests from this instance for so long; gives whether that was news. */
+  noteRetryAfter ({ stated }: Backend, ms: number, now: number): boolean {
+    if (!stated.backoff.extend(ms, now)) return false
+    this.statements.put(stated)
+    return true
+  }
+
   remove (id: string): void {
     const backend = this.backends.get(id)
     if (!backend) return
--- a/routing/fleet/src/StatementIntake.ts
+++ b/routing/fleet/src/StatementIntake.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { Backend } from './Backend.js'
+import type { BackendFleet } from './BackendFleet.js'
 
 /** Where a statement of a server was heard. */
 export const StatementSources = {
@@ -18,6 +19,7 @@
 export interface StatementIntakeOptions {
   clock: Clock
   log: DecisionLog
+  fleet: BackendFleet
 }
 
 /** Takes what backend servers say of themselves in their answers. */
@@ -32,7 +34,10 @@
     const { serverId, leaving, retryAfterMs, unreadable } = statement
     if (serverId !== undefined && serverId !== backend.id) return
     if (unreadable !== undefined) this.noteUnreadable(backend, unreadable)
-    if (!leaving && retryAfterMs === undefined) return
+    const { fleet, clock } = this.opts
+    const isNews = leaving && fleet.noteLeaving(backend)
+    const isRestNews = retryAfterMs !== undefined && fleet.noteRetryAfter(backend, retryAfterMs, clock.readTime())
+    if (!isNews && !isRestNews) return
     this.opts.log.record(DecisionKinds.BACKEND_STATED, { backend: backend.id, address: backend.entry.address, source, leaving, retryAfterMs })
   }
 
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -37,6 +37,8 @@
   NOT_RESIDENT: 'not-resident',
   /** All that hold it are full. */
   FULL: 'full',
+  /** All that hold it have asked this instance for rest. */
+  BACKING_OFF: 'backing-off',
   /** Some that hold it have room, but read so many prompts that one more would hold up the streams beside it. */
   READING: 'reading',
 } as const
@@ -81,13 +83,16 @@
   policy: Policy
 }): BackendChoice | ChoiceFailure {
   const { demand, now } = opts
-  const present = opts.backends.filter((backend) => !backend.entry.draining && backend.isReachable(now))
+  const present = opts.backends.filter((backend) => backend.isStaying(now))
   if (present.length === 0) return ChoiceFailures.NO_BACKEND
   const { generation } = demand
   const holding = generation ? present.filter((backend) => backend.hasWeights(generation.model, generation.adapter)) : present
   if (holding.length === 0) return ChoiceFailures.NOT_RESIDENT
-  const usable = listUsable(holding.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
+  const rested = holding.filter((backend) => !backend.stated.backoff.isActive(now))
+  if (rested.length === 0) return ChoiceFailures.BACKING_OFF
+  const usable = listUsable(rested.map((backend) => ({ backend, outlier: backend.outlier, isSilent: () => false })), now).map((it) => it.backend)
   const fresh = usable.filter((backend) => !demand.excluded.has(backend.id))
+  if (fresh.length === 0 && rested.length < holding.length) return ChoiceFailures.BACKING_OFF
   if (fresh.length === 0) return generation ? ChoiceFailures.NOT_RESIDENT : ChoiceFailures.NO_BACKEND
   const sound = opts.policy.failureAvoidance ? dropFailing(fresh, now) : fresh
   const judged = sound.map((backend) => rateBackend(backend, opts))
@@ -112,6 +117,7 @@
   const { demand, figures } = opts
   const load = backend.readLoad()
   if (demand.mustBeApart && load.suspects > 0) return ChoiceFailures.FULL
+  if (!backend.stated.backoff.hasCredit()) return ChoiceFailures.FULL
   const suspectMs = load.suspects * SUSPECT_MS
   const hallMs = backend.entry.dataHall === demand.dataHall ? 0 : OTHER_HALL_MS
   // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
