--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -220,6 +220,8 @@
         setTimer(candidate.dueAt, () => {
           endTally()
           endTally = () => undefined
+          // Requests at other instances yield to those in time here until they hear that there are none.
+          fleet.noteLoadChange()
           this.placeBesideReading(item)
         }),
         setTimer(candidate.latestAt, () => {
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -4,7 +4,7 @@
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { NeedAnswer, ResidencyClient } from '@pulleystack/placement.residency'
-import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
+import { BackendFleet, type Backend, type BackendEntry } from '@pulleystack/routing.fleet'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendPlace, BackendQueue } from '../src/index.js'
 import { createStreamProgress } from '../src/relayStream.js'
@@ -114,6 +114,52 @@
     })
   })
 
+  describe('while all servers that hold the weights want rest', () => {
+    const rest = (ms: number): void => fleet.listAll().forEach((backend) => void fleet.noteRetryAfter(backend, ms, clock.readTime()))
+
+    it('are waited for until the first server takes requests again', async () => {
+      rest(2_000)
+      fleet.noteRetryAfter(fleet.find('b') as Backend, 3_000, clock.readTime())
+      const waiting = queue.acquire(createWork('held'))
+      await clock.advance(1_990)
+      assert.equal(queue.size, 1)
+      await clock.advance(20)
+      assert.equal((await waiting).backend.id, 'a')
+    })
+
+    it('are refused at once, with the time at which the first one is back, when that is too late', async () => {
+      rest(5_000)
+      const refused = await queue.acquire({ ...createWork('held'), deadline: 4_000 }).catch((error: unknown) => error)
+      assert.ok(refused instanceof PulleystackError)
+      assert.equal(refused.code, 'OVERLOADED')
+      assert.equal(refused.ran, Ran.NO)
+      assert.ok((refused.retryAfterSeconds ?? 0) >= 4)
+    })
+
+    it('are handed out afterwards by the answers that come, and not to all at once', async () => {
+      fleet.remove('b')
+      rest(1_000)
+      const places: BackendPlace[] = []
+      for (let at = 0; at < 8; at++) void queue.acquire(createWork('held')).then((place) => places.push(place))
+      await clock.advance(1_100)
+      assert.equal(places.length, 1)
+      places[0]?.noteAnswered()
+      await clock.advance(1)
+      assert.equal(places.length, 3)
+      places.forEach((place) => place.noteAnswered())
+      await clock.advance(1)
+      assert.equal(places.length, 7)
+    })
+
+    it('are found at a server that holds the weights by then', async () => {
+      rest(9_000)
+      const waiting = queue.acquire(createWork('held'))
+      await clock.advance(10)
+      fleet.put(createEntry('c'))
+      assert.equal((await waiting).backend.id, 'c')
+    })
+  })
+
   describe('when a request that is late waits for a place', () => {
     const fill = async (): Promise<BackendPlace[]> => Promise.all(Array.from({ length: 16 }, () => queue.acquire(createWork('held'))))
 
@@ -135,6 +181,17 @@
       assert.equal(hasPlace, true)
     })
 
+    it('are yielded to none once the others have heard that it became late as well', async () => {
+      await fill()
+      const { targetLatencyMs } = createWork('held').route
+      void queue.acquire(createWork('held'))
+      const told: [string, number][][] = []
+      fleet.loadChanges.subscribe(() => told.push(fleet.waiting.listOwn()))
+      await clock.advance(targetLatencyMs + 10)
+      assert.equal(queue.size, 1)
+      assert.deepEqual(told.at(-1), [])
+    })
+
     it('are its own when it can still be in time', async () => {
       const places = await fill()
       fleet.waiting.takeOther('other', [['s|held', 1]])
