--- a/backend/http/src/OwnRoutedProtocol.ts
+++ b/backend/http/src/OwnRoutedProtocol.ts
@@ -1,12 +1,14 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
-import { RoutedProtocol, type AnswerFacts, type ForwardContext, type RoutedRequestFacts } from '@pulleystack/backend.interfaces'
-import { listEndToEnd } from '@pulleystack/core.headers'
+import { RoutedProtocol, type AnswerFacts, type ForwardContext, type RoutedRequestFacts, type ServerStatement } from '@pulleystack/backend.interfaces'
+import { listEndToEnd, parseRetryAfter } from '@pulleystack/core.headers'
 import { Ran } from '@pulleystack/core.errors'
 import { ATTEMPT_HEADER, RAN_HEADER } from './wire.js'
 
 const DEADLINE_HEADER = 'pulleystack-deadline-ms'
 const LAST_EVENT_HEADER = 'last-event-id'
 const REFUSED = 503
+/** Characters of an unreadable value that are logged. */
+const MAX_SHOWN = 64
 /** Written anew, or the caller's secret. */
 const LEFT_OUT = new Set([DEADLINE_HEADER, 'authorization', 'content-length', 'expect'])
 const LEFT_OUT_ON_RELAY = new Set([DEADLINE_HEADER, 'content-length', 'expect'])
@@ -46,7 +48,8 @@
 
   override readAnswer (status: number, headers: IncomingHttpHeaders): AnswerFacts {
     const requestId = readText(headers[ATTEMPT_HEADER])
-    return { requestId, signed: requestId !== undefined, notRun: status === REFUSED && headers[RAN_HEADER] === Ran.NO }
+    const notRun = status === REFUSED && headers[RAN_HEADER] === Ran.NO
+    return { requestId, signed: requestId !== undefined, notRun, statement: status === REFUSED ? readRest(headers) : undefined }
   }
 
   override buildOwnHeaders (): Record<string, string> {
@@ -54,6 +57,14 @@
   }
 }
 
+/** The rest that a server asks for by the header that HTTP has for it; undefined when it asks for none. */
+function readRest (headers: IncomingHttpHeaders): ServerStatement | undefined {
+  const value = headers['retry-after']
+  if (value === undefined) return undefined
+  const retryAfterMs = parseRetryAfter(value, headers.date)
+  return { serverId: undefined, leaving: false, retryAfterMs, unreadable: retryAfterMs === undefined ? `retry-after: ${value.slice(0, MAX_SHOWN)}` : undefined }
+}
+
 function readText (value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value
 }
--- a/membership/peers/src/TimeOffset.ts
+++ b/membership/peers/src/TimeOffset.ts
@@ -13,7 +13,7 @@
   noteEcho (echo: { sentAt: number, theirTime: number, heldMs: number }, now: number): void {
     const ms = echo.theirTime - echo.heldMs - echo.sentAt
     if (!Number.isFinite(ms)) return
-    if (this.least === undefined || ms <= this.readMost(this.least, now)) this.least = { ms, at: echo.sentAt }
+    if (this.least === undefined || ms <= this.readMost(this.least, now) || this.isRefuted(echo.theirTime, now)) this.least = { ms, at: echo.sentAt }
   }
 
   /** The latest own time that surely is not after a time of the peer's; undefined before the first echo. */
@@ -21,6 +21,14 @@
     return this.least && theirTime - this.readMost(this.least, now)
   }
 
+  /**
+   * Whether the peer's clock is further ahead than the bound allows: the answer was written no later than it was read. The own clock has stood still then,
+   * as it does while the machine is suspended, and the bound would show news of the peer as fresher than they are for as long as the link lasts.
+   */
+  private isRefuted (theirTime: number, now: number): boolean {
+    return this.least !== undefined && theirTime - now > this.readMost(this.least, now)
+  }
+
   private readMost (least: { ms: number, at: number }, now: number): number {
     return least.ms + (now - least.at) * MAX_DRIFT
   }
--- a/membership/peers/test/TimeOffset.test.ts
+++ b/membership/peers/test/TimeOffset.test.ts
@@ -33,6 +33,41 @@
     }), { seed: 5, numRuns: 300 })
   })
 
+  describe('after the own machine was suspended, whose clock stood still meanwhile', () => {
+    const SUSPENDED_MS = 5_000
+
+    it('is learnt anew by the first echo, so that no later time of the peer lies in the future', () => {
+      const offset = new TimeOffset()
+      offset.noteEcho({ sentAt: 0, theirTime: 1_001, heldMs: 0 }, 2)
+      const readTheirs = (own: number): number => own + 1_000 + SUSPENDED_MS
+      offset.noteEcho({ sentAt: 10, theirTime: readTheirs(11), heldMs: 0 }, 12)
+      assert.ok((offset.convert(readTheirs(20), 20) ?? Infinity) <= 20)
+    })
+
+    it('is learnt anew by echoes of whatever ways, once they prove that the clocks moved against each other', () => {
+      const way = fc.integer({ min: 0, max: 400 })
+      const echo = fc.record({ out: way, back: way, pauseMs: way })
+      const echoes = fc.array(echo, { minLength: 1, maxLength: 10 })
+      fc.assert(fc.property(echoes, echoes, fc.integer({ min: 1_000, max: 60_000 }), (before, after, suspendedMs) => {
+        const offset = new TimeOffset()
+        let now = 0
+        let ahead = 0
+        const run = ({ out, back, pauseMs }: { out: number, back: number, pauseMs: number }): void => {
+          const sentAt = now
+          now += out + back
+          offset.noteEcho({ sentAt, theirTime: sentAt + out + ahead, heldMs: 0 }, now)
+          now += pauseMs
+        }
+        before.forEach(run)
+        ahead += suspendedMs
+        for (const it of after) {
+          run(it)
+          assert.ok((offset.convert(now + ahead, now) ?? Infinity) <= now)
+        }
+      }), { seed: 6, numRuns: 300 })
+    })
+  })
+
   it('keeps the echo that was fastest', () => {
     const offset = new TimeOffset()
     offset.noteEcho({ sentAt: 0, theirTime: 1_100, heldMs: 0 }, 200)
--- a/routing/fleet/src/shareDepartures.ts
+++ b/routing/fleet/src/shareDepartures.ts
@@ -13,7 +13,7 @@
     fleet.departures.subscribe((life) => {
       network.broadcast(DEPARTURES, [life])
     }),
-    network.receive(DEPARTURES).subscribe(({ body }) => body.forEach((life) => fleet.takeDeparture(life))),
+    network.receive(DEPARTURES).subscribe(({ body }) => listLives(body).forEach((life) => fleet.takeDeparture(life))),
     network.peerEvents.subscribe((event) => {
       if (event.kind !== 'heard' || !event.isNewLink) return
       const lives = fleet.listDepartures(MAX_TOLD)
@@ -22,3 +22,13 @@
   ]
   signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
 }
+
+/** What names lives of servers; a peer of another version may send what doesn't. */
+function listLives (body: unknown): ServerLife[] {
+  return Array.isArray(body) ? body.filter(isLife) : []
+}
+
+function isLife (item: unknown): item is ServerLife {
+  const { id, startedAt } = (item ?? {}) as Partial<Record<keyof ServerLife, unknown>>
+  return typeof id === 'string' && (startedAt === undefined || typeof startedAt === 'number')
+}
