--- a/tools/scripts/check-platform-names.mjs
+++ b/tools/scripts/check-platform-names.mjs
@@ -24,6 +24,7 @@
   'Kv-Backup',
   'Deadline-Ms',
   'Instance-Id',
+  'Server-Leaving',
 ]
 const PATHS = ['/pulleystack/', 'kv-events', 'kv-list', 'kv-move', 'hold-take', 'hold-drop']
 const FIELDS = [
