--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -64,7 +64,7 @@
     hasBegun: boolean
     events: number
   }
-  /** No place at once: `full`, `not-resident` or `no-backend`; `waiting` requests wait here. */
+  /** No place at once: `full`, `reading`, `backing-off` (all want rest), `not-resident` or `no-backend`; `waiting` requests wait here. */
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
   /** This instance stands by or has no configuration yet, and handed the request on to another one. */
   'request-relayed': { request: string | undefined, peer: string }
