--- a/backend/http/src/OwnRoutedProtocol.ts
+++ b/backend/http/src/OwnRoutedProtocol.ts
@@ -1,14 +1,12 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
 import { RoutedProtocol, type AnswerFacts, type ForwardContext, type RoutedRequestFacts, type ServerStatement } from '@pulleystack/backend.interfaces'
-import { listEndToEnd, parseRetryAfter } from '@pulleystack/core.headers'
+import { describeUnreadable, listEndToEnd, parseRetryAfter } from '@pulleystack/core.headers'
 import { Ran } from '@pulleystack/core.errors'
 import { ATTEMPT_HEADER, RAN_HEADER } from './wire.js'
 
 const DEADLINE_HEADER = 'pulleystack-deadline-ms'
 const LAST_EVENT_HEADER = 'last-event-id'
 const REFUSED = 503
-/** Characters of an unreadable value that are logged. */
-const MAX_SHOWN = 64
 /** Written anew, or the caller's secret. */
 const LEFT_OUT = new Set([DEADLINE_HEADER, 'authorization', 'content-length', 'expect'])
 const LEFT_OUT_ON_RELAY = new Set([DEADLINE_HEADER, 'content-length', 'expect'])
@@ -62,7 +60,8 @@
   const value = headers['retry-after']
   if (value === undefined) return undefined
   const retryAfterMs = parseRetryAfter(value, headers.date)
-  return { serverId: undefined, leaving: false, retryAfterMs, unreadable: retryAfterMs === undefined ? `retry-after: ${value.slice(0, MAX_SHOWN)}` : undefined }
+  const unreadable = retryAfterMs === undefined ? describeUnreadable('retry-after', value) : undefined
+  return { serverId: undefined, leaving: false, retryAfterMs, namesLimit: false, limitPerSecond: undefined, unreadable }
 }
 
 function readText (value: string | string[] | undefined): string | undefined {
--- a/backend/interfaces/src/RoutedProtocol.ts
+++ b/backend/interfaces/src/RoutedProtocol.ts
@@ -57,6 +57,8 @@
   signed: boolean
   /** The server did not run the request and never will. */
   notRun: boolean
+  /** Another server than the one that was meant may have answered. */
+  misdirected?: boolean
   /** What the server says of itself; undefined when it says nothing. */
   statement?: ServerStatement | undefined
 }
--- a/backend/interfaces/src/ServerStatement.ts
+++ b/backend/interfaces/src/ServerStatement.ts
@@ -6,6 +6,10 @@
   leaving: boolean
   /** Milliseconds for which it wants nothing more from this instance; undefined when it did not ask for that. */
   retryAfterMs: number | undefined
+  /** Whether the answer names a limit of requests, readable or not. */
+  namesLimit: boolean
+  /** Requests a second that it takes from all instances together; undefined when the answer names no limit that can be read. */
+  limitPerSecond: number | undefined
   /** A value that says something of the server and can't be read, shortened; undefined when all could be. */
   unreadable: string | undefined
 }
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -4,7 +4,7 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent, ExchangeAnswer } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
-import { StatementSources, type BackendFleet, type StatementIntake } from '@pulleystack/routing.fleet'
+import type { BackendFleet, StatementIntake } from '@pulleystack/routing.fleet'
 import type { SuspectRun } from '@pulleystack/routing.quarantine'
 import type { RetryPermit, WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
@@ -139,6 +139,7 @@
     prefillTokens: place.backend.readLoad().prefillTokens,
     keptTokens: place.choice.keptTokens,
     leftMs: Math.round(work.deadline - sentAt),
+    limitPerSecond: place.backend.stated.limit.perSecond,
   })
   try {
     const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
@@ -207,9 +208,10 @@
 }
 
 function buildExchange (opts: RunOptions, work: RoutedWork, progress: RunProgress, place: BackendPlace): Omit<Parameters<typeof openExchange>[0], 'signal'> {
+  const sentAt = opts.clock.readTime()
   const headers = opts.protocol.buildForwardHeaders(work.rawHeaders, {
     backendId: place.backend.id,
-    waitMs: Math.max(1, Math.floor(work.deadline - opts.clock.readTime())),
+    waitMs: Math.max(1, Math.floor(work.deadline - sentAt)),
     priority: work.priority,
     team: work.team?.name,
     hidesKey: work.hidesKey,
@@ -227,7 +229,7 @@
     body: work.body,
     requestId: work.requestId,
     connectMs: CONNECT_MS,
-    onStatement: (statement) => opts.statements.take(place.backend, statement, StatementSources.REQUEST),
+    onHead: (head) => opts.statements.takeAnswer(place.backend, head, { requestId: work.requestId, sentAt }),
   }
 }
 
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -2,6 +2,7 @@
 import { Backend } from './Backend.js'
 import { nameLife, type BackendEntry, type ServerLife } from './BackendEntry.js'
 import type { LoadTally } from './LoadTally.js'
+import type { LimitStatement } from './NamedLimit.js'
 import type { PromptPart } from './PrefixMemory.js'
 import type { PauseSample } from './ReadingShare.js'
 import { StatementMemory } from './StatedFacts.js'
@@ -170,6 +171,13 @@
     return true
   }
 
+  /** The server said what limit it has, or that it has none; gives whether that was news. */
+  noteLimit ({ stated }: Backend, statement: LimitStatement): boolean {
+    if (!stated.limit.take(statement)) return false
+    this.statements.put(stated)
+    return true
+  }
+
   remove (id: string): void {
     const backend = this.backends.get(id)
     if (!backend) return
--- a/routing/fleet/src/StatedFacts.ts
+++ b/routing/fleet/src/StatedFacts.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from 'lru-cache'
 import { nameLife, type ServerLife } from './BackendEntry.js'
+import { NamedLimit } from './NamedLimit.js'
 import { ServerBackoff } from './ServerBackoff.js'
 
 /** Lives of servers of which it is remembered what they said; one takes about 200 bytes. */
@@ -11,6 +12,8 @@
   isLeaving = false
   /** Rest that it asked this instance for; others are asked for themselves. */
   readonly backoff = new ServerBackoff()
+  /** Requests that it takes from all instances together. */
+  readonly limit = new NamedLimit()
 
   constructor (readonly life: ServerLife) {}
 }
--- a/routing/fleet/test/statements.test.ts
+++ b/routing/fleet/test/statements.test.ts
@@ -8,7 +8,7 @@
 
 const SERVERS = ['a', 'b', 'c']
 const SETTLED_MS = 60_000
-const LEAVING = { serverId: undefined, leaving: true, retryAfterMs: undefined, unreadable: undefined }
+const LEAVING = { serverId: undefined, leaving: true, retryAfterMs: undefined, namesLimit: false, limitPerSecond: undefined, unreadable: undefined }
 const DEMAND = { dataHall: 'z', excluded: new Set<string>(), generation: undefined, queueShare: 1, readingLimit: Infinity }
 
 function createEntry (id: string, startedAt: number): BackendEntry {
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -1,5 +1,5 @@
 import http from 'node:http'
-import type { AnswerFacts, RoutedProtocol, ServerStatement } from '@pulleystack/backend.interfaces'
+import type { AnswerFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { parseAddress } from '@pulleystack/core.addresses'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
@@ -23,8 +23,8 @@
   connectMs: number
   /** Ends the exchange and its connection. */
   signal: AbortSignal
-  /** Takes what the head of an answer says of its server, whatever becomes of the answer. */
-  onStatement?: (statement: ServerStatement) => void
+  /** Takes what the head of an answer says, whatever becomes of the answer. */
+  onHead?: (facts: AnswerFacts) => void
 }
 
 /**
@@ -54,7 +54,7 @@
     request.once('response', (message) => {
       connection.stop()
       answer = new ExchangeAnswer({ request, message, facts: opts.protocol.readAnswer(message.statusCode ?? 0, message.headers) })
-      if (answer.facts.statement) opts.onStatement?.(answer.facts.statement)
+      opts.onHead?.(answer.facts)
       const problem = checkHead(answer.facts, opts.requestId)
       message.once('close', finish)
       if (!problem) {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -33,6 +33,8 @@
    * or that it wants nothing for `retryAfterMs`. What it has said before and what ends no later is not told again.
    */
   'backend-stated': { backend: string, address: string, source: string, leaving: boolean, retryAfterMs: number | undefined }
+  /** A server named another limit of requests a second from all instances together, in an answer to this instance or to a `peer`; without one it names none. */
+  'backend-limit-changed': { backend: string, address: string, source: string, limitPerSecond: number | undefined }
   /** It said something that can't be read, and that is passed over; `count` answers did since the last line. */
   'statement-unreadable': { backend: string, value: string, count: number }
   /** A link to another instance is up. */
@@ -68,8 +70,17 @@
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
   /** This instance stands by or has no configuration yet, and handed the request on to another one. */
   'request-relayed': { request: string | undefined, peer: string }
-  /** The chosen server, what all instances have in hand there, how much of the prompt it has read, and the time left. */
-  'attempt-sent': { request: string, backend: string, send: number, running: number, prefillTokens: number, keptTokens: number, leftMs: number }
+  /** The chosen server, what all instances have in hand there, how much of the prompt it has read, the time left, and the limit that it has named. */
+  'attempt-sent': {
+    request: string
+    backend: string
+    send: number
+    running: number
+    prefillTokens: number
+    keptTokens: number
+    leftMs: number
+    limitPerSecond: number | undefined
+  }
   /** `ran` says whether the request may have run. */
   'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
   /**
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -19,6 +19,7 @@
   BACKEND_REMOVED: 'backend-removed',
   BACKEND_EJECTED: 'backend-ejected',
   BACKEND_STATED: 'backend-stated',
+  LIMIT_CHANGED: 'backend-limit-changed',
   STATEMENT_UNREADABLE: 'statement-unreadable',
   PEER_JOINED: 'peer-joined',
   PEER_LOST: 'peer-lost',
--- a/timeline/decisions/test/JsonDecisionLog.test.ts
+++ b/timeline/decisions/test/JsonDecisionLog.test.ts
@@ -21,7 +21,7 @@
   }
 }
 
-const SENT = { backend: 'r1', send: 1, running: 0, prefillTokens: 0, keptTokens: 0, leftMs: 5 }
+const SENT = { backend: 'r1', send: 1, running: 0, prefillTokens: 0, keptTokens: 0, leftMs: 5, limitPerSecond: undefined }
 
 describe('the log of decisions', () => {
   it('writes one JSON line with kind and facts', () => {
