--- a/gateway/routed/test/QuotaGate.test.ts
+++ b/gateway/routed/test/QuotaGate.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import { QuotaUnits, type Team } from '@pulleystack/config.routes'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { TeamLimits, type QuotaVerdict } from '@pulleystack/routing.limits'
+import { TeamLimits, type RateVerdict } from '@pulleystack/routing.limits'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import { QuotaGate } from '../src/index.js'
 
@@ -12,11 +12,11 @@
 
 /** Grants or refuses as told, and keeps what was asked for. */
 class TestLimits extends TeamLimits {
-  verdict: QuotaVerdict = { isGranted: true }
+  verdict: RateVerdict = { isGranted: true }
   readonly asked: number[] = []
   readonly returned: number[] = []
 
-  override acquire (_team: Team, units: number): Promise<QuotaVerdict> {
+  override acquire (_team: Team, units: number): Promise<RateVerdict> {
     this.asked.push(units)
     return Promise.resolve(this.verdict)
   }
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -83,6 +83,7 @@
       suspects: { hasChanged: () => false, admit: () => Promise.resolve({ isOnly: false, release: () => undefined }), noteServed: () => undefined },
       queue: { acquire, hasPlaceBeside: () => true },
       fleet: { noteOutcome: () => undefined },
+      statements: { takeAnswer: () => undefined },
       log: new SilentDecisionLog(),
       findBudget: () => budget,
     } as unknown as RunOptions
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -1,4 +1,4 @@
-import type { QuotaBounds } from '@pulleystack/routing.limits'
+import type { RateBounds } from '@pulleystack/routing.limits'
 
 /** Bounds that every entry instance keeps. */
 export interface EntryBounds {
@@ -7,7 +7,7 @@
   retryExtra: number
   retryWindowMs: number
   /** How far all instances together may go over the quotas of teams; undefined where no quotas are kept. */
-  quota: QuotaBounds | undefined
+  quota: RateBounds | undefined
   /** Milliseconds from a change of the configuration until it has to be in force on every instance. */
   configLagMs: number
   /** Life of the placement lease. */
--- a/routing/limits/src/CountedLimits.ts
+++ b/routing/limits/src/CountedLimits.ts
@@ -1,7 +1,8 @@
 import type { RouteTable, Team } from '@pulleystack/config.routes'
 import type { Clock } from '@pulleystack/core.clock'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
-import { TeamLimits, type QuotaVerdict } from './TeamLimits.js'
+import type { RateVerdict } from './RatePool.js'
+import { TeamLimits } from './TeamLimits.js'
 
 const USED = defineChannel<[team: string, units: number][]>('limits.used', { isOnce: true })
 /** What was used is told so often. */
@@ -39,7 +40,7 @@
     void this.keepTelling(signal)
   }
 
-  override acquire (team: Team, units: number): Promise<QuotaVerdict> {
+  override acquire (team: Team, units: number): Promise<RateVerdict> {
     if (!team.quota) return Promise.resolve({ isGranted: true })
     const { level } = this.fill(team.name)
     if (level < units) return Promise.resolve({ isGranted: false, retryAfterMs: (units - level) * 1000 / team.quota.ratePerSecond })
--- a/routing/limits/test/LimitsBench.ts
+++ b/routing/limits/test/LimitsBench.ts
@@ -1,9 +1,9 @@
 import { QuotaUnits, RouteTable, type Team, type TeamQuota } from '@pulleystack/config.routes'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { FakeHub, type FakeNetwork } from '@pulleystack/membership.fake-network'
-import { CountedLimits, PooledLimits, type QuotaBounds, type TeamLimits } from '../src/index.js'
+import { CountedLimits, PooledLimits, type RateBounds, type TeamLimits } from '../src/index.js'
 
-export const BOUNDS: QuotaBounds = { windowMs: 8_000, over: 0.1, slack: 110_000 }
+export const BOUNDS: RateBounds = { windowMs: 8_000, over: 0.1, slack: 110_000 }
 /** An instance that was killed is back after so long. */
 const RESTART_MS = 500
 /** A link that carries nothing is found to be silent after so long. */
--- a/routing/limits/test/PooledLimits.test.ts
+++ b/routing/limits/test/PooledLimits.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import fc from 'fast-check'
-import { QuotaPool } from '../src/index.js'
+import { RatePool } from '../src/index.js'
 import { BOUNDS, LimitsBench, Ways, createQuota, type Way } from './LimitsBench.js'
 
 /** Tokens a second of a small team, and of a prompt of its requests. */
@@ -112,7 +112,7 @@
 
   it('tells those who are refused times that lie apart, and none beyond what anybody waits', async () => {
     const clock = new ManualClock()
-    const pool = new QuotaPool({ clock, bounds: BOUNDS, countInstances: () => 1 }, createQuota(SMALL))
+    const pool = new RatePool({ clock, bounds: BOUNDS, countInstances: () => 1 }, createQuota(SMALL))
     pool.add(1_000)
     pool.take(SMALL)
     const told = Array.from({ length: 100 }, () => pool.take(PROMPT)).flatMap((verdict) => verdict.isGranted ? [] : [verdict.retryAfterMs])
