--- a/gateway/routed/src/BackendPlace.ts
+++ b/gateway/routed/src/BackendPlace.ts
@@ -11,6 +11,8 @@
   /** The server has read the prompt. */
   READ: 'read',
   ENDED: 'ended',
+  /** It ended, and the right to send that the server's limit asked for was not used. */
+  UNSENT: 'unsent',
 } as const
 export type PlaceChange = typeof PlaceChanges[keyof typeof PlaceChanges]
 
@@ -22,6 +24,8 @@
   private readonly credit: CreditUse
   private begunAt: number | undefined
   private readonly suspects: number
+  /** A right to send to the server is used up once the request may have reached it. */
+  private hasPermit: boolean
 
   constructor (
     readonly choice: BackendChoice,
@@ -37,7 +41,9 @@
     own.prefillTokens += this.prefilling
     own.cacheTokens += this.cacheTokens
     own.suspects += this.suspects
-    this.credit = choice.backend.stated.backoff.take()
+    const { backoff, limit, permits } = choice.backend.stated
+    this.credit = backoff.take()
+    this.hasPermit = limit.perSecond !== undefined && permits.take(this.takenAt)
     onChange(PlaceChanges.TAKEN)
   }
 
@@ -45,6 +51,11 @@
     return this.choice.backend
   }
 
+  /** The request is on its way. */
+  noteSent (): void {
+    this.hasPermit = false
+  }
+
   /** The server took the request; after a rest more may be sent there by that. */
   noteAnswered (): void {
     if (this.credit.noteAnswered()) this.onChange(PlaceChanges.CREDITED)
@@ -77,6 +88,7 @@
     this.backend.own.cacheTokens -= this.cacheTokens
     this.backend.own.suspects -= this.suspects
     this.credit.end()
+    if (this.hasPermit) this.onChange(PlaceChanges.UNSENT)
     this.onChange(PlaceChanges.ENDED)
   }
 
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -3,7 +3,8 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { estimateLoadMs, type NeedAnswer, type ResidencyClient } from '@pulleystack/placement.residency'
 import { compareUrgency, isInTime, judgeWait, type Candidate, type WaitEstimate } from '@pulleystack/routing.admission'
-import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
+import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
+import type { ServerPermits } from '@pulleystack/routing.permits'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendPlace, PlaceChanges } from './BackendPlace.js'
 import { PlaceForecast, namePlaces } from './PlaceForecast.js'
@@ -43,6 +44,8 @@
   clock: Clock
   random: RandomSource
   fleet: BackendFleet
+  /** Undefined where servers name no limits. */
+  permits?: Pick<ServerPermits, 'request' | 'giveBack'>
   residency: ResidencyClient
   log: DecisionLog
   dataHall: string
@@ -54,6 +57,8 @@
   private waiting: Waiting[] = []
   private isClosed = false
   private readonly forecast: PlaceForecast
+  /** How many requests would go to servers whose limits leave nothing, since rights to send there were last asked for. */
+  private readonly lacking = new Map<Backend, number>()
   /** When the queue looks again although nothing has happened; undefined while it has no reason to. */
   private wake: { at: number, cancel: () => void } | undefined
 
@@ -75,6 +80,8 @@
     this.forecast.noteArrived(work)
     if (this.waiting.length === 0) {
       const place = this.tryPlace(work)
+      // One that goes elsewhere makes room at the limited server for the next.
+      if (place instanceof BackendPlace) this.requestPermits()
       if (place instanceof BackendPlace) return Promise.resolve(place)
       if (place === ChoiceFailures.NO_BACKEND) return Promise.reject(createRefusal(place, this.spreadRetry(work)))
     }
@@ -110,6 +117,17 @@
       if (place instanceof BackendPlace) item.settle(place)
       else this.noteFailure(item, place)
     }
+    this.requestPermits()
+  }
+
+  private requestPermits (): void {
+    const lacking = [...this.lacking]
+    this.lacking.clear()
+    for (const [backend, count] of lacking) this.opts.permits?.request(backend, count)
+  }
+
+  private noteLacking (backend: Backend): void {
+    this.lacking.set(backend, (this.lacking.get(backend) ?? 0) + 1)
   }
 
   /** One that is late in any case leaves places to those at other instances that can still be in time. */
@@ -125,6 +143,7 @@
     else if (failure === ChoiceFailures.NOT_RESIDENT) this.askForWeights(item, false)
     else if (failure === ChoiceFailures.FULL) this.judgePlaces(item, () => this.forecast.estimatePlace(item.work, this.countAhead(item)))
     else if (failure === ChoiceFailures.BACKING_OFF) this.judgeBackoff(item)
+    else if (failure === ChoiceFailures.LIMITED) this.judgeLimited(item)
     else this.judge(item, this.forecast.estimateReading(item.work, this.countAhead(item)))
   }
 
@@ -135,7 +154,7 @@
   }
 
   private tryPlace (work: RoutedWork, readingLimit = this.computeReadingLimit(work)): BackendPlace | ChoiceFailure {
-    const choice = this.choose(work, readingLimit, work.excluded)
+    const choice = this.choose(work, readingLimit, work.excluded, (backend) => this.noteLacking(backend))
     if (typeof choice === 'string') return choice
     const { generation } = work
     if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
@@ -143,6 +162,7 @@
     const place: BackendPlace = new BackendPlace(choice, work, this.opts.clock, (change) => {
       this.opts.fleet.noteLoadChange()
       if (change === PlaceChanges.TAKEN) return
+      if (change === PlaceChanges.UNSENT) this.opts.permits?.giveBack(choice.backend, 1)
       if (change === PlaceChanges.ENDED) {
         endTaken()
         this.noteEnded(place, work)
@@ -152,7 +172,12 @@
     return place
   }
 
-  private choose (work: RoutedWork, readingLimit: number, excluded: ReadonlySet<string>): BackendChoice | ChoiceFailure {
+  private choose (
+    work: RoutedWork,
+    readingLimit: number,
+    excluded: ReadonlySet<string>,
+    onLacking?: (backend: Backend) => void,
+  ): BackendChoice | ChoiceFailure {
     return chooseBackend({
       backends: this.opts.fleet.list(work.service.name),
       demand: { dataHall: this.opts.dataHall, excluded, generation: work.generation, queueShare: QUEUE_SHARE, readingLimit, mustBeApart: work.mustBeApart },
@@ -160,6 +185,7 @@
       policy: this.opts.policy,
       random: this.opts.random,
       now: this.opts.clock.readTime(),
+      onLacking,
     })
   }
 
@@ -253,6 +279,14 @@
     if (this.waiting.includes(item)) this.scheduleWake(leftMs)
   }
 
+  /** Refuses a request that can't wait until limits leave a place, once it is known that they leave none now. */
+  private judgeLimited (item: Waiting): void {
+    this.requestPermits()
+    this.askForWeights(item, true)
+    if (this.forecast.isAskingForPermits(item.work)) return
+    this.judgePlaces(item, () => this.forecast.estimatePermit(item.work, this.countAhead(item)))
+  }
+
   /** Looks again after so long, or when it is to look sooner anyway. */
   private scheduleWake (ms: number): void {
     const { clock } = this.opts
@@ -353,6 +387,7 @@
 function createRefusal (failure: ChoiceFailure, retryAfterSeconds: number): PulleystackError {
   const opts = { retryAfterSeconds }
   if (failure === ChoiceFailures.BACKING_OFF) return new PulleystackError('OVERLOADED', 'All servers that could run the request want rest', opts)
+  if (failure === ChoiceFailures.LIMITED) return new PulleystackError('OVERLOADED', 'All servers that could run the request name limits that are reached', opts)
   if (failure === ChoiceFailures.FULL) return new PulleystackError('OVERLOADED', 'All servers that could run the request are full', opts)
   return new PulleystackError('NO_RUNNER', `No server could run the request: ${failure}`, opts)
 }
--- a/gateway/routed/src/PlaceForecast.ts
+++ b/gateway/routed/src/PlaceForecast.ts
@@ -1,6 +1,7 @@
 import { RecentMean, RecentRate, estimateWaits, type Candidate, type QueueFacts, type WaitEstimate } from '@pulleystack/routing.admission'
 import type { Clock } from '@pulleystack/core.clock'
 import { PREFILL_TOKENS_PER_MS, nameWeights, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
+import { computePermitsPerSecond } from '@pulleystack/routing.permits'
 import type { RoutedWork } from './RoutedWork.js'
 
 /** A request that has held its place for longer than others do ends at any moment: within this share of the time. */
@@ -76,9 +77,34 @@
 
   /** When a place will likely come free; undefined before any was seen to. `ahead` requests for the same places wait here before this one. */
   estimatePlace (work: RoutedWork, ahead: number): WaitEstimate | undefined {
+    return this.estimateAt(work, ahead, this.listHolding(work))
+  }
+
+  /** When the limits that servers name will likely leave a place; at another server one may come free before. */
+  estimatePermit (work: RoutedWork, ahead: number): WaitEstimate | undefined {
+    const now = this.opts.clock.readTime()
+    const holding = this.listHolding(work)
+    const limited = holding.filter(({ stated }) => stated.limit.perSecond !== undefined)
+    const others = holding.filter((backend) => !limited.includes(backend))
+    const place = others.length === 0 ? undefined : this.estimateAt(work, ahead, others)
+    if (limited.length === 0) return place
+    const perSecond = limited.reduce((sum, { stated }) => sum + computePermitsPerSecond(stated.limit.perSecond ?? Infinity), 0)
+    const heldMs = 1_000 / perSecond
+    const nextMs = Math.min(...limited.map(({ stated }) => Math.max(0, stated.permits.expectedAt - now)))
+    // The rights to send come one by one, as if one request were run after the other.
+    const permit = this.estimate(work, ahead, { heldMs, running: 1, ownLeftMs: [nextMs - heldMs], isSteady: true })
+    if (!place) return permit
+    return { inTimeMs: Math.min(permit.inTimeMs, place.inTimeMs), lateMs: Math.min(permit.lateMs, place.lateMs) }
+  }
+
+  /** Whether rights to send to a server that could run the request have been asked for, and no answer is there yet. */
+  isAskingForPermits (work: RoutedWork): boolean {
+    return this.listHolding(work).some(({ stated }) => stated.permits.isAsking)
+  }
+
+  private estimateAt (work: RoutedWork, ahead: number, holding: readonly Backend[]): WaitEstimate | undefined {
     const heldMs = this.read(this.held, work)
     if (heldMs === undefined) return undefined
-    const holding = this.listHolding(work)
     const running = holding.reduce((sum, backend) => sum + backend.readLoad().running, 0)
     return this.estimate(work, ahead, { heldMs: Math.max(1, heldMs), running, ownLeftMs: this.listLeftMs(holding, heldMs) })
   }
@@ -90,7 +116,7 @@
     return this.estimate(work, ahead, { heldMs: Math.max(1, readMs), running: this.listHolding(work).length, ownLeftMs: [] })
   }
 
-  private estimate (work: RoutedWork, ahead: number, use: Pick<QueueFacts, 'heldMs' | 'running' | 'ownLeftMs'>): WaitEstimate {
+  private estimate (work: RoutedWork, ahead: number, use: Pick<QueueFacts, 'heldMs' | 'running' | 'ownLeftMs' | 'isSteady'>): WaitEstimate {
     const { fleet } = this.opts
     const name = namePlaces(work)
     return estimateWaits({
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -142,7 +142,9 @@
     limitPerSecond: place.backend.stated.limit.perSecond,
   })
   try {
-    const answer = await openExchange({ ...buildExchange(opts, work, progress, place), signal: attempt.signal })
+    const exchange = buildExchange(opts, work, progress, place)
+    place.noteSent()
+    const answer = await openExchange({ ...exchange, signal: attempt.signal })
     progress.runs++
     place.backend.noteReached(clock.readTime())
     place.noteAnswered()
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -57,7 +57,7 @@
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     const backend = new Backend({ id: 'b', service: 's', address, dataHall: 'z', slots: 1, draining: false, models: undefined, inMemory: [], onDisk: [] })
-    const noted = { noteAnswered: () => undefined, notePrefilled: () => undefined }
+    const noted = { noteSent: () => undefined, noteAnswered: () => undefined, notePrefilled: () => undefined }
     const place = { ...noted, backend, choice: { keptTokens: 0 }, end: () => undefined } as unknown as BackendPlace
     let acquired = 0
     let noteAsked = (): void => undefined
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -11,6 +11,7 @@
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
 import { LoneRunRule, Quarantine } from '@pulleystack/routing.quarantine'
 import { RetryBudgets } from '@pulleystack/routing.retries'
+import { describeStanding, listServing } from './describeStanding.js'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
 import { listNearFirst } from './listAddresses.js'
@@ -81,13 +82,7 @@
   const bounds = settings.bounds.quota
   if (!bounds) return undefined
   if (!policy.pooledQuotas) return new CountedLimits({ clock, network, readTable })
-  const standing = {
-    instance: settings.instance,
-    countInstances: () => mesh.countKnown(),
-    isServing: () => isServing(mesh.self),
-    listServing: () => listServing(mesh),
-  }
-  return new PooledLimits({ clock, network, standing, readTable, bounds })
+  return new PooledLimits({ clock, network, standing: describeStanding(mesh), readTable, bounds })
 }
 
 /** What all instances together know of requests under which servers ended. */
@@ -96,11 +91,6 @@
   return new Quarantine({ clock, network, standing, rule: new LoneRunRule(), store: deps.store })
 }
 
-/** The other instances that serve and have a live link. */
-function listServing (mesh: InstanceMesh): string[] {
-  return mesh.listLive().filter(isServing).map((identity) => identity.instance)
-}
-
 function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
   const { retryRatio, retryExtra, retryWindowMs } = settings.bounds
   const standing = {
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -4,7 +4,7 @@
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
-import { BackendQueue, type RoutedGateway } from '@pulleystack/gateway.routed'
+import type { BackendQueue, RoutedGateway } from '@pulleystack/gateway.routed'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
@@ -19,6 +19,7 @@
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
 import { NamedInstances } from './NamedInstances.js'
+import { startQueue } from './startQueue.js'
 import { startStatements } from './startStatements.js'
 import type { StopPlan } from './StopPlan.js'
 import { watchSources, type SourceFeeds } from './watchSources.js'
@@ -101,9 +102,9 @@
     readStoreAgeMs: () => state.feeds?.backends.ageMs ?? Infinity,
     onChange: () => queue.pump(),
   })
-  const queue: BackendQueue = new BackendQueue({ clock, random, fleet, residency, log, dataHall: settings.dataHall, policy })
+  const queue: BackendQueue = startQueue({ ...parts, random, residency }, ended.signal)
   const quarantine = createQuarantine(parts)
-  const statements = startStatements(parts, ended.signal)
+  const statements = startStatements({ ...parts, onLimit: () => queue.pump() }, ended.signal)
   const listCopies = (): StoreFeed[] => state.feeds ? Object.values(state.feeds) : []
   const metrics = createMetrics({ ...parts, signal: ended.signal, readWaiting: () => queue.size, readSuspects: () => quarantine.size, listCopies })
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
--- /dev/null
+++ b/program/entry/src/startQueue.ts
@@ -0,0 +1,28 @@
+import type { RandomSource } from '@pulleystack/core.clock'
+import type { Policy } from '@pulleystack/config.settings'
+import { BackendQueue } from '@pulleystack/gateway.routed'
+import type { InstanceMesh } from '@pulleystack/membership.mesh'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
+import type { ResidencyService } from '@pulleystack/placement.residency'
+import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { ServerPermits } from '@pulleystack/routing.permits'
+import type { EntryParts } from './EntryParts.js'
+import { describeStanding } from './describeStanding.js'
+
+export interface QueueParts extends EntryParts {
+  random: RandomSource
+  policy: Policy
+  mesh: InstanceMesh
+  network: PeerNetwork
+  fleet: BackendFleet
+  residency: ResidencyService
+}
+
+/** The places at backend servers, and the rights to send to those that name a limit, which all instances share until the signal ends. */
+export function startQueue (parts: QueueParts, signal: AbortSignal): BackendQueue {
+  const { settings, clock, random, log, policy, mesh, network, fleet, residency } = parts
+  const permits = new ServerPermits({ clock, random, network, fleet, standing: describeStanding(mesh), onChange: () => queue.pump() })
+  const queue = new BackendQueue({ clock, random, fleet, permits, residency, log, dataHall: settings.dataHall, policy })
+  permits.start(signal)
+  return queue
+}
--- a/program/entry/src/startStatements.ts
+++ b/program/entry/src/startStatements.ts
@@ -1,21 +1,28 @@
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { StatementIntake, StatementSources, shareDepartures, type BackendFleet } from '@pulleystack/routing.fleet'
+import { StatementIntake, StatementSources, shareDepartures, shareLimits, type BackendFleet } from '@pulleystack/routing.fleet'
 import type { EntryParts } from './EntryParts.js'
 
 export interface StatementsParts extends EntryParts {
   fleet: BackendFleet
   network: PeerNetwork
+  /** A server named another limit than was known. */
+  onLimit: () => void
 }
 
 /** Takes what backend servers say of themselves in any answer, until the signal ends. */
-export function startStatements ({ deps, clock, log, fleet, network }: StatementsParts, signal: AbortSignal): StatementIntake {
+export function startStatements ({ deps, clock, log, fleet, network, onLimit }: StatementsParts, signal: AbortSignal): StatementIntake {
   const statements = new StatementIntake({ clock, log, fleet })
   shareDepartures({ network, fleet }, signal)
+  shareLimits({ clock, network, fleet, onNews: (told) => statements.noteTold(told) }, signal)
+  const limits = fleet.limitChanges.subscribe(onLimit)
   const subscription = deps.weights.statements.subscribe(({ target, call, statement }) => {
     const backend = fleet.find(target.backendId)
     const source = call === 'order' ? StatementSources.ORDER : StatementSources.REPORT
     if (backend?.entry.address === target.address) statements.take(backend, statement, source)
   })
-  signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
+  signal.addEventListener('abort', () => {
+    limits.unsubscribe()
+    subscription.unsubscribe()
+  }, { once: true })
   return statements
 }
--- a/routing/admission/src/estimateWaits.ts
+++ b/routing/admission/src/estimateWaits.ts
@@ -6,6 +6,8 @@
   running: number
   /** Milliseconds until each of those that this instance runs will likely end, the soonest first; a sample of all. */
   ownLeftMs: readonly number[]
+  /** Places come at a steady rate, and not by chance. */
+  isSteady?: boolean
   /** Requests that arrive for these places in a second at this instance. */
   arrivalsPerSecond: number
   /** Requests that wait here before the one asked about, and all that wait here and can be in time. */
@@ -35,8 +37,8 @@
   const endsPerSecond = running * 1_000 / heldMs
   const leftOver = endsPerSecond - arrivalsPerSecond / share
   return {
-    // Places come free by chance: that so many are free takes longer than the mean by a standard deviation, which is the root of their number.
-    inTimeMs: estimateFreeMs(facts, needed + Math.sqrt(needed)),
+    // Of places that come free by chance, so many are free later than the mean by a standard deviation, which is the root of their number.
+    inTimeMs: estimateFreeMs(facts, needed + (facts.isSteady ? 0 : Math.sqrt(needed))),
     lateMs: leftOver > 0 ? estimateFreeMs(facts, needed) * endsPerSecond / leftOver : Infinity,
   }
 }
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -5,7 +5,7 @@
 import type { LimitStatement } from './NamedLimit.js'
 import type { PromptPart } from './PrefixMemory.js'
 import type { PauseSample } from './ReadingShare.js'
-import { StatementMemory } from './StatedFacts.js'
+import { StatementMemory, type StatedFacts } from './StatedFacts.js'
 import { WaitingTallies } from './WaitingTallies.js'
 
 /** What changed in the fleet. */
@@ -14,6 +14,21 @@
   backend: Backend
 }
 
+/** Another limit of a server is in force than before. */
+export interface LimitChange {
+  life: ServerLife
+  /** The server said so to this instance, and not to another one. */
+  isOwn: boolean
+  /** More may be sent there than before. */
+  isLoosened: boolean
+}
+
+/** What a life of a server said last of its limit. */
+export interface NamedLimitOf {
+  life: ServerLife
+  statement: LimitStatement
+}
+
 /** The shared beginning of a prompt that one server has read. */
 export interface SharedPrefix {
   backend: string
@@ -37,6 +52,9 @@
   private readonly loadSubject = new Subject<void>()
   private readonly statements = new StatementMemory()
   private readonly departureSubject = new Subject<ServerLife>()
+  private readonly limitSubject = new Subject<LimitChange>()
+  /** Servers that name a limit, by id. */
+  private readonly limited = new Map<string, Backend>()
 
   get changes (): Observable<FleetChange> {
     return this.subject
@@ -131,6 +149,7 @@
     }
     const backend = new Backend(entry, this.statements.find(entry))
     this.backends.set(entry.id, backend)
+    this.noteLimited(backend)
     this.rebuildService(entry.service)
     this.subject.next({ kind: 'added', backend })
   }
@@ -154,13 +173,12 @@
 
   /** A life of a server is known to leave, whether its entry is known or not; gives whether that was news. */
   takeDeparture (life: ServerLife): boolean {
-    const present = this.backends.get(life.id)
-    const isCurrent = present !== undefined && nameLife(present.entry) === nameLife(life)
-    const facts = isCurrent ? present.stated : this.statements.find(life)
+    const facts = this.findStated(life)
     if (facts.isLeaving) return false
     facts.isLeaving = true
     this.statements.put(facts)
-    if (isCurrent) this.put(present.entry)
+    const present = this.backends.get(life.id)
+    if (present?.stated === facts) this.put(present.entry)
     return true
   }
 
@@ -171,17 +189,36 @@
     return true
   }
 
-  /** The server said what limit it has, or that it has none; gives whether that was news. */
+  /** Tells of servers that named another limit than was known, to whichever instance. */
+  get limitChanges (): Observable<LimitChange> {
+    return this.limitSubject
+  }
+
+  /** Servers that name a limit. */
+  listLimited (): NamedLimitOf[] {
+    return [...this.limited.values()].map(({ stated: { life, limit } }) => ({ life, statement: limit.statement }))
+  }
+
+  /** What a life of a server said last of its limit. */
+  findLimit (life: ServerLife): LimitStatement {
+    return this.findStated(life).limit.statement
+  }
+
+  /** The server said to this instance what limit it has, or that it has none; gives whether that was news. */
   noteLimit ({ stated }: Backend, statement: LimitStatement): boolean {
-    if (!stated.limit.take(statement)) return false
-    this.statements.put(stated)
-    return true
+    return this.changeLimit(stated, statement, true)
+  }
+
+  /** A life of a server told another instance what limit it has, whether its entry is known or not; gives whether that was news. */
+  takeLimit (life: ServerLife, statement: LimitStatement): boolean {
+    return this.changeLimit(this.findStated(life), statement, false)
   }
 
   remove (id: string): void {
     const backend = this.backends.get(id)
     if (!backend) return
     this.backends.delete(id)
+    this.limited.delete(id)
     this.rebuildService(backend.entry.service)
     this.subject.next({ kind: 'removed', backend })
   }
@@ -195,6 +232,27 @@
     this.loadedByPeers.set(instance, [...loads.keys()])
   }
 
+  private changeLimit (stated: StatedFacts, statement: LimitStatement, isOwn: boolean): boolean {
+    const before = stated.limit.perSecond ?? Infinity
+    if (!stated.limit.take(statement)) return false
+    this.statements.put(stated)
+    const present = this.backends.get(stated.life.id)
+    if (present) this.noteLimited(present)
+    this.limitSubject.next({ life: stated.life, isOwn, isLoosened: (stated.limit.perSecond ?? Infinity) > before })
+    return true
+  }
+
+  private noteLimited (backend: Backend): void {
+    if (backend.stated.limit.perSecond === undefined) this.limited.delete(backend.id)
+    else this.limited.set(backend.id, backend)
+  }
+
+  /** What a life of a server said, whether its entry is known or not. */
+  private findStated (life: ServerLife): StatedFacts {
+    const present = this.backends.get(life.id)
+    return present !== undefined && nameLife(present.entry) === nameLife(life) ? present.stated : this.statements.find(life)
+  }
+
   private rebuildService (service: string): void {
     this.byService.set(service, [...this.backends.values()].filter((backend) => backend.entry.service === service))
   }
--- a/routing/fleet/src/StatedFacts.ts
+++ b/routing/fleet/src/StatedFacts.ts
@@ -1,6 +1,7 @@
 import { LRUCache } from 'lru-cache'
 import { nameLife, type ServerLife } from './BackendEntry.js'
 import { NamedLimit } from './NamedLimit.js'
+import { PermitStock } from './PermitStock.js'
 import { ServerBackoff } from './ServerBackoff.js'
 
 /** Lives of servers of which it is remembered what they said; one takes about 200 bytes. */
@@ -14,6 +15,8 @@
   readonly backoff = new ServerBackoff()
   /** Requests that it takes from all instances together. */
   readonly limit = new NamedLimit()
+  /** Rights to send there while it names a limit. */
+  readonly permits = new PermitStock()
 
   constructor (readonly life: ServerLife) {}
 }
--- a/routing/fleet/src/StatementIntake.ts
+++ b/routing/fleet/src/StatementIntake.ts
@@ -3,6 +3,7 @@
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { Backend } from './Backend.js'
 import type { BackendFleet } from './BackendFleet.js'
+import type { ToldNews } from './shareLimits.js'
 
 /** Where a statement of a server was heard. */
 export const StatementSources = {
@@ -60,6 +61,12 @@
     this.opts.log.record(DecisionKinds.BACKEND_STATED, { ...describeBackend(backend), source, leaving, retryAfterMs })
   }
 
+  /** A server told a peer of another limit than was known. */
+  noteTold ({ life, from, perSecond }: ToldNews): void {
+    const address = this.opts.fleet.find(life.id)?.entry.address
+    this.opts.log.record(DecisionKinds.LIMIT_CHANGED, { backend: life.id, address, source: StatementSources.PEER, peer: from, limitPerSecond: perSecond })
+  }
+
   private takeLimit (backend: Backend, perSecond: number | undefined, source: StatementSource, saidAfter: number): void {
     const statement = { perSecond, saidAfter, saidBefore: this.opts.clock.readTime() }
     if (!this.opts.fleet.noteLimit(backend, statement)) return
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -39,6 +39,8 @@
   FULL: 'full',
   /** All that hold it have asked this instance for rest. */
   BACKING_OFF: 'backing-off',
+  /** All that have room for it name limits that leave nothing at this moment. */
+  LIMITED: 'limited',
   /** Some that hold it have room, but read so many prompts that one more would hold up the streams beside it. */
   READING: 'reading',
 } as const
@@ -81,6 +83,8 @@
   random: RandomSource
   now: number
   policy: Policy
+  /** Takes the server that would have been chosen if there were a right to send to it, as its limit asks for one. */
+  onLacking?: (backend: Backend) => void
 }): BackendChoice | ChoiceFailure {
   const { demand, now } = opts
   const present = opts.backends.filter((backend) => backend.isStaying(now))
@@ -98,17 +102,27 @@
   const judged = sound.map((backend) => rateBackend(backend, opts))
   const rated = judged.filter((it) => typeof it === 'object')
   if (rated.length === 0) return judged.includes(ChoiceFailures.READING) ? ChoiceFailures.READING : ChoiceFailures.FULL
-  return rated.reduce((best, it) => it.cost < best.cost ? it : best)
+  const best = findCheapest(rated.filter((it) => !it.lacksPermit))
+  const lacking = findCheapest(rated.filter((it) => it.lacksPermit))
+  if (lacking && (!best || lacking.cost < best.cost)) opts.onLacking?.(lacking.backend)
+  return best ?? ChoiceFailures.LIMITED
+}
+
+function findCheapest (rated: readonly RatedBackend[]): RatedBackend | undefined {
+  return rated.reduce<RatedBackend | undefined>((best, it) => best && best.cost <= it.cost ? best : it, undefined)
 }
 
 interface RatedBackend extends BackendChoice {
   cost: number
+  /** It names a limit, and no right to send to it is at hand. */
+  lacksPermit: boolean
 }
 
 interface RateOptions {
   demand: BackendDemand
   figures: ServingFigures | undefined
   random: RandomSource
+  now: number
   policy: Policy
 }
 
@@ -118,13 +132,17 @@
   const load = backend.readLoad()
   if (demand.mustBeApart && load.suspects > 0) return ChoiceFailures.FULL
   if (!backend.stated.backoff.hasCredit()) return ChoiceFailures.FULL
+  const { limit, permits } = backend.stated
+  const lacksPermit = limit.perSecond !== undefined && permits.count(opts.now) === 0
+  const permitMs = lacksPermit ? Math.max(0, permits.expectedAt - opts.now) : 0
   const suspectMs = load.suspects * SUSPECT_MS
   const hallMs = backend.entry.dataHall === demand.dataHall ? 0 : OTHER_HALL_MS
   // A fraction of a millisecond at random keeps equal servers from being chosen in step by all instances.
   const jitter = opts.random.readFraction()
   if (!demand.generation || !figures) {
     if (load.running >= backend.entry.slots * (1 + demand.queueShare)) return ChoiceFailures.FULL
-    return { backend, keptTokens: 0, cost: load.running * 1000 / backend.entry.slots + hallMs + suspectMs + jitter }
+    const loadMs = load.running * 1000 / backend.entry.slots
+    return { backend, keptTokens: 0, lacksPermit, cost: loadMs + hallMs + permitMs + suspectMs + jitter }
   }
   const { generation } = demand
   const weights = nameWeights(generation.model, generation.adapter)
@@ -139,5 +157,5 @@
   const ownMs = unread / PREFILL_TOKENS_PER_MS
   const waitMs = load.prefillTokens / PREFILL_TOKENS_PER_MS
   const batchMs = load.running * (BATCH_MS_PER_REQUEST + ownMs * HOLD_UP_SHARE)
-  return { backend, keptTokens, cost: waitMs + ownMs + batchMs + hallMs + suspectMs + jitter }
+  return { backend, keptTokens, lacksPermit, cost: waitMs + ownMs + batchMs + hallMs + permitMs + suspectMs + jitter }
 }
--- /dev/null
+++ b/routing/permits/src/index.ts
@@ -0,0 +1,2 @@
+export { ServerPermits, computePermitsPerSecond } from './ServerPermits.js'
+export type { ServerPermitsOptions } from './ServerPermits.js'
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -34,7 +34,7 @@
    */
   'backend-stated': { backend: string, address: string, source: string, leaving: boolean, retryAfterMs: number | undefined }
   /** A server named another limit of requests a second from all instances together, in an answer to this instance or to a `peer`; without one it names none. */
-  'backend-limit-changed': { backend: string, address: string, source: string, limitPerSecond: number | undefined }
+  'backend-limit-changed': { backend: string, address: string | undefined, source: string, peer?: string, limitPerSecond: number | undefined }
   /** It said something that can't be read, and that is passed over; `count` answers did since the last line. */
   'statement-unreadable': { backend: string, value: string, count: number }
   /** A link to another instance is up. */
@@ -66,7 +66,10 @@
     hasBegun: boolean
     events: number
   }
-  /** No place at once: `full`, `reading`, `backing-off` (all want rest), `not-resident` or `no-backend`; `waiting` requests wait here. */
+  /**
+   * No place at once: `full`, `reading`, `limited` (the limits that servers name leave nothing now), `backing-off` (all want rest), `not-resident` or
+   * `no-backend`; `waiting` requests wait here.
+   */
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
   /** This instance stands by or has no configuration yet, and handed the request on to another one. */
   'request-relayed': { request: string | undefined, peer: string }
