--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -135,6 +135,7 @@
       onDisk: backend.entry.onDisk,
       ...load ? { loading: load.model } : {},
       busyMs: this.estimateBusyMs(backend.id),
+      limitPerSecond: backend.stated.limit.perSecond,
       fresh: loadedAt.filter(([, at]) => at > now - FRESH_MS).map(([model]) => model),
       heldMs: Math.max(backend.stated.backoff.readLeftMs(now), this.readHoldOff(backend.id) - now),
       running: backend.readLoad().running,
--- a/placement/residency/src/planResidency.ts
+++ b/placement/residency/src/planResidency.ts
@@ -24,6 +24,8 @@
   heldMs: number
   /** Requests that it runs. */
   running: number
+  /** Requests a second that it takes; undefined when it names no limit. */
+  limitPerSecond?: number | undefined
 }
 
 export interface PlanInput {
--- a/placement/residency/test/planResidency.test.ts
+++ b/placement/residency/test/planResidency.test.ts
@@ -99,6 +99,21 @@
     })
   })
 
+  describe('beside a server that names a limit', () => {
+    it('is a model whose only copy is there, when the limit takes less than is asked for', () => {
+      const servers = [createServer('r1', ['a'], { limitPerSecond: 2 }), createServer('r2', []), createServer('r3', [])]
+      const loads = carryOutAll(createInput(servers, { a: 10 }))
+      assert.deepEqual(loads.map(({ model }) => model), ['a'])
+      assert.notEqual(loads[0]?.server, 'r1')
+      assert.deepEqual(carryOutAll(createInput(servers, { a: 1 })), [])
+    })
+
+    it('is not loaded where the limit leaves nothing', () => {
+      const servers = [createServer('r1', [], { limitPerSecond: 0 }), createServer('r2', [], { heldMs: 900 })]
+      assert.equal(planLoad(createInput(servers, { a: 5 }), true)?.server, 'r2')
+    })
+  })
+
   describe('what goes for it', () => {
     it('is what nobody asks for, and never what more requests would miss', () => {
       const input = createInput([createServer('r1', ['a', 'b', 'c'])], { a: 2, b: 2, d: 2 })
