--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -7,8 +7,10 @@
 import type { ServerPermits } from '@pulleystack/routing.permits'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendPlace, PlaceChanges } from './BackendPlace.js'
+import { createRefusal, createStopping } from './createRefusal.js'
 import { PlaceForecast, namePlaces } from './PlaceForecast.js'
 import type { RoutedWork } from './RoutedWork.js'
+import { WantedPermits } from './WantedPermits.js'
 
 /** Requests that a plain server may have beyond its slots, as a share of them; they wait in its own queue for less than its work takes. */
 const QUEUE_SHARE = 1.5
@@ -38,6 +40,8 @@
   /** Monotone time at which that was said. */
   answeredAt: number
   lastFailure: ChoiceFailure
+  /** A log line tells which limits hold it back. */
+  isLimitNoted: boolean
 }
 
 export interface BackendQueueOptions {
@@ -57,13 +61,13 @@
   private waiting: Waiting[] = []
   private isClosed = false
   private readonly forecast: PlaceForecast
-  /** How many requests would go to servers whose limits leave nothing, since rights to send there were last asked for. */
-  private readonly lacking = new Map<Backend, number>()
+  private readonly permits: WantedPermits
   /** When the queue looks again although nothing has happened; undefined while it has no reason to. */
   private wake: { at: number, cancel: () => void } | undefined
 
   constructor (private readonly opts: BackendQueueOptions) {
     this.forecast = new PlaceForecast(opts)
+    this.permits = new WantedPermits(opts.permits)
     opts.fleet.changes.subscribe(() => this.pump())
   }
 
@@ -81,7 +85,7 @@
     if (this.waiting.length === 0) {
       const place = this.tryPlace(work)
       // One that goes elsewhere makes room at the limited server for the next.
-      if (place instanceof BackendPlace) this.requestPermits()
+      if (place instanceof BackendPlace) this.permits.request()
       if (place instanceof BackendPlace) return Promise.resolve(place)
       if (place === ChoiceFailures.NO_BACKEND) return Promise.reject(createRefusal(place, this.spreadRetry(work)))
     }
@@ -117,17 +121,7 @@
       if (place instanceof BackendPlace) item.settle(place)
       else this.noteFailure(item, place)
     }
-    this.requestPermits()
-  }
-
-  private requestPermits (): void {
-    const lacking = [...this.lacking]
-    this.lacking.clear()
-    for (const [backend, count] of lacking) this.opts.permits?.request(backend, count)
-  }
-
-  private noteLacking (backend: Backend): void {
-    this.lacking.set(backend, (this.lacking.get(backend) ?? 0) + 1)
+    this.permits.request()
   }
 
   /** One that is late in any case leaves places to those at other instances that can still be in time. */
@@ -154,7 +148,7 @@
   }
 
   private tryPlace (work: RoutedWork, readingLimit = this.computeReadingLimit(work)): BackendPlace | ChoiceFailure {
-    const choice = this.choose(work, readingLimit, work.excluded, (backend) => this.noteLacking(backend))
+    const choice = this.choose(work, readingLimit, work.excluded, (backend) => this.permits.note(backend))
     if (typeof choice === 'string') return choice
     const { generation } = work
     if (generation) this.opts.fleet.notePrefix(choice.backend, nameWeights(generation.model, generation.adapter), generation.parts)
@@ -162,7 +156,7 @@
     const place: BackendPlace = new BackendPlace(choice, work, this.opts.clock, (change) => {
       this.opts.fleet.noteLoadChange()
       if (change === PlaceChanges.TAKEN) return
-      if (change === PlaceChanges.UNSENT) this.opts.permits?.giveBack(choice.backend, 1)
+      if (change === PlaceChanges.UNSENT) this.permits.giveBack(choice.backend)
       if (change === PlaceChanges.ENDED) {
         endTaken()
         this.noteEnded(place, work)
@@ -231,6 +225,7 @@
         needAnswer: undefined,
         answeredAt: -Infinity,
         lastFailure: ChoiceFailures.FULL,
+        isLimitNoted: false,
         settle: (place) => {
           leave()
           resolve(place)
@@ -281,9 +276,10 @@
 
   /** Refuses a request that can't wait until limits leave a place, once it is known that they leave none now. */
   private judgeLimited (item: Waiting): void {
-    this.requestPermits()
+    this.permits.request()
     this.askForWeights(item, true)
     if (this.forecast.isAskingForPermits(item.work)) return
+    this.noteLimited(item)
     this.judgePlaces(item, () => this.forecast.estimatePermit(item.work, this.countAhead(item)))
   }
 
@@ -351,6 +347,12 @@
     return Math.min(expectedMs, leftMs) / 1_000 * (1 + this.opts.random.readFraction() * RETRY_SPREAD)
   }
 
+  private noteLimited (item: Waiting): void {
+    if (item.isLimitNoted) return
+    item.isLimitNoted = true
+    this.opts.log.record(DecisionKinds.LIMIT_REACHED, { request: item.work.requestId, ...this.forecast.describeLimits(item.work) })
+  }
+
   private noteWaiting (item: Waiting): void {
     const { generation, requestId, service } = item.work
     const weights = generation && nameWeights(generation.model, generation.adapter)
@@ -378,16 +380,3 @@
 function hasBegun (work: RoutedWork): boolean {
   return work.stream.events > 0
 }
-
-/** Another instance may have a place; this one ends before it could finish the request. */
-function createStopping (): PulleystackError {
-  return new PulleystackError('INSTANCE_STOPPING', 'This instance ends before the request would get a place', { retryAfterSeconds: 0 })
-}
-
-function createRefusal (failure: ChoiceFailure, retryAfterSeconds: number): PulleystackError {
-  const opts = { retryAfterSeconds }
-  if (failure === ChoiceFailures.BACKING_OFF) return new PulleystackError('OVERLOADED', 'All servers that could run the request want rest', opts)
-  if (failure === ChoiceFailures.LIMITED) return new PulleystackError('OVERLOADED', 'All servers that could run the request name limits that are reached', opts)
-  if (failure === ChoiceFailures.FULL) return new PulleystackError('OVERLOADED', 'All servers that could run the request are full', opts)
-  return new PulleystackError('NO_RUNNER', `No server could run the request: ${failure}`, opts)
-}
--- a/gateway/routed/src/PlaceForecast.ts
+++ b/gateway/routed/src/PlaceForecast.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PREFILL_TOKENS_PER_MS, nameWeights, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
 import { computePermitsPerSecond } from '@pulleystack/routing.permits'
+import type { ReachedLimit } from '@pulleystack/timeline.decisions'
 import type { RoutedWork } from './RoutedWork.js'
 
 /** A request that has held its place for longer than others do ends at any moment: within this share of the time. */
@@ -15,6 +16,12 @@
   firstMs: number
 }
 
+/** Limits that hold a request back, and the milliseconds until the first of them leaves a place. */
+export interface ReachedLimits {
+  limits: readonly ReachedLimit[]
+  expectedMs: number
+}
+
 /** A request that was served. */
 export interface Served extends ServedTimes {
   /** Tokens of its prompt that the server had not read before. */
@@ -80,17 +87,31 @@
     return this.estimateAt(work, ahead, this.listHolding(work))
   }
 
+  /** Limits of the servers that could run the request, when they were said, and the milliseconds until the first of them leaves a place. */
+  describeLimits (work: RoutedWork): ReachedLimits {
+    const now = this.opts.clock.readTime()
+    const limited = this.listLimited(work)
+    const limits = limited.map(({ id, stated }) => {
+      const { perSecond = Infinity, saidBefore, heardBy } = stated.limit.statement
+      return { backend: id, perSecond, saidMsAgo: Math.round(now - saidBefore), ...heardBy !== undefined && { heardBy } }
+    })
+    return { limits, expectedMs: Math.round(readNextMs(limited, now)) }
+  }
+
+  private listLimited (work: RoutedWork): Backend[] {
+    return this.listHolding(work).filter(({ stated }) => stated.limit.perSecond !== undefined)
+  }
+
   /** When the limits that servers name will likely leave a place; at another server one may come free before. */
   estimatePermit (work: RoutedWork, ahead: number): WaitEstimate | undefined {
     const now = this.opts.clock.readTime()
-    const holding = this.listHolding(work)
-    const limited = holding.filter(({ stated }) => stated.limit.perSecond !== undefined)
-    const others = holding.filter((backend) => !limited.includes(backend))
+    const limited = this.listLimited(work)
+    const others = this.listHolding(work).filter((backend) => !limited.includes(backend))
     const place = others.length === 0 ? undefined : this.estimateAt(work, ahead, others)
     if (limited.length === 0) return place
     const perSecond = limited.reduce((sum, { stated }) => sum + computePermitsPerSecond(stated.limit.perSecond ?? Infinity), 0)
     const heldMs = 1_000 / perSecond
-    const nextMs = Math.min(...limited.map(({ stated }) => Math.max(0, stated.permits.expectedAt - now)))
+    const nextMs = readNextMs(limited, now)
     // The rights to send come one by one, as if one request were run after the other.
     const permit = this.estimate(work, ahead, { heldMs, running: 1, ownLeftMs: [nextMs - heldMs], isSteady: true })
     if (!place) return permit
@@ -162,6 +183,11 @@
   }
 }
 
+/** Milliseconds until the first of some servers' limits leaves a place. */
+function readNextMs (limited: readonly Backend[], now: number): number {
+  return Math.min(...limited.map(({ stated }) => Math.max(0, stated.permits.expectedAt - now)))
+}
+
 /** What a request waits for, by service and weights. */
 export function namePlaces ({ service, generation }: RoutedWork): string {
   return generation ? `${service.name}|${nameWeights(generation.model, generation.adapter)}` : service.name
--- a/routing/fleet/src/NamedLimit.ts
+++ b/routing/fleet/src/NamedLimit.ts
@@ -4,6 +4,8 @@
   perSecond: number | undefined
   saidAfter: number
   saidBefore: number
+  /** The peer that heard it and told; undefined when this instance did. */
+  heardBy?: string | undefined
 }
 
 /**
--- a/routing/fleet/src/shareLimits.ts
+++ b/routing/fleet/src/shareLimits.ts
@@ -77,7 +77,7 @@
 
 function takeTold ({ clock, network, fleet, onNews }: ShareLimitsOptions, from: string, { life, perSecond, saidAfter, ageMs }: ToldLimit): void {
   const ownSaidAfter = saidAfter === undefined ? undefined : network.convertTime(from, saidAfter)
-  const statement = { perSecond, saidAfter: ownSaidAfter ?? -Infinity, saidBefore: clock.readTime() - ageMs }
+  const statement = { perSecond, saidAfter: ownSaidAfter ?? -Infinity, saidBefore: clock.readTime() - ageMs, heardBy: from }
   if (fleet.takeLimit(life, statement)) onNews({ life, from, perSecond })
 }
 
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -71,6 +71,8 @@
    * `no-backend`; `waiting` requests wait here.
    */
   'request-waiting': { request: string, service: string, weights: string | undefined, reason: string, waiting: number }
+  /** Limits that servers name held the request back: the limits, when they were said last and to whom, and when it may go on at the soonest. */
+  'limit-reached': { request: string, limits: readonly ReachedLimit[], expectedMs: number }
   /** This instance stands by or has no configuration yet, and handed the request on to another one. */
   'request-relayed': { request: string | undefined, peer: string }
   /** The chosen server, what all instances have in hand there, how much of the prompt it has read, the time left, and the limit that it has named. */
@@ -143,6 +145,15 @@
   models: readonly string[] | undefined
 }
 
+/** The limit of a server. */
+export interface ReachedLimit {
+  backend: string
+  perSecond: number
+  saidMsAgo: number
+  /** The peer that heard it; left out when this instance did. */
+  heardBy?: string
+}
+
 interface OrderFacts {
   backend: string
   action: string
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -31,6 +31,7 @@
   LEASE_HANDED_OVER: 'lease-handed-over',
   /** One request. */
   REQUEST_AT_STOP: 'request-at-stop',
+  LIMIT_REACHED: 'limit-reached',
   REQUEST_WAITING: 'request-waiting',
   REQUEST_RELAYED: 'request-relayed',
   ATTEMPT_SENT: 'attempt-sent',
--- a/timeline/decisions/src/index.ts
+++ b/timeline/decisions/src/index.ts
@@ -1,5 +1,5 @@
 export { DecisionKinds, DecisionLog, SilentDecisionLog } from './DecisionLog.js'
-export type { DecisionFacts, RetryVerdict } from './DecisionFacts.js'
+export type { DecisionFacts, ReachedLimit, RetryVerdict } from './DecisionFacts.js'
 export type { DecisionKind } from './DecisionLog.js'
 export { JsonDecisionLog } from './JsonDecisionLog.js'
 export type { JsonDecisionLogOptions } from './JsonDecisionLog.js'
--- a/timeline/story/src/buildStory.ts
+++ b/timeline/story/src/buildStory.ts
@@ -39,7 +39,7 @@
   'peer-joined',
   'lines-dropped',
 ])
-const SERVER_BELIEFS = new Set(['backend-added', 'backend-changed', 'backend-removed', 'backend-ejected', 'order-sent', 'order-settled'])
+const SERVER_BELIEFS = new Set(['backend-added', 'backend-changed', 'backend-removed', 'backend-ejected', 'backend-stated', 'backend-limit-changed', 'order-sent', 'order-settled'])
 
 /** Reads JSON lines; whatever stands before the first brace of a line, and lines that are no JSON, is passed over. */
 export function readLogLines (text: string): LogLine[] {
@@ -54,7 +54,7 @@
   const from = Math.min(...own.map((line) => line.at)) - BELIEFS_BEFORE_MS
   const until = Math.max(...own.map((line) => line.at))
   const instances = new Set(own.map((line) => line.instance))
-  const servers = new Set<unknown>(own.map((line) => line.fields['backend']).filter((id) => id !== undefined))
+  const servers = new Set(own.flatMap(listServers))
   const isBelief = (line: LogLine): boolean => {
     if (!instances.has(line.instance) || line.at < from || line.at > until) return false
     return BELIEFS.has(line.kind) || (SERVER_BELIEFS.has(line.kind) && servers.has(line.fields['backend']))
@@ -64,6 +64,12 @@
   return { request, lines: story.sort((a, b) => a.at - b.at), conclusion: conclude(own) }
 }
 
+/** The server that a line names, or those whose limits it names. */
+function listServers ({ fields }: LogLine): unknown[] {
+  const limits = Array.isArray(fields['limits']) ? fields['limits'] as { backend?: unknown }[] : []
+  return [fields['backend'], ...limits.map(({ backend }) => backend)].filter((id) => id !== undefined)
+}
+
 /** The story as text, with times in milliseconds from the request's first line. */
 export function renderStory (story: RequestStory): string {
   const start = story.lines.find((line) => line.isOwn)?.at ?? 0
@@ -93,10 +99,12 @@
   if (!ended) return 'no line tells its end: the instance ended before it, or the line was dropped'
   const { status, code, reason, ms, firstMs, longestPauseMs } = ended.fields
   const failures = own.filter((line) => line.kind === 'attempt-failed').map((line) => `${String(line.fields['backend'])}: ${String(line.fields['reason'])}`)
+  const held = own.find((line) => line.kind === 'limit-reached')
   const waited = own.find((line) => line.kind === 'request-waiting')
   const parts = [`answered ${String(status)} (${String(code)}) after ${String(ms)} ms`]
   if (reason !== undefined) parts.push(`because: ${String(reason)}`)
   if (waited) parts.push(`it waited for a place: ${String(waited.fields['reason'])}`)
+  if (held) parts.push(`held back by limits that servers name: ${JSON.stringify(held.fields['limits'])}`)
   if (failures.length > 0) parts.push(`failed attempts: ${failures.join('; ')}`)
   if (firstMs !== undefined) parts.push(`first event after ${String(firstMs)} ms, longest pause ${String(longestPauseMs)} ms`)
   return parts.join('; ')
--- a/timeline/story/test/buildStory.test.ts
+++ b/timeline/story/test/buildStory.test.ts
@@ -39,6 +39,19 @@
     assert.match(renderStory(story as NonNullable<typeof story>), /-1000 ms {3}e1 dependency-lost/)
   })
 
+  it('says which limits of servers held the request back, and when those were named', () => {
+    const limits = [{ backend: 'r1', perSecond: 2, saidMsAgo: 300, heardBy: 'e2' }]
+    const log = [
+      createLine(9.7, 'e1', 'backend-limit-changed', { backend: 'r1', source: 'peer', peer: 'e2', limitPerSecond: 2 }),
+      createLine(9.8, 'e1', 'backend-limit-changed', { backend: 'r9', source: 'request', limitPerSecond: 1 }),
+      createLine(10, 'e1', 'limit-reached', { request: 'q4', limits, expectedMs: 400 }),
+      createLine(10, 'e1', 'request-ended', { request: 'q4', status: 503, code: 'OVERLOADED', reason: 'limits are reached', ms: 1 }),
+    ].join('\n')
+    const story = buildStory(readLogLines(log), 'q4')
+    assert.deepEqual(story?.lines.map((line) => line.kind), ['backend-limit-changed', 'limit-reached', 'request-ended'])
+    assert.match(story.conclusion, /answered 503 .*; held back by limits that servers name: .*"backend":"r1","perSecond":2,"saidMsAgo":300,"heardBy":"e2"/)
+  })
+
   it('says so when the end is missing, and gives nothing for an unknown request', () => {
     assert.match(buildStory(lines, 'q2')?.conclusion ?? '', /no line tells its end/)
     assert.equal(buildStory(lines, 'q3'), undefined)
