--- a/program/entry/src/startStatements.ts
+++ b/program/entry/src/startStatements.ts
@@ -1,3 +1,4 @@
+import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { StatementIntake, StatementSources, shareDepartures, shareLimits, type BackendFleet } from '@pulleystack/routing.fleet'
 import type { EntryParts } from './EntryParts.js'
@@ -5,15 +6,17 @@
 export interface StatementsParts extends EntryParts {
   fleet: BackendFleet
   network: PeerNetwork
+  mesh: InstanceMesh
   /** A server named another limit than was known. */
   onLimit: () => void
 }
 
 /** Takes what backend servers say of themselves in any answer, until the signal ends. */
-export function startStatements ({ deps, clock, log, fleet, network, onLimit }: StatementsParts, signal: AbortSignal): StatementIntake {
+export function startStatements ({ deps, clock, log, fleet, network, mesh, onLimit }: StatementsParts, signal: AbortSignal): StatementIntake {
   const statements = new StatementIntake({ clock, log, fleet })
   shareDepartures({ network, fleet }, signal)
-  shareLimits({ clock, network, fleet, onNews: (told) => statements.noteTold(told) }, signal)
+  const listStandby = (): string[] => isServing(mesh.self) ? mesh.listLive().filter(({ standby }) => standby).map(({ instance }) => instance) : []
+  shareLimits({ clock, network, fleet, listStandby, onNews: (told) => statements.noteTold(told) }, signal)
   const limits = fleet.limitChanges.subscribe(onLimit)
   const subscription = deps.weights.statements.subscribe(({ target, call, statement }) => {
     const backend = fleet.find(target.backendId)
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -41,6 +41,8 @@
 /** All backend servers, as the directory of servers and the other instances tell. */
 export class BackendFleet {
   readonly waiting = new WaitingTallies()
+  /** Monotone time at which a peer last told of a limit that stands. */
+  limitsToldAt = -Infinity
   private readonly backends = new Map<string, Backend>()
   private readonly byService = new Map<string, Backend[]>()
   private readonly subject = new Subject<FleetChange>()
--- a/routing/fleet/src/shareLimits.ts
+++ b/routing/fleet/src/shareLimits.ts
@@ -19,6 +19,8 @@
  * message that it was said before.
  */
 const REPEATS_MS = [500, 1_000, 2_000]
+/** Instances on standby are told so often of the limits that stand, as they hear of nothing else by which they would know that those are over. */
+const TELL_STANDBY_MS = 30_000
 
 /** A limit of which a peer told. */
 export interface ToldNews {
@@ -31,18 +33,33 @@
   clock: Clock
   network: PeerNetwork
   fleet: BackendFleet
+  /** Linked instances that stand by: they are linked to few of those that serve, and pass nothing on. */
+  listStandby: () => readonly string[]
   /** A peer told of another limit than was known. */
   onNews: (told: ToldNews) => void
 }
 
 /** Tells the other instances at once what limits servers name to this one, and takes what they tell. */
 export function shareLimits (opts: ShareLimitsOptions, signal: AbortSignal): void {
-  const { clock, network, fleet } = opts
+  const { clock, network, fleet, listStandby } = opts
   const timers = new Set<() => void>()
   const build = (named: NamedLimitOf): ToldLimit => buildTold(named, clock.readTime())
+  const buildOf = (life: ServerLife): ToldLimit => build({ life, statement: fleet.findLimit(life) })
   const tell = (life: ServerLife): void => {
-    network.broadcast(LIMITS, [build({ life, statement: fleet.findLimit(life) })])
+    network.broadcast(LIMITS, [buildOf(life)])
   }
+  const tellAllTo = (instances: readonly string[]): void => {
+    const limited = fleet.listLimited()
+    if (limited.length === 0) return
+    for (const instance of instances) network.send(instance, LIMITS, limited.map(build))
+  }
+  const keepTellingStandby = async (): Promise<void> => {
+    while (!signal.aborted) {
+      await clock.wait(TELL_STANDBY_MS, signal)
+      tellAllTo(listStandby())
+    }
+  }
+  void keepTellingStandby()
   const tellLater = (life: ServerLife, ms: number): void => {
     const cancel = clock.setTimer(ms, () => {
       timers.delete(cancel)
@@ -52,17 +69,20 @@
   }
   const subscriptions = [
     fleet.limitChanges.subscribe(({ life, isOwn, isLoosened }) => {
-      if (!isOwn) return
+      if (!isOwn) {
+        for (const instance of listStandby()) network.send(instance, LIMITS, [buildOf(life)])
+        return
+      }
       tell(life)
       if (isLoosened) REPEATS_MS.forEach((ms) => tellLater(life, ms))
     }),
     network.receive(LIMITS).subscribe(({ from, body }) => {
-      for (const told of listTold(body)) takeTold(opts, from, told)
+      const limits = listTold(body)
+      if (limits.some(({ perSecond }) => perSecond !== undefined)) fleet.limitsToldAt = clock.readTime()
+      for (const told of limits) takeTold(opts, from, told)
     }),
     network.peerEvents.subscribe((event) => {
-      if (event.kind !== 'heard' || !event.isNewLink) return
-      const limited = fleet.listLimited()
-      if (limited.length > 0) network.send(event.identity.instance, LIMITS, limited.map(build))
+      if (event.kind === 'heard' && event.isNewLink) tellAllTo([event.identity.instance])
     }),
   ]
   signal.addEventListener('abort', () => {
--- a/routing/permits/src/ServerPermits.ts
+++ b/routing/permits/src/ServerPermits.ts
@@ -29,6 +29,8 @@
 const MOST_PER_SECOND = 1_000_000
 /** Requests that may come at once after a rest. */
 const BURST = 1
+/** An instance on standby knows no servers, and lends its time for so long after it was told of a limit; it is told twice in this time while one stands. */
+const LEND_MS = 75_000
 /** The window in which the platform counts, and the share that makes up for time that is lost on its way to a pool; callers get less without it. */
 const BOUNDS = { windowMs: 4_000, over: 0.2, slack: 0 }
 
@@ -56,7 +58,7 @@
       earned: EARNED,
       kind: 'permits',
       listRates: () => this.listRates(),
-      mustLend: () => this.opts.fleet.listLimited().length > 0,
+      mustLend: () => opts.clock.readTime() - opts.fleet.limitsToldAt < LEND_MS,
     })
   }
 
--- a/routing/permits/test/PermitsBench.ts
+++ b/routing/permits/test/PermitsBench.ts
@@ -63,12 +63,13 @@
     this.serving = Array.from({ length: opts.serving }, (_, at) => `e${at}`)
     this.names = [...this.serving, ...Array.from({ length: opts.standby }, (_, at) => `s${at}`)]
     for (const name of this.names) this.begin(name)
+    for (const name of this.serving) this.hear(name)
   }
 
   /** The server names another limit to one instance; the others hear of it. */
   name (perSecond: number | undefined): void {
     this.perSecond = perSecond
-    for (const life of this.lives.values()) this.hear(life)
+    for (const name of this.serving) this.hear(name)
   }
 
   /** A request for the server comes to an instance. */
@@ -87,7 +88,10 @@
     if (!life) return
     this.end(name, life)
     this.excuse(name, RESTART_MS)
-    this.clock.setTimer(RESTART_MS, () => this.begin(name))
+    this.clock.setTimer(RESTART_MS, () => {
+      this.begin(name)
+      this.hear(name)
+    })
   }
 
   /** Ends a life for good. */
@@ -151,26 +155,30 @@
     const ended = new AbortController()
     const { clock } = this
     const fleet = new BackendFleet()
-    fleet.put({ id: SERVER, service: 's', address: 'a:1', dataHall: 'z', slots: 99, draining: false, models: undefined, inMemory: [], onDisk: [] })
+    const isServing = this.serving.includes(instance)
+    // An instance on standby doesn't follow the store, so that it knows no servers.
+    if (isServing) fleet.put({ id: SERVER, service: 's', address: 'a:1', dataHall: 'z', slots: 99, draining: false, models: undefined, inMemory: [], onDisk: [] })
     const standing = {
       instance,
       countInstances: () => this.names.length,
-      isServing: () => this.serving.includes(instance),
+      isServing: () => isServing,
       listServing: () => network.listLinked().filter((other) => this.serving.includes(other) && !this.isSuspected(instance, other)),
     }
     const random = new RandomSource(this.names.indexOf(instance))
     const permits = new ServerPermits({ clock, random, network, fleet, standing, onChange: () => this.pump(instance) })
     permits.start(ended.signal)
-    shareLimits({ clock, network, fleet, onNews: () => undefined }, ended.signal)
-    const life = { fleet, permits, network, ended, waiting: [] }
-    this.lives.set(instance, life)
-    this.hear(life)
+    const listStandby = (): string[] => isServing ? network.listLinked().filter((other) => !this.serving.includes(other)) : []
+    shareLimits({ clock, network, fleet, listStandby, onNews: () => undefined }, ended.signal)
+    this.lives.set(instance, { fleet, permits, network, ended, waiting: [] })
   }
 
-  /** The instance gets an answer of the server. */
-  private hear (life: Life): void {
+  /** The instance gets an answer of the server, if it serves. */
+  private hear (name: string): void {
+    const life = this.lives.get(name)
+    const backend = life?.fleet.find(SERVER)
+    if (!life || !backend) return
     const now = this.clock.readTime()
-    life.fleet.noteLimit(this.find(life), { perSecond: this.perSecond, saidAfter: now, saidBefore: now })
+    life.fleet.noteLimit(backend, { perSecond: this.perSecond, saidAfter: now, saidBefore: now })
   }
 
   private find ({ fleet }: Life): Backend {
