--- a/routing/permits/test/PermitsBench.ts
+++ b/routing/permits/test/PermitsBench.ts
@@ -1,7 +1,10 @@
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { FakeHub, type FakeNetwork } from '@pulleystack/membership.fake-network'
 import { BackendFleet, shareLimits, type Backend } from '@pulleystack/routing.fleet'
-import { ServerPermits } from '../src/index.js'
+import { OwnedWay, PartsWay, PooledWay, type PermitWay, type PermitWayOptions } from './PermitWay.js'
+
+export const Ways = { POOLED: 'pooled', OWNED: 'owned', PARTS: 'parts' } as const
+export type Way = typeof Ways[keyof typeof Ways]
 
 /** An instance that was killed is back after so long. */
 const RESTART_MS = 500
@@ -25,7 +28,7 @@
 /** One life of one instance. */
 interface Life {
   fleet: BackendFleet
-  permits: ServerPermits
+  permits: PermitWay
   network: FakeNetwork
   ended: AbortController
   waiting: Waiting[]
@@ -41,6 +44,7 @@
   serving: number
   standby: number
   seed?: number
+  way?: Way
 }
 
 /** Several instances before one server that names a limit, and whose lives end and begin. */
@@ -119,13 +123,13 @@
   measureExcess (limit: number, after = 0): number {
     const sends = this.sends.filter(({ at }) => at >= after).map(({ at }) => at)
     const most = Math.max(0, ...sends.map((from) => sends.filter((at) => at >= from && at < from + WINDOW_MS).length))
-    return most - Math.floor(limit * WINDOW_MS / 1_000 * OVER + EXTRA)
+    return most - computeAllowed(limit)
   }
 
   private trySend (name: string, life: Life): boolean {
     const now = this.clock.readTime()
-    const { stated } = this.find(life)
-    if (stated.limit.perSecond !== undefined && !stated.permits.take(now)) return false
+    const backend = this.find(life)
+    if (backend.stated.limit.perSecond !== undefined && !life.permits.take(backend)) return false
     if (now >= (this.excusedUntil.get(name) ?? -Infinity)) this.sends.push({ at: now, from: name })
     return true
   }
@@ -165,13 +169,21 @@
       listServing: () => network.listLinked().filter((other) => this.serving.includes(other) && !this.isSuspected(instance, other)),
     }
     const random = new RandomSource(this.names.indexOf(instance))
-    const permits = new ServerPermits({ clock, random, network, fleet, standing, onChange: () => this.pump(instance) })
+    const isRestarted = this.clock.readTime() > 0
+    const permits = this.createWay({ clock, random, network, fleet, standing, isRestarted, onChange: () => this.pump(instance) })
     permits.start(ended.signal)
     const listStandby = (): string[] => isServing ? network.listLinked().filter((other) => !this.serving.includes(other)) : []
     shareLimits({ clock, network, fleet, listStandby, onNews: () => undefined }, ended.signal)
     this.lives.set(instance, { fleet, permits, network, ended, waiting: [] })
   }
 
+  private createWay (opts: PermitWayOptions): PermitWay {
+    const { way = Ways.POOLED } = this.opts
+    if (way === Ways.POOLED) return new PooledWay(opts)
+    if (way === Ways.OWNED) return new OwnedWay(opts)
+    return new PartsWay(opts, computeAllowed(this.perSecond ?? 0), WINDOW_MS)
+  }
+
   /** The instance gets an answer of the server, if it serves. */
   private hear (name: string): void {
     const life = this.lives.get(name)
@@ -190,3 +202,8 @@
     return since !== undefined && this.clock.readTime() - since > SUSPECT_MS
   }
 }
+
+/** Requests that the platform allows in a window. */
+function computeAllowed (limit: number): number {
+  return Math.floor(limit * WINDOW_MS / 1_000 * OVER + EXTRA)
+}
--- a/routing/permits/test/ServerPermits.test.ts
+++ b/routing/permits/test/ServerPermits.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { RandomSource } from '@pulleystack/core.clock'
 import fc from 'fast-check'
-import { CONTACT_MS, PermitsBench } from './PermitsBench.js'
+import { CONTACT_MS, PermitsBench, Ways, type Way } from './PermitsBench.js'
 
 const FLEET = { serving: 8, standby: 6 }
 const LIMITS = [0, 0.5, 1, 4, 20]
@@ -107,3 +107,39 @@
     assert.ok(bench.sends.length - before > 80)
   })
 })
+
+/** What befalls the instances while ten times as much is asked for as the limit takes. */
+const Troubles = {
+  EVEN: { name: 'requests at all instances', instances: 8, everyMs: Infinity, strike: () => undefined },
+  LOPSIDED: { name: 'requests at one instance', instances: 1, everyMs: Infinity, strike: () => undefined },
+  RESTARTS: { name: 'four of eight restarted every 1.5 s', instances: 8, everyMs: 1_500, strike: (bench: PermitsBench) => bench.serving.slice(0, 4).forEach((name) => bench.restart(name)) },
+  LINKS: { name: 'three of eight links of one held every 5 s', instances: 8, everyMs: 5_000, strike: (bench: PermitsBench) => [1, 2, 3].forEach((at) => bench.hold('e0', `e${at}`)) },
+} as const
+type Trouble = typeof Troubles[keyof typeof Troubles]
+
+// Rerun with PULLEYSTACK_FIGURES=1 for the figures of docs/design/limits-and-retries.md.
+describe('three ways to keep a server\'s limit', () => {
+  const play = async (way: Way, limit: number, { name, instances, everyMs, strike }: Trouble): Promise<{ share: number, excess: number }> => {
+    const bench = new PermitsBench({ ...FLEET, way }, limit)
+    await bench.clock.advance(LEAD_MS)
+    const before = bench.hub.messages
+    for (let ms = 0; ms < SECONDS * 1_000; ms += 500) {
+      if (ms > 0 && ms % everyMs === 0) strike(bench)
+      await playTraffic(bench, { perSecond: 10 * limit, seconds: 0.5, instances })
+    }
+    const share = bench.sends.length / SECONDS / limit
+    const excess = bench.measureExcess(limit)
+    const messages = Math.round((bench.hub.messages - before) / SECONDS)
+    if (process.env['PULLEYSTACK_FIGURES'] !== undefined) console.log(`${way}, limit ${limit}, ${name}: ${share.toFixed(2)} of the limit, over by ${excess}, ${messages} messages a second`)
+    return { share, excess }
+  }
+
+  for (const trouble of Object.values(Troubles)) {
+    it(`differ with ${trouble.name}; the one in use keeps it`, async () => {
+      for (const limit of [1, 4, 20]) {
+        assert.ok((await play(Ways.POOLED, limit, trouble)).excess <= 0)
+        for (const way of [Ways.OWNED, Ways.PARTS]) await play(way, limit, trouble)
+      }
+    })
+  }
+})
