--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -24,7 +24,7 @@
 }
 
 /** What a life of a server said last of its limit. */
-export interface NamedLimitOf {
+export interface ServerLimit {
   life: ServerLife
   statement: LimitStatement
 }
@@ -197,7 +197,7 @@
   }
 
   /** Servers that name a limit. */
-  listLimited (): NamedLimitOf[] {
+  listLimited (): ServerLimit[] {
     return [...this.limited.values()].map(({ stated: { life, limit } }) => ({ life, statement: limit.statement }))
   }
 
--- a/routing/fleet/src/StatementIntake.ts
+++ b/routing/fleet/src/StatementIntake.ts
@@ -3,7 +3,7 @@
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { Backend } from './Backend.js'
 import type { BackendFleet } from './BackendFleet.js'
-import type { ToldNews } from './shareLimits.js'
+import type { LimitNews } from './shareLimits.js'
 
 /** Where a statement of a server was heard. */
 export const StatementSources = {
@@ -62,7 +62,7 @@
   }
 
   /** A server told a peer of another limit than was known. */
-  noteTold ({ life, from, perSecond }: ToldNews): void {
+  noteTold ({ life, from, perSecond }: LimitNews): void {
     const address = this.opts.fleet.find(life.id)?.entry.address
     this.opts.log.record(DecisionKinds.LIMIT_CHANGED, { backend: life.id, address, source: StatementSources.PEER, peer: from, limitPerSecond: perSecond })
   }
--- a/routing/fleet/src/shareLimits.ts
+++ b/routing/fleet/src/shareLimits.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { ServerLife } from './BackendEntry.js'
-import type { BackendFleet, NamedLimitOf } from './BackendFleet.js'
+import type { BackendFleet, ServerLimit } from './BackendFleet.js'
 
 /** What a server said of its limit to the sender. */
 interface ToldLimit {
@@ -23,7 +23,7 @@
 const TELL_STANDBY_MS = 30_000
 
 /** A limit of which a peer told. */
-export interface ToldNews {
+export interface LimitNews {
   life: ServerLife
   from: string
   perSecond: number | undefined
@@ -36,14 +36,14 @@
   /** Linked instances that stand by: they are linked to few of those that serve, and pass nothing on. */
   listStandby: () => readonly string[]
   /** A peer told of another limit than was known. */
-  onNews: (told: ToldNews) => void
+  onNews: (told: LimitNews) => void
 }
 
 /** Tells the other instances at once what limits servers name to this one, and takes what they tell. */
 export function shareLimits (opts: ShareLimitsOptions, signal: AbortSignal): void {
   const { clock, network, fleet, listStandby } = opts
   const timers = new Set<() => void>()
-  const build = (named: NamedLimitOf): ToldLimit => buildTold(named, clock.readTime())
+  const build = (named: ServerLimit): ToldLimit => buildTold(named, clock.readTime())
   const buildOf = (life: ServerLife): ToldLimit => build({ life, statement: fleet.findLimit(life) })
   const tell = (life: ServerLife): void => {
     network.broadcast(LIMITS, [buildOf(life)])
@@ -91,7 +91,7 @@
   }, { once: true })
 }
 
-function buildTold ({ life, statement: { perSecond, saidAfter, saidBefore } }: NamedLimitOf, now: number): ToldLimit {
+function buildTold ({ life, statement: { perSecond, saidAfter, saidBefore } }: ServerLimit, now: number): ToldLimit {
   return { life, perSecond, saidAfter: Number.isFinite(saidAfter) ? saidAfter : undefined, ageMs: now - saidBefore }
 }
 
