--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -84,7 +84,7 @@
     this.forecast.noteArrived(work)
     if (this.waiting.length === 0) {
       const place = this.tryPlace(work)
-      // One that goes elsewhere makes room at the limited server for the next.
+      // Where a limited server would have been better, a right that is asked for now serves the next request.
       if (place instanceof BackendPlace) this.permits.request()
       if (place instanceof BackendPlace) return Promise.resolve(place)
       if (place === ChoiceFailures.NO_BACKEND) return Promise.reject(createRefusal(place, this.spreadRetry(work)))
--- a/routing/permits/src/ServerPermits.ts
+++ b/routing/permits/src/ServerPermits.ts
@@ -45,8 +45,9 @@
 }
 
 /**
- * The rights to send requests to servers that name a limit. All instances together keep it by one pool a server; whoever has a request for the server asks
- * the pool's owner. A right may be got ahead of the request that uses it, so that a request with other servers at hand never waits for one.
+ * The rights to send requests to servers that name a limit. All instances together keep each limit by one pool, at an owner that they agree on; whoever has
+ * a request for the server asks the owner for a right to send it. A right may be got ahead of the request that uses it, so that a request with other servers
+ * at hand never waits for one.
  */
 export class ServerPermits {
   private readonly pools: RatePools
