--- a/backend/interfaces/src/ObjectStore.ts
+++ b/backend/interfaces/src/ObjectStore.ts
@@ -1,7 +1,8 @@
 import type { PulleystackError } from '@pulleystack/core.errors'
 import type { Result } from 'neverthrow'
+import { StoreEpochs } from './StoreEpochs.js'
 
-/** A value of the object API with its version. Versions count up over all objects. */
+/** A value of the object API with its version. Versions count up over all objects and epochs of the store (`buildVersion`). */
 export interface StoredObject {
   key: string
   version: number
@@ -32,6 +33,9 @@
  * STORE_UNAVAILABLE is said only when it did not, STORE_CONFLICT when the version differed.
  */
 export abstract class ObjectStore {
+  /** Epochs of the store; a store that names none stays in its first one. */
+  readonly epochs = new StoreEpochs()
+
   abstract readObject (key: string): Promise<Result<StoredObject | undefined, PulleystackError>>
   abstract listObjects (prefix: string): Promise<Result<StoreListing, PulleystackError>>
   /** Writes when the object has `expectedVersion`, 0 meaning that it does not exist; gives the new version. */
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore, StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
+import { readEpoch, readRevision, type ObjectStore, type StoreChange, type StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { listRanked } from '@pulleystack/core.hashing'
@@ -321,11 +321,26 @@
   }
 
   private replace (snapshot: FeedSnapshot): void {
-    if (!this.copy.replace(snapshot.revision, snapshot.objects)) return
+    if (!this.copy.replace(snapshot.revision, snapshot.objects)) {
+      this.noteRefused(snapshot.revision)
+      return
+    }
     this.freshAt = Math.max(this.freshAt, snapshot.knownAt)
     this.opts.onListing(snapshot.objects)
   }
 
+  private noteRefused (version: number): void {
+    const { log, prefix } = this.opts
+    const { newest } = this.copy
+    log.record(DecisionKinds.LISTING_REFUSED, {
+      prefix,
+      epoch: readEpoch(version),
+      revision: readRevision(version),
+      heldEpoch: readEpoch(newest),
+      heldRevision: readRevision(newest),
+    })
+  }
+
   private async showAsking<T> (call: Promise<T>): Promise<T> {
     this.isAsking = true
     try {
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import type { StoreFeed } from '@pulleystack/config.feed'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
@@ -93,6 +94,7 @@
   }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
+  recordRestored(deps.store, log, ended.signal)
   const { network, mesh } = createMesh({ settings, deps, clock, random, log })
   const parts = { settings, deps, clock, log, policy, fleet, network, mesh, readTable }
   const residency = createResidency({
@@ -145,6 +147,12 @@
   return { ...parts, gateway, queue, residency, metrics, named: new NamedInstances(log, mesh), readPhase: () => state.phase, isReady, setPhase, leave, ended }
 }
 
+/** Logs each time that the store came back from an older copy, until the signal ends. */
+function recordRestored (store: ObjectStore, log: DecisionLog, signal: AbortSignal): void {
+  const subscription = store.epochs.changes.subscribe((change) => log.record(DecisionKinds.STORE_RESTORED, { ...change }))
+  signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
+}
+
 interface ServingParts extends EntryParts {
   random: RandomSource
   fleet: BackendFleet
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -12,6 +12,10 @@
   'dependency-lost': { dependency: string, prefix: string, revision: number | undefined, code: string, reason: string }
   /** It answers again, here or to a peer. */
   'dependency-regained': { dependency: string, prefix: string, revision: number | undefined }
+  /** An answer showed that the store came back from an older copy: it is in `epoch`, and was in `former` before. */
+  'store-restored': { epoch: number, former: number }
+  /** A listing of the store was passed over, since it is of `epoch` and `revision` and the copy here of `heldEpoch` and `heldRevision`. */
+  'listing-refused': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
   /** The copy of this kind of object was not confirmed for `ageMs`; `cause`: `store-lost`, `asking`, `gap` or `listening`. */
   'copy-stale': { prefix: string, ageMs: number | undefined, revision: number, isWatcher: boolean, cause: string }
   /** It is confirmed again; it was over the limit for `staleMs`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -9,6 +9,8 @@
   RELOADED: 'reloaded',
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
+  STORE_RESTORED: 'store-restored',
+  LISTING_REFUSED: 'listing-refused',
   /** What the process believes. */
   COPY_STALE: 'copy-stale',
   COPY_CURRENT: 'copy-current',
--- a/tools/testing/src/MortalStore.ts
+++ b/tools/testing/src/MortalStore.ts
@@ -1,13 +1,15 @@
-import { ObjectStore } from '@pulleystack/backend.interfaces'
+import { ObjectStore, type StoreEpochs } from '@pulleystack/backend.interfaces'
 
-type Answer<M extends keyof ObjectStore> = ReturnType<ObjectStore[M]>
+type Answer<M extends Exclude<keyof ObjectStore, 'epochs'>> = ReturnType<ObjectStore[M]>
 
 /** One instance's way to a shared store. After its death nothing is sent and nothing comes back. */
 export class MortalStore extends ObjectStore {
   dead = false
+  override readonly epochs: StoreEpochs
 
   constructor (private readonly inner: ObjectStore) {
     super()
+    this.epochs = inner.epochs
   }
 
   readObject (key: string): Answer<'readObject'> {
