--- a/backend/interfaces/src/ObjectStore.ts
+++ b/backend/interfaces/src/ObjectStore.ts
@@ -30,7 +30,8 @@
 
 /**
  * The platform's object API. A write that fails with STORE_OUTCOME_UNKNOWN may have taken effect;
- * STORE_UNAVAILABLE is said only when it did not, STORE_CONFLICT when the version differed.
+ * STORE_UNAVAILABLE is said only when it did not, STORE_CONFLICT when the version differed. STORE_RESTORED: it took effect, though the expected version is
+ * of an epoch that has ended; what it replaced is not known.
  */
 export abstract class ObjectStore {
   /** Epochs of the store; a store that names none stays in its first one. */
--- a/config/feed/src/FeedCopy.ts
+++ b/config/feed/src/FeedCopy.ts
@@ -1,4 +1,5 @@
 import type { StoreChange, StoredObject } from '@pulleystack/backend.interfaces'
+import equal from 'fast-deep-equal'
 
 interface HeldObject {
   object: StoredObject
@@ -7,7 +8,7 @@
 
 /** What is held of everything under one prefix. Neither its revision nor an object's version goes back. */
 export class FeedCopy {
-  /** Undefined before the first listing and after a compaction. */
+  /** Undefined before the first listing. */
   revision: number | undefined
   /** Size of all objects. */
   bytes = 0
@@ -19,6 +20,14 @@
     return [...this.held.values()].map(({ object }) => object)
   }
 
+  /** What turns this copy into another state, whatever revisions its objects have. */
+  listDifferences (revision: number, objects: readonly StoredObject[]): StoreChange[] {
+    const names = new Set(objects.map((object) => object.key))
+    const changed = objects.filter((object) => !equal(this.held.get(object.key)?.object.value, object.value))
+    const gone = [...this.held.keys()].filter((key) => !names.has(key))
+    return [...changed, ...gone.map((key) => ({ key, version: revision, value: undefined }))]
+  }
+
   /** Takes the changes up to a revision; gives those that were not known. */
   apply (changes: readonly StoreChange[], to: number): StoreChange[] {
     const known = this.revision ?? 0
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,14 +1,16 @@
-import { readEpoch, readRevision, type ObjectStore, type StoreChange, type StoredObject } from '@pulleystack/backend.interfaces'
+import { readRevision, type ObjectStore, type StoreChange, type StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
-import type { PulleystackError } from '@pulleystack/core.errors'
+import { PulleystackError } from '@pulleystack/core.errors'
 import { listRanked } from '@pulleystack/core.hashing'
 import { measureSend, type PeerNetwork } from '@pulleystack/membership.peers'
-import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import type { DecisionLog } from '@pulleystack/timeline.decisions'
 import { answerSnapshots } from './answerSnapshots.js'
 import { findBudget, type ByteBudget } from './ByteBudget.js'
 import { NEWS, NOTICE, SNAPSHOT, type FeedNews, type FeedSnapshot, type FeedSpan } from './channels.js'
 import { CopyStates, type CopyState } from './CopyWatch.js'
 import { FeedCopy, keepNewest, measureValue } from './FeedCopy.js'
+import { describeRestored, isOfLaterEpoch, recordRefused, recordRestored } from './restoredCopies.js'
+import { StoreContact } from './StoreContact.js'
 import { WatcherChoice } from './WatcherChoice.js'
 
 /** A watcher's call waits this long at most, so that the others hear from it at least so often. */
@@ -26,7 +28,6 @@
  * later than it could be, about a seventh of the tightest bound for changes (2 s).
  */
 const SETTLE_MS = 300
-const MIN_BACKOFF_MS = 100
 /** Longest pause of the instance that watches, on whose news the others rely. */
 const MAX_BACKOFF_MS = 400
 /** Calls a second that the others make together while they all have lost the store; each of them would hear from the watcher when it is back. */
@@ -57,33 +58,41 @@
   instance: string
   /** Live instances that could watch, this one among them. */
   listCandidates: () => readonly string[]
-  /** All objects, at first, after a gap and when that costs less than the changes. */
-  onListing: (objects: readonly StoredObject[]) => void
+  /** All objects, at first, after a gap, when that costs less than the changes, and when the store came back from an older copy. */
+  onListing: (objects: readonly StoredObject[], facts: ListingFacts) => void
   /** Changes, in order; of several of one object in one answer only the newest. */
   onChanges: (changes: readonly StoreChange[]) => void
 }
 
-/** One instance's copy of everything under one prefix. Its revision never goes back. */
+/** What is known of a listing. */
+export interface ListingFacts {
+  version: number
+  /** The store came back from an older copy: some of what the listing shows, or lacks, may be older than what was known. */
+  isRestored: boolean
+}
+
+/** One instance's copy of everything under one prefix. Its revision, an epoch's and a number, never goes back. */
 export class StoreFeed {
   private readonly copy = new FeedCopy()
   private readonly budget: ByteBudget
   private readonly watcher: WatcherChoice
+  private readonly contact: StoreContact
   /** Time of the own clock at which the store surely held nothing that the copy lacks. */
   private freshAt = -Infinity
   /** Newest revision that peers told of, who told it, and the size of what was left out since the copy's revision. */
   private told = { revision: 0, by: '', bytes: 0 }
   private fetchedAt = -Infinity
   private asking: Promise<unknown> | undefined
-  private isLost = false
+  /** The store's history since the copy is gone, so that only a listing, or a peer's news of it, brings the copy up to date. */
+  private mustList = false
   private isAsking = false
-  private regainedAt = -Infinity
-  private lostAt = -Infinity
-  private backoffMs = MIN_BACKOFF_MS
   private wake: () => void = () => undefined
 
   constructor (private readonly opts: StoreFeedOptions) {
     this.budget = findBudget(opts.clock, opts.network)
     this.watcher = new WatcherChoice(opts)
+    const { clock, log, prefix } = opts
+    this.contact = new StoreContact({ clock, log, prefix, readRevision: () => this.readRevision() })
   }
 
   /** Milliseconds since the copy was known to be what the store holds, counted from the store's answer, whoever got it. */
@@ -93,26 +102,26 @@
 
   /** Milliseconds since the store came back; 0 while it is away. */
   get settledMs (): number {
-    return this.isLost ? 0 : this.opts.clock.readTime() - this.regainedAt
+    return this.contact.settledMs
   }
 
   /** Milliseconds since the store went away for this instance and those that it hears from; 0 while it answers. */
   get lostMs (): number {
-    return this.isLost ? this.opts.clock.readTime() - this.lostAt : 0
+    return this.contact.lostMs
   }
 
   get prefix (): string {
     return this.opts.prefix
   }
 
-  /** Newest revision that this instance has had; 0 before the first listing. */
+  /** Newest revision that this instance has had, as the store counts in its present epoch; 0 before the first listing. */
   get newestRevision (): number {
-    return this.copy.newest
+    return readRevision(this.copy.newest)
   }
 
   /** What the feed does about its copy now. */
   get state (): CopyState {
-    if (this.isLost) return CopyStates.STORE_LOST
+    if (this.contact.isLost) return CopyStates.STORE_LOST
     if (this.isAsking) return CopyStates.ASKING
     return this.isBehind ? CopyStates.GAP : CopyStates.LISTENING
   }
@@ -141,7 +150,7 @@
 
   private async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.copy.revision === undefined) await this.begin(signal)
+      if (this.copy.revision === undefined || this.mustList) await this.begin(signal)
       else if (this.isWatcher()) await this.keepWatch(signal)
       else if (this.isBehind) await this.followNotice(signal)
       else if (this.ageMs >= QUIET_MS) await this.keepWatch(signal)
@@ -166,7 +175,7 @@
     const failure = await this.list(signal)
     if (!failure || signal.aborted) return
     await this.askPeers(this.opts.network.listLinked())
-    if (this.copy.revision === undefined) await this.backOff(signal, failure)
+    if (this.copy.revision === undefined || this.mustList) await this.backOff(signal, failure)
   }
 
   private async keepWatch (signal: AbortSignal): Promise<void> {
@@ -193,21 +202,24 @@
   private async askStore (signal: AbortSignal): Promise<void> {
     const mayList = this.copy.bytes <= Math.max(SMALL_LISTING_BYTES, this.told.bytes)
     const failure = mayList ? await this.list(signal) : await this.watch(signal)
-    if (failure) this.noteLost(failure)
+    if (failure) this.contact.noteLost(failure)
   }
 
   private async list (signal: AbortSignal): Promise<PulleystackError | undefined> {
     const { clock, store, prefix } = this.opts
     const { told } = this
+    const held = this.copy.newest
     const askedAt = clock.readTime()
     const listing = await this.showAsking(store.listObjects(prefix))
     if (signal.aborted) return undefined
     if (listing.isErr()) return listing.error
     this.watcher.noteAnswered()
-    this.noteAnswered()
-    this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: askedAt })
+    this.contact.noteAnswered()
+    const news = describeRestored(prefix, this.copy, listing.value, askedAt)
+    const isTaken = this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: askedAt })
     this.forgetTold(told)
-    return undefined
+    if (isTaken && news && this.isWatcher()) this.tellNews(news)
+    return isTaken || this.copy.newest !== held ? undefined : new PulleystackError('STORE_ANSWER_INVALID', 'The listing is older than what is held')
   }
 
   private async watch (signal: AbortSignal): Promise<PulleystackError | undefined> {
@@ -221,11 +233,11 @@
     if (signal.aborted) return undefined
     if (batch.isErr()) {
       if (batch.error.code !== 'STORE_COMPACTED') return batch.error
-      this.copy.revision = undefined
+      this.mustList = true
       return undefined
     }
     this.watcher.noteAnswered()
-    this.noteAnswered()
+    this.contact.noteAnswered()
     const changes = keepNewest(batch.value.changes)
     // The store holds an answer without changes back for the time asked, so that it is as new as the end of that time.
     const isWhole = changes.length === 0 && clock.readTime() - askedAt >= waitMs
@@ -258,12 +270,13 @@
     const { revision } = this.copy
     // Who knows less than this instance has no news for it.
     if (revision === undefined || news.to < revision) return
-    if (news.from > revision) {
+    // What another epoch changes is told for one revision; beyond it this copy may hold what the store has lost.
+    if (news.from > revision || (news.from < revision && isOfLaterEpoch(news.to, revision))) {
       this.takeNotice(from, news, news.changes.reduce((sum, change) => sum + measureValue(change.value), 0))
       return
     }
     const knownAt = this.convertTime(from, news.knownAt)
-    this.noteHeard(knownAt)
+    this.contact.noteHeard(knownAt)
     this.apply(news, knownAt)
   }
 
@@ -271,7 +284,7 @@
     const { revision } = this.copy
     if (revision === undefined || span.to < revision) return
     const knownAt = this.convertTime(from, span.knownAt)
-    this.noteHeard(knownAt)
+    this.contact.noteHeard(knownAt)
     if (span.to === revision) {
       this.freshAt = Math.max(this.freshAt, knownAt)
       return
@@ -315,30 +328,36 @@
   }
 
   private apply (news: FeedNews, knownAt: number): void {
+    const former = this.copy.newest
     const applied = this.copy.apply(news.changes, news.to)
     this.freshAt = Math.max(this.freshAt, knownAt)
-    if (applied.length > 0) this.opts.onChanges(applied)
-  }
-
-  private replace (snapshot: FeedSnapshot): void {
-    if (!this.copy.replace(snapshot.revision, snapshot.objects)) {
-      this.noteRefused(snapshot.revision)
-      return
+    this.mustList = false
+    if (isOfLaterEpoch(news.to, former)) this.noteRestored(former, applied.length)
+    else if (applied.length > 0) this.opts.onChanges(applied)
+  }
+
+  /** False when what is held is newer. */
+  private replace (snapshot: FeedSnapshot): boolean {
+    const { revision, objects, knownAt } = snapshot
+    const former = this.copy.newest
+    const differences = former > 0 && isOfLaterEpoch(revision, former) ? this.copy.listDifferences(revision, objects) : undefined
+    if (!this.copy.replace(revision, objects)) {
+      recordRefused(this.opts, { version: revision, held: this.copy.newest })
+      return false
     }
-    this.freshAt = Math.max(this.freshAt, snapshot.knownAt)
-    this.opts.onListing(snapshot.objects)
+    this.freshAt = Math.max(this.freshAt, knownAt)
+    this.mustList = false
+    if (differences) this.noteRestored(former, differences.length)
+    else this.opts.onListing(objects, { version: revision, isRestored: false })
+    return true
   }
 
-  private noteRefused (version: number): void {
-    const { log, prefix } = this.opts
+  /** The copy is of a later epoch now; what came of the older one may be written again only after a while. */
+  private noteRestored (former: number, changed: number): void {
     const { newest } = this.copy
-    log.record(DecisionKinds.LISTING_REFUSED, {
-      prefix,
-      epoch: readEpoch(version),
-      revision: readRevision(version),
-      heldEpoch: readEpoch(newest),
-      heldRevision: readRevision(newest),
-    })
+    this.contact.noteReturned()
+    recordRestored(this.opts, { version: newest, former, changed })
+    this.opts.onListing(this.copy.list(), { version: newest, isRestored: true })
   }
 
   private async showAsking<T> (call: Promise<T>): Promise<T> {
@@ -352,9 +371,9 @@
 
   private async backOff (signal: AbortSignal, cause: PulleystackError): Promise<void> {
     this.watcher.noteFailed()
-    this.noteLost(cause)
-    await this.opts.clock.wait(this.backoffMs * (0.5 + this.opts.random.readFraction()), signal)
-    this.backoffMs = Math.min(this.computeMaxBackoff(), this.backoffMs * 2)
+    this.contact.noteLost(cause)
+    const pauseMs = this.contact.takeBackoff(this.computeMaxBackoff())
+    await this.opts.clock.wait(pauseMs * (0.5 + this.opts.random.readFraction()), signal)
   }
 
   /** Whoever has a copy and does not watch hears from the watcher, so that its own calls may be few. */
@@ -364,24 +383,9 @@
     return Math.max(MAX_BACKOFF_MS, listCandidates().length * 1_000 / IDLE_RETRIES_PER_SECOND)
   }
 
-  private noteLost (cause: PulleystackError): void {
-    if (this.isLost) return
-    this.isLost = true
-    this.lostAt = this.opts.clock.readTime()
-    const { code, message } = cause
-    this.opts.log.record(DecisionKinds.DEPENDENCY_LOST, { dependency: 'store', prefix: this.opts.prefix, revision: this.copy.revision, code, reason: message })
-  }
-
-  /** A peer had an answer of the store at some time; one from before it went away does not say that it is back. */
-  private noteHeard (knownAt: number): void {
-    if (knownAt > this.lostAt) this.noteAnswered()
-  }
-
-  private noteAnswered (): void {
-    this.backoffMs = MIN_BACKOFF_MS
-    if (!this.isLost) return
-    this.isLost = false
-    this.regainedAt = this.opts.clock.readTime()
-    this.opts.log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix: this.opts.prefix, revision: this.copy.revision })
+  /** The store's own number of the copy's revision, for the log. */
+  private readRevision (): number | undefined {
+    const { revision } = this.copy
+    return revision === undefined ? undefined : readRevision(revision)
   }
 }
--- a/core/errors/src/resultCodes.ts
+++ b/core/errors/src/resultCodes.ts
@@ -68,6 +68,7 @@
   STORE_COMPACTED: buildCode(5004, 410, Ran.NO, 'The object API no longer has the changes asked for.'),
   STORE_ANSWER_INVALID: buildCode(5005, 502, Ran.UNKNOWN, 'The platform sent an answer that cannot be read.'),
   VALUE_TOO_LARGE: buildCode(5006, 413, Ran.NO, 'A value is larger than the object API takes.'),
+  STORE_RESTORED: buildCode(5007, 503, Ran.YES, 'The object API came back from an older copy, and the write may have replaced what was written there since.'),
   SETTING_INVALID: buildCode(6001, 400, Ran.NO, 'A setting has a value that is not allowed.'),
   SETTINGS_UNREADABLE: buildCode(6002, 400, Ran.NO, 'The settings file cannot be read.'),
   USAGE: buildCode(6003, 400, Ran.NO, 'The command line cannot be understood.'),
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -80,9 +80,7 @@
   deps: EntryDependencies,
   it: StartOptions,
 ): Promise<Entry> {
-  const clock = it.clock ?? new SystemClock()
-  const random = it.random ?? new RandomSource()
-  const { log, policy = DEFAULT_POLICY } = it
+  const { log, policy = DEFAULT_POLICY, clock = new SystemClock(), random = new RandomSource() } = it
   const ended = new AbortController()
   // Every task of the instance waits for this signal.
   setMaxListeners(0, ended.signal)
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
+import { readRevision, type ObjectStore, type StoredObject } from '@pulleystack/backend.interfaces'
 import { CopyWatch, StoreFeed, type StoreFeedOptions } from '@pulleystack/config.feed'
 import { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
@@ -42,7 +42,7 @@
     // Versions rise; an older one is a stale answer.
     if (!config || config.version <= version) return
     version = config.version
-    opts.log.record(DecisionKinds.CONFIG_APPLIED, { version, revision: object.version, routes: config.routes.length })
+    opts.log.record(DecisionKinds.CONFIG_APPLIED, { version, revision: readRevision(object.version), routes: config.routes.length })
     opts.onTable(new RouteTable(config))
   }
   const { configPrefix } = opts.sources
@@ -68,7 +68,7 @@
       return
     }
     directory.drop(readName(sources.backendPrefix, object))
-    unreadable.note({ key: object.key, revision: object.version })
+    unreadable.note({ key: object.key, revision: readRevision(object.version) })
   }
   const feed: StoreFeed = follow(opts, sources.backendPrefix, {
     onListing: (objects) => {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -14,6 +14,8 @@
   'dependency-regained': { dependency: string, prefix: string, revision: number | undefined }
   /** An answer showed that the store came back from an older copy: it is in `epoch`, and was in `former` before. */
   'store-restored': { epoch: number, former: number }
+  /** The copy of this kind of object follows the store into another epoch, from `formerRevision` to `revision`; `changed` objects differ. */
+  'copy-restored': { prefix: string, epoch: number, revision: number, formerEpoch: number, formerRevision: number, changed: number }
   /** A listing of the store was passed over, since it is of `epoch` and `revision` and the copy here of `heldEpoch` and `heldRevision`. */
   'listing-refused': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
   /** The copy of this kind of object was not confirmed for `ageMs`; `cause`: `store-lost`, `asking`, `gap` or `listening`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -10,6 +10,7 @@
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
   STORE_RESTORED: 'store-restored',
+  COPY_RESTORED: 'copy-restored',
   LISTING_REFUSED: 'listing-refused',
   /** What the process believes. */
   COPY_STALE: 'copy-stale',
