--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -64,14 +64,15 @@
   const take = (object: StoredObject): void => {
     const entry = sources.readBackend(object)
     if (entry) {
-      directory.put(entry)
+      directory.put(entry, object.version)
       return
     }
     directory.drop(readName(sources.backendPrefix, object))
     unreadable.note({ key: object.key, revision: readRevision(object.version) })
   }
   const feed: StoreFeed = follow(opts, sources.backendPrefix, {
-    onListing: (objects) => {
+    onListing: (objects, { version, isRestored }) => {
+      if (isRestored) directory.noteRestored(version)
       objects.forEach(take)
       directory.keepOnly(new Set(objects.map((object) => readName(sources.backendPrefix, object))))
     },
--- a/routing/fleet/src/BackendDirectory.ts
+++ b/routing/fleet/src/BackendDirectory.ts
@@ -1,9 +1,14 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { LRUCache } from 'lru-cache'
 import type { BackendEntry } from './BackendEntry.js'
 import type { BackendFleet } from './BackendFleet.js'
 
 /** Servers whose entries ran out while the store was away have written themselves again by then. */
 const LAPSE_MS = 2_500
+/** Entries of servers that had ended before the store came back from an older copy have run out again by then: three heartbeats. */
+const REVIVED_MS = 5_000
+/** More servers than end within the few seconds that an older copy lacks. */
+const MAX_GONE = 10_000
 
 export interface BackendDirectoryOptions {
   clock: Clock
@@ -15,25 +20,48 @@
 /**
  * Takes what the store says of backend servers into the fleet. An entry that is missing soon after the store was away may only
  * have run out: its server stays until it has had time to write itself again. One that said that it leaves goes at once.
+ *
+ * A store that came back from an older copy shows entries that their servers have replaced or taken out since. Until a server writes its entry again, such a
+ * one adds servers that nothing was known of, and takes nothing back: not the word of a server that leaves, and not its end.
  */
 export class BackendDirectory {
   /** How to call off the removal of servers that are missing. */
   private readonly missing = new Map<string, () => void>()
+  /** Versions up to this one may be of the older copy. */
+  private restoredVersion = -Infinity
+  /** Entries of the older copy that may say less than is known, by server. */
+  private readonly doubtful = new Map<string, BackendEntry>()
+  private cancelRevival: (() => void) | undefined
+  /** Servers that have gone, and whether they had said that they leave. */
+  private readonly gone = new LRUCache<string, boolean>({ max: MAX_GONE })
 
   constructor (private readonly opts: BackendDirectoryOptions) {}
 
+  /** The store came back from an older copy, which what it shows up to this version may stem from. */
+  noteRestored (version: number): void {
+    this.restoredVersion = version
+    this.doubtful.clear()
+    this.cancelRevival?.()
+    this.cancelRevival = this.opts.clock.setTimer(REVIVED_MS, () => {
+      this.cancelRevival = undefined
+      this.takeDoubtful()
+    })
+  }
+
   /** Takes one new or changed entry. */
-  put (entry: BackendEntry): void {
-    this.missing.get(entry.id)?.()
-    this.missing.delete(entry.id)
-    this.opts.fleet.put(entry)
+  put (entry: BackendEntry, version = Infinity): void {
+    this.keep(entry.id)
+    this.doubtful.delete(entry.id)
+    if (version > this.restoredVersion) this.take(entry)
+    else if (this.cancelRevival !== undefined && this.isDoubtful(entry)) this.doubtful.set(entry.id, entry)
+    else this.take(this.keepLeaving(entry))
   }
 
   /** The store has an entry of this name that can't be read: it names no server to use. */
   drop (id: string): void {
-    this.missing.get(id)?.()
-    this.missing.delete(id)
-    this.opts.fleet.remove(id)
+    this.keep(id)
+    this.doubtful.delete(id)
+    this.removeNow(id)
   }
 
   /** The store has the entries of these servers and no others. */
@@ -45,16 +73,51 @@
 
   /** The store has no entry of this server any more. */
   remove (id: string): void {
+    this.doubtful.delete(id)
     if (this.missing.has(id)) return
     const { clock, fleet, readSettledMs } = this.opts
     const waitMs = LAPSE_MS - readSettledMs()
     if (waitMs <= 0 || fleet.find(id)?.entry.draining) {
-      fleet.remove(id)
+      this.removeNow(id)
       return
     }
     this.missing.set(id, clock.setTimer(waitMs, () => {
       this.missing.delete(id)
-      fleet.remove(id)
+      this.removeNow(id)
     }))
   }
+
+  /** Calls off the removal of a server that is missing. */
+  private keep (id: string): void {
+    this.missing.get(id)?.()
+    this.missing.delete(id)
+  }
+
+  private take (entry: BackendEntry): void {
+    this.gone.delete(entry.id)
+    this.opts.fleet.put(entry)
+  }
+
+  private removeNow (id: string): void {
+    const known = this.opts.fleet.find(id)
+    if (known) this.gone.set(id, known.entry.draining)
+    this.opts.fleet.remove(id)
+  }
+
+  /** Whether more may be known of a server than this entry says. */
+  private isDoubtful (entry: BackendEntry): boolean {
+    const isKnown = this.opts.fleet.find(entry.id) !== undefined
+    return this.gone.has(entry.id) || (isKnown && !entry.draining)
+  }
+
+  /** A server that has said that it leaves does so, whatever an older entry says. */
+  private keepLeaving (entry: BackendEntry): BackendEntry {
+    const isLeaving = this.opts.fleet.find(entry.id)?.entry.draining ?? this.gone.get(entry.id) ?? false
+    return { ...entry, draining: entry.draining || isLeaving }
+  }
+
+  private takeDoubtful (): void {
+    for (const entry of this.doubtful.values()) this.take(this.keepLeaving(entry))
+    this.doubtful.clear()
+  }
 }
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -98,4 +98,82 @@
       assert.deepEqual(listIds(), ['r1'])
     })
   })
+
+  describe('after the store came back from an older copy', () => {
+    const RESTORED = 100
+    /** Three heartbeats of silence, after which the entry of a server that ended has run out again. */
+    const REVIVED_MS = 5_000
+    const isLeaving = (id: string): boolean | undefined => fleet.find(id)?.entry.draining
+
+    const restore = (...entries: BackendEntry[]): void => {
+      settledMs = 0
+      directory.noteRestored(RESTORED)
+      for (const entry of entries) directory.put(entry, RESTORED - 10)
+      directory.keepOnly(new Set(entries.map(({ id }) => id)))
+    }
+
+    // Guards against an older entry that takes back a server's word that it leaves.
+    it('keeps the word of a server that leaves until the server itself takes it back', async () => {
+      restore(createEntry('r1'), createEntry('r2'))
+      await clock.advance(2 * REVIVED_MS)
+      directory.put(createEntry('r2'), RESTORED - 10)
+      assert.equal(isLeaving('r2'), true)
+      directory.put(createEntry('r2'), RESTORED + 1)
+      assert.equal(isLeaving('r2'), false)
+    })
+
+    it('takes the word of a server that it leaves, whichever history it is of', () => {
+      restore(createEntry('r1', true), createEntry('r2', true))
+      assert.equal(isLeaving('r1'), true)
+    })
+
+    // Guards against requests to a server that ended in the moments that the store has lost.
+    it('brings back a server that had gone once it stands for longer than its entry could without it', async () => {
+      directory.remove('r1')
+      restore(createEntry('r1'), createEntry('r2', true))
+      await clock.advance(REVIVED_MS - 100)
+      assert.deepEqual(listIds(), ['r2'])
+      await clock.advance(100)
+      assert.equal(isLeaving('r1'), false)
+    })
+
+    it('does not bring back one whose entry goes again, and brings back at once one that writes itself', async () => {
+      for (const id of ['r1', 'r2']) directory.remove(id)
+      restore(createEntry('r1'), createEntry('r2'))
+      directory.remove('r1')
+      directory.put(createEntry('r2'), RESTORED + 1)
+      await clock.advance(2 * REVIVED_MS)
+      assert.deepEqual(listIds(), ['r2'])
+    })
+
+    it('never uses one again that had said that it leaves, and had gone, before it writes itself', async () => {
+      directory.remove('r2')
+      restore(createEntry('r1'), createEntry('r2'))
+      await clock.advance(2 * REVIVED_MS)
+      assert.notEqual(isLeaving('r2'), false)
+    })
+
+    it('keeps servers that the copy lacks for as long as they take to write themselves again', async () => {
+      restore()
+      await clock.advance(2_400)
+      assert.deepEqual(listIds(), ['r1'])
+      directory.put(createEntry('r1'), RESTORED + 1)
+      await clock.advance(2 * REVIVED_MS)
+      assert.deepEqual(listIds(), ['r1'])
+    })
+
+    it('adds servers that nothing was known of', () => {
+      restore(createEntry('r1'), createEntry('r3'))
+      assert.equal(isLeaving('r3'), false)
+    })
+
+    it('keeps what it knows when the store comes back again', async () => {
+      restore(createEntry('r1'), createEntry('r2'))
+      await clock.advance(REVIVED_MS - 100)
+      directory.noteRestored(2 * RESTORED)
+      directory.put(createEntry('r2'), 2 * RESTORED - 10)
+      await clock.advance(2 * REVIVED_MS)
+      assert.equal(isLeaving('r2'), true)
+    })
+  })
 })
