--- a/backend/interfaces/src/StoreEpochs.ts
+++ b/backend/interfaces/src/StoreEpochs.ts
@@ -1,10 +1,10 @@
 import { Subject, type Observable } from 'rxjs'
 
-/** A store came back from an older copy: what it had acknowledged since that copy is gone. */
+/** A store is in another epoch than this process knew. */
 export interface EpochChange {
   epoch: number
-  /** Newest epoch that this process had seen before. */
-  former: number
+  /** Newest epoch seen before; undefined at the first answer. Otherwise the store came back from an older copy and has lost what it had acknowledged since. */
+  former: number | undefined
 }
 
 /** The epochs of one store that a process has seen, in whatever answer came first. */
@@ -17,7 +17,7 @@
     return this.seen
   }
 
-  /** Tells of each epoch after the first that is seen. */
+  /** Tells of each newer epoch that is seen, and of the first one. */
   get changes (): Observable<EpochChange> {
     return this.subject
   }
@@ -27,6 +27,6 @@
     const former = this.seen
     if (former !== undefined && epoch <= former) return
     this.seen = epoch
-    if (former !== undefined) this.subject.next({ epoch, former })
+    this.subject.next({ epoch, former })
   }
 }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -258,7 +258,7 @@
   // Two renewals at once would conflict with each other.
   private async renew (): Promise<void> {
     this.renewing = true
-    const renewed = await this.opts.lease.renew()
+    const renewed = await this.opts.lease.renew(() => this.mayOrder)
     this.renewing = false
     // A successor counts from the newest version that it was told of, so that it is told of each at once.
     if (renewed.isOk() && this.mayOrder) this.tellBeat()
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -39,6 +39,7 @@
     leaseMs,
     orderDelayMs: delayMs,
     createOperation: randomUUID,
+    isFirstStart: settings.isFirstStart,
   })
   const holder = new ResidencyHolder({
     clock,
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -147,7 +147,9 @@
 
 /** Logs each time that the store came back from an older copy, until the signal ends. */
 function recordRestored (store: ObjectStore, log: DecisionLog, signal: AbortSignal): void {
-  const subscription = store.epochs.changes.subscribe((change) => log.record(DecisionKinds.STORE_RESTORED, { ...change }))
+  const subscription = store.epochs.changes.subscribe(({ epoch, former }) => {
+    if (former !== undefined) log.record(DecisionKinds.STORE_RESTORED, { epoch, former })
+  })
   signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
 }
 
