--- a/backend/interfaces/src/StoreEpochs.ts
+++ b/backend/interfaces/src/StoreEpochs.ts
@@ -1,5 +1,8 @@
 import { Subject, type Observable } from 'rxjs'
 
+/** What was written this many milliseconds before a store came back is in its copy, which is some seconds old. */
+export const LONGEST_LOSS_MS = 60_000
+
 /** A store is in another epoch than this process knew. */
 export interface EpochChange {
   epoch: number
--- a/backend/interfaces/src/index.ts
+++ b/backend/interfaces/src/index.ts
@@ -1,6 +1,6 @@
 export { ObjectStore } from './ObjectStore.js'
 export type { ChangeBatch, StoreChange, StoredObject, StoreListing } from './ObjectStore.js'
-export { StoreEpochs } from './StoreEpochs.js'
+export { LONGEST_LOSS_MS, StoreEpochs } from './StoreEpochs.js'
 export type { EpochChange } from './StoreEpochs.js'
 export { MAX_EPOCH, buildVersion, readEpoch, readRevision } from './storeVersions.js'
 export { InstanceList, InstanceRoles } from './InstanceList.js'
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -1,5 +1,6 @@
-import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
+import { LONGEST_LOSS_MS, type ObjectStore, type StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
+import { hashText } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerIdentity, type WebSocketNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, type Observable } from 'rxjs'
@@ -19,6 +20,8 @@
 const LIST_RETRY_MS = 250
 /** Instances unreached for this long are taken out of the store. */
 const FORGET_MS = 30_000
+/** After the store came back from an older copy, instances look for their records one after another, so many milliseconds apart on the mean. */
+const RESTORED_SPACING_MS = 10
 const CALL_MS = 500
 /** Changes within this time are told together: all instances that start at once join each other within moments, and each change names all that serve. */
 const TELL_MS = 200
@@ -70,6 +73,10 @@
   private readonly subject = new Subject<void>()
   private readonly startedAt: number
   private hasFound = false
+  /** Monotone time of the newest write of the own record. */
+  private writtenAt = -Infinity
+  /** Monotone time at which the store was last seen to have come back from an older copy. */
+  private restoredAt = -Infinity
   /** Ends the wait before the next list of those that serve goes out; undefined while none is due. */
   private cancelTell: (() => void) | undefined
 
@@ -151,9 +158,13 @@
       else this.noteLost(event.instance, event.kind === 'silent')
     })
     const lists = network.receive(SERVING).subscribe(({ from, body }) => this.takeServing(from, body))
+    const restored = this.opts.store.epochs.changes.subscribe(({ former }) => {
+      if (former !== undefined) void this.restoreSelf(signal)
+    })
     signal.addEventListener('abort', () => {
       events.unsubscribe()
       lists.unsubscribe()
+      restored.unsubscribe()
       this.cancelTell?.()
     }, { once: true })
     void this.keepSeeds(signal)
@@ -284,8 +295,9 @@
     if (listing.isErr()) return false
     const listed = new Map(listing.value.objects.map((object) => [object.key.slice(PREFIX.length), object]))
     this.life.noteListing(new Set(listed.keys()), self.instance)
-    for (const { instance } of this.directory.list()) {
-      if (!listed.has(instance) && !this.linked.has(instance)) this.directory.remove(instance)
+    if (!this.mayLackInstances) {
+      const unlisted = this.directory.list().filter(({ instance }) => !listed.has(instance) && !this.linked.has(instance))
+      for (const { instance } of unlisted) this.directory.remove(instance)
     }
     this.take([...listed].flatMap(([instance, object]) => readRecord(instance, object) ?? []))
     const own = listed.get(self.instance)
@@ -300,9 +312,35 @@
   private async writeSelf (version: number): Promise<boolean> {
     const { instance, ...record } = this.describeSelf()
     const written = await this.opts.store.writeObject(PREFIX + instance, record satisfies InstanceRecord, version)
+    if (written.isOk()) this.writtenAt = this.opts.clock.readTime()
     return written.isOk()
   }
 
+  /** Instances that wrote themselves in what the store has lost may not have done so again. */
+  private get mayLackInstances (): boolean {
+    return this.opts.clock.readTime() - this.restoredAt < FORGET_MS
+  }
+
+  /** Writes the own record again if it is among what the store has lost. */
+  private async restoreSelf (signal: AbortSignal): Promise<void> {
+    const { clock, store, self } = this.opts
+    this.restoredAt = clock.readTime()
+    if (clock.readTime() - this.writtenAt > LONGEST_LOSS_MS) return
+    await clock.wait(hashText(self.instance) % Math.max(1, this.directory.size * RESTORED_SPACING_MS), signal)
+    while (!signal.aborted) {
+      const own = await store.readObject(PREFIX + self.instance)
+      if (own.isOk() && await this.keepSelf(own.value)) return
+      await clock.wait(LIST_RETRY_MS, signal)
+    }
+  }
+
+  /** Writes the own record where it is missing or another; false when that failed. */
+  private async keepSelf (standing: StoredObject | undefined): Promise<boolean> {
+    const { self } = this.opts
+    if (standing && readRecord(self.instance, standing)?.peerAddress === self.peerAddress) return true
+    return this.writeSelf(standing?.version ?? 0)
+  }
+
   /** Objects of instances that are gone would be listed and dialled for ever. One that lives writes itself again. */
   private async forgetMissing (listed: ReadonlyMap<string, StoredObject>): Promise<void> {
     for (const instance of this.directory.listMissing(FORGET_MS)) {
--- a/membership/mesh/test/InstanceMesh.test.ts
+++ b/membership/mesh/test/InstanceMesh.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
-import type { ObjectStore } from '@pulleystack/backend.interfaces'
+import { StoreEpochs, type ObjectStore } from '@pulleystack/backend.interfaces'
 import { ManualClock } from '@pulleystack/core.clock'
+import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import type { PeerEvent, PeerIdentity, WebSocketNetwork } from '@pulleystack/membership.peers'
 import { SilentDecisionLog } from '@pulleystack/timeline.decisions'
 import { EMPTY, Subject } from 'rxjs'
@@ -35,7 +36,7 @@
       announceIdentity: () => undefined,
       send: (to: string, _: unknown, serving: PeerIdentity[]) => lists.push({ to, names: serving.map((it) => it.instance) }),
     } as unknown as WebSocketNetwork
-    const store = { listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
+    const store = { epochs: new StoreEpochs(), listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
     mesh = new InstanceMesh({ clock, store, network, log: new SilentDecisionLog(), self: createIdentity('own', false), seeds: [], settleMs: 0 })
     mesh.start(new AbortController().signal)
     for (let at = 0; at < STANDING_BY; at++) events.next({ kind: 'heard', identity: createIdentity(`standing${at}`, true) })
@@ -85,7 +86,7 @@
       setNeighbours: () => undefined,
       send: () => true,
     } as unknown as WebSocketNetwork
-    const store = { listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
+    const store = { epochs: new StoreEpochs(), listObjects: () => new Promise(() => undefined) } as unknown as ObjectStore
     mesh = new InstanceMesh({ clock: new ManualClock(), store, network, log: new SilentDecisionLog(), self: createIdentity('own', true), seeds: [], settleMs: 0 })
     mesh.start(new AbortController().signal)
     events.next({ kind: 'heard', identity: createIdentity('teller', false) })
@@ -126,3 +127,69 @@
     assert.deepEqual(nameServing(), ['teller', 'leaver'])
   })
 })
+
+describe('an instance whose store comes back from an older copy', () => {
+  const KEY = 'instances/own'
+  const OTHER = 'instances/other'
+  /** All instances look within this time; listings are 15 s apart. */
+  const SOON_MS = 2_000
+  let clock: ManualClock
+  let store: MemoryObjectStore
+  let mesh: InstanceMesh
+
+  const readVersion = async (key: string): Promise<number> => (await store.readObject(key))._unsafeUnwrap()?.version ?? 0
+  const lose = async (key: string): Promise<void> => {
+    await store.deleteObject(key, await readVersion(key))
+  }
+
+  beforeEach(async () => {
+    clock = new ManualClock()
+    store = new MemoryObjectStore({ clock })
+    store.epochs.note(1)
+    await store.writeObject(OTHER, { peerAddress: 'other:2', dataHall: '', capacity: 1 }, 0)
+    const network = {
+      peerEvents: EMPTY,
+      receive: () => EMPTY,
+      handleCalls: () => undefined,
+      setNeighbours: () => undefined,
+      send: () => true,
+    } as unknown as WebSocketNetwork
+    mesh = new InstanceMesh({ clock, store, network, log: new SilentDecisionLog(), self: createIdentity('own', false), seeds: [], settleMs: 0 })
+    mesh.start(new AbortController().signal)
+    await clock.advance(SOON_MS)
+  })
+
+  // Guards against an instance that nobody who starts later can find until the next listing.
+  it('writes its record again that was lost', async () => {
+    await lose(KEY)
+    store.epochs.note(2)
+    await clock.advance(SOON_MS)
+    assert.notEqual(await readVersion(KEY), 0)
+  })
+
+  it('does so as soon as the store answers', async () => {
+    await lose(KEY)
+    store.epochs.note(2)
+    store.faults.down = true
+    await clock.advance(SOON_MS)
+    store.faults.down = false
+    await clock.advance(SOON_MS)
+    assert.notEqual(await readVersion(KEY), 0)
+  })
+
+  it('asks for nothing where its record is older than any loss', async () => {
+    await clock.advance(120_000)
+    const { reads } = store.counts
+    store.epochs.note(2)
+    await clock.advance(SOON_MS)
+    assert.equal(store.counts.reads, reads)
+  })
+
+  // Guards against forgetting an instance that has not written itself again yet.
+  it('forgets no other whose record is not there again', async () => {
+    await lose(OTHER)
+    store.epochs.note(2)
+    await clock.advance(20_000)
+    assert.deepEqual(mesh.listOthers(), ['other'])
+  })
+})
