--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -1,4 +1,4 @@
-import type { ObjectStore } from '@pulleystack/backend.interfaces'
+import { LONGEST_LOSS_MS, type ObjectStore } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
@@ -114,6 +114,7 @@
       network.peerEvents.subscribe((event) => {
         if (event.kind === 'heard' && event.isNewLink) this.tellAll(event.identity.instance)
       }),
+      ...this.followEpochs(signal),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
     void this.load(signal)
@@ -161,6 +162,25 @@
     }
   }
 
+  private followEpochs (signal: AbortSignal): Subscription[] {
+    const restored = this.opts.store?.epochs.changes.pipe(filter(({ former }) => former !== undefined))
+    return restored ? [restored.subscribe(() => void this.keepAgain(signal))] : []
+  }
+
+  /** Has what the store may have lost written again, each by the one instance that all agree on: whoever wrote it may be gone. */
+  private async keepAgain (signal: AbortSignal): Promise<void> {
+    const { clock, standing } = this.opts
+    const since = clock.readTime() - LONGEST_LOSS_MS
+    const recent = this.table.list().filter(({ identity, endedAt }) => endedAt >= since && this.findOwner(identity) === standing.instance)
+    for (const { identity } of recent) await this.archive?.keepAgain(identity, signal)
+  }
+
+  /** The instance that decides about runs of a request. */
+  private findOwner (identity: string): string {
+    const { instance, listServing } = this.opts.standing
+    return findOwner(`suspects/${identity}`, [instance, ...listServing()]) ?? instance
+  }
+
   private async load (signal: AbortSignal): Promise<void> {
     if (!this.archive) return
     const reading = this.archive.load(signal).then((news) => this.takeNews(news))
@@ -170,9 +190,8 @@
   }
 
   private async tryAcquire (identity: string, { forMs, mustBeOnly }: { forMs: number, mustBeOnly: boolean }): Promise<SuspectRun | undefined> {
-    const { instance, listServing } = this.opts.standing
-    const lease = `${instance}/${this.lastLease++}`
-    const owner = findOwner(`suspects/${identity}`, [instance, ...listServing()]) ?? instance
+    const lease = `${this.opts.standing.instance}/${this.lastLease++}`
+    const owner = this.findOwner(identity)
     const answer = await this.askOwner(owner, { identity, lease, forMs, mustBeOnly })
     // Without its owner's word a request runs like any other unless two servers have ended under it.
     if (answer === undefined) return mustBeOnly ? undefined : UNCOUNTED_RUN
--- a/routing/quarantine/src/SuspectArchive.ts
+++ b/routing/quarantine/src/SuspectArchive.ts
@@ -46,11 +46,16 @@
 
   /** Writes what is known of a request, as soon as the store answers; not again while it is judged the same. */
   async keep (identity: string, signal: AbortSignal): Promise<void> {
-    const { clock, describe, judge } = this.opts
-    const verdict = judge(identity)
+    const verdict = this.opts.judge(identity)
     if (this.kept.get(identity) === verdict || this.written >= MAX_WRITTEN) return
-    this.kept.set(identity, verdict)
     this.written++
+    await this.keepAgain(identity, signal)
+  }
+
+  /** Writes what is known of a request, whether or not that was done before, unless it need not be kept. */
+  async keepAgain (identity: string, signal: AbortSignal): Promise<void> {
+    const { clock, describe, judge } = this.opts
+    this.kept.set(identity, judge(identity))
     while (!signal.aborted && mustKeep(judge(identity))) {
       const written = await this.write(identity, describe(identity))
       if (written) return
--- a/routing/quarantine/test/Quarantine.test.ts
+++ b/routing/quarantine/test/Quarantine.test.ts
@@ -34,6 +34,24 @@
     }
   })
 
+  // Guards against a lethal request that all who start later take for a new one, since the store has lost it and its writer is gone.
+  it('is written again when the store comes back from an older copy', async () => {
+    const KEY = 'suspects/lethal'
+    const bench = new QuarantineBench(LOOKUPS, new LoneRunRule(), 1)
+    const readVersion = async (): Promise<number> => (await bench.store.readObject(KEY))._unsafeUnwrap()?.version ?? 0
+    bench.store.epochs.note(1)
+    while (await readVersion() === 0) {
+      void bench.bringLethal(0)
+      await bench.clock.advance(1_000)
+    }
+    bench.restart(0)
+    await bench.clock.advance(1_000)
+    await bench.store.deleteObject(KEY, await readVersion())
+    bench.store.epochs.note(2)
+    await bench.clock.advance(1_000)
+    assert.notEqual(await readVersion(), 0)
+  })
+
   type Step =
     | { kind: 'bring', count: number, at: number }
     | { kind: 'restart', at: number }
