--- a/config/feed/test/StoreFeed.test.ts
+++ b/config/feed/test/StoreFeed.test.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
+import type { MemoryCopy } from '@pulleystack/emulator.stand-ins'
 import fc from 'fast-check'
 import { FeedBench, IN_FORCE_MS, PREFIX, type Node } from './FeedBench.js'
 
+/** By hand PULLEYSTACK_EXPLORE=1 plays many more. */
+const RESTORED_RUNS = process.env['PULLEYSTACK_EXPLORE'] === undefined ? 30 : 2_000
 const NAMES = ['n1', 'n2', 'n3', 'n4', 'n5']
 
 describe('a feed of the store over several instances', () => {
@@ -101,4 +104,78 @@
       }
     }), { numRuns: 15, seed: 11 })
   })
+
+  describe('when the store comes back from an older copy', () => {
+    const OBJECTS = 20
+    const readAll = async (): Promise<unknown[][]> => (await bench.shared.listObjects(PREFIX))._unsafeUnwrap().objects.map(({ key, value }) => [key, value]).sort()
+    let copy: MemoryCopy
+
+    beforeEach(async () => {
+      for (let at = 0; at < OBJECTS; at++) await write(`k${at}`)
+      copy = bench.shared.takeCopy()
+      for (let at = 0; at < OBJECTS; at++) await write(`k${at}`)
+      await bench.clock.advance(1_000)
+    })
+
+    // Guards against copies that refuse what the store counts anew.
+    it('has changes in force within the bound', async () => {
+      bench.shared.restore(copy)
+      const value = await write('x')
+      await bench.clock.advance(IN_FORCE_MS)
+      for (const node of nodes) assert.equal(node.values.get(`${PREFIX}x`), value, node.name)
+    })
+
+    it('is asked by the instance that watches, which tells the others', async () => {
+      const before = nodes.map((node) => node.path.calls)
+      bench.shared.restore(copy)
+      await bench.clock.advance(2_000)
+      assert.deepEqual(await Promise.all(nodes.map((node) => [...node.values].sort())), Array(NAMES.length).fill(await readAll()))
+      assert.equal(nodes.filter((node, at) => node.path.calls > (before[at] ?? 0)).length, 1)
+    })
+
+    it('is followed by an instance that had missed the newest changes', async () => {
+      const behind = nodes.find((node) => node !== nodes[0]) as Node
+      for (const node of nodes) if (node !== behind) bench.hub.cut(behind.name, node.name)
+      behind.path.state = 'silent'
+      await write('k1')
+      await bench.clock.advance(1_000)
+      bench.shared.restore(copy)
+      bench.hub.healAll()
+      behind.path.state = 'good'
+      await bench.clock.advance(3_000)
+      assert.deepEqual([...behind.values].sort(), await readAll())
+    })
+  })
+
+  it('ends like the store, whatever is lost, repeated, overtaken or cut and however often it comes back from an older copy', async () => {
+    const kinds = ['write', 'write', 'cut', 'heal', 'silent', 'failing', 'good', 'compact', 'copy', 'restore', 'pass'] as const
+    const step = fc.record({ kind: fc.constantFrom(...kinds), node: fc.nat(4), other: fc.nat(4) })
+    await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 40 }), fc.integer(), async (steps, seed) => {
+      bench = new FeedBench(seed)
+      const { clock, shared, hub } = bench
+      hub.lossShare = 0.2
+      hub.repeatShare = 0.2
+      hub.maxDelayMs = 300
+      for (const name of NAMES) bench.start(name)
+      let copy = shared.takeCopy()
+      for (const { kind, node, other } of steps) {
+        if (kind === 'write') await bench.write(`k${node}`)
+        else if (kind === 'cut') hub.cut(NAMES[node] as string, NAMES[other] as string)
+        else if (kind === 'heal') hub.healAll()
+        else if (kind === 'compact') shared.compact()
+        else if (kind === 'copy') copy = shared.takeCopy()
+        else if (kind === 'restore') shared.restore(copy)
+        else if (kind !== 'pass') (bench.nodes[node] as Node).path.state = kind
+        await clock.advance(250)
+      }
+      for (const node of bench.nodes) node.path.state = 'good'
+      await clock.advance(5_000)
+      const truth = (await shared.listObjects(PREFIX))._unsafeUnwrap().objects.map((object) => [object.key, object.value]).sort()
+      for (const node of bench.nodes) {
+        assert.deepEqual([...node.values].sort(), truth)
+        assert.deepEqual(node.taken, [...node.taken].sort((a, b) => a - b))
+        node.ended.abort()
+      }
+    }), { numRuns: RESTORED_RUNS, seed: 59 })
+  })
 })
--- a/emulator/stand-ins/src/MemoryObjectStore.ts
+++ b/emulator/stand-ins/src/MemoryObjectStore.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { ObjectStore, type ChangeBatch, type StoreChange, type StoredObject, type StoreListing } from '@pulleystack/backend.interfaces'
+import { ObjectStore, buildVersion, readEpoch, readRevision, type ChangeBatch, type StoreChange, type StoredObject, type StoreListing } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 
 /** What goes wrong in the stand-in; fields may be changed at any time. */
@@ -25,9 +25,15 @@
   writtenBytes: number
 }
 
+/** What the store holds at one moment. */
+export interface MemoryCopy {
+  version: number
+  objects: ReadonlyMap<string, { version: number, text: string }>
+}
+
 const LOG_LENGTH = 5_000
 
-/** The object API in memory: versions, conditional updates, watches, compaction and faults on demand. */
+/** The object API in memory: versions, conditional updates, watches, compaction, returns from an older copy and faults on demand. */
 export class MemoryObjectStore extends ObjectStore {
   readonly faults: StoreFaults = { down: false, delayMs: 0, loseAnswers: 0, loseWrites: 0, gapEvery: 0, reorder: false }
   readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0, conflicts: 0, writtenBytes: 0 }
@@ -75,9 +81,10 @@
   async waitForChanges (prefix: string, afterVersion: number, waitMs: number, signal?: AbortSignal): Promise<Result<ChangeBatch, PulleystackError>> {
     this.counts.watches++
     if (await this.isFailing()) return err(createUnavailable())
-    if (afterVersion < this.compactedThrough) return err(new PulleystackError('STORE_COMPACTED', `Changes after ${afterVersion} are gone`))
+    if (afterVersion < this.compactedThrough) return err(createCompacted(afterVersion))
     if (this.listChanges(prefix, afterVersion).length === 0) await this.waitForWrite(prefix, afterVersion, waitMs, signal)
     if (this.faults.down) return err(createUnavailable())
+    if (readEpoch(afterVersion) < readEpoch(this.version)) return err(createCompacted(afterVersion))
     const version = this.version
     return ok({ changes: this.distort(this.listChanges(prefix, afterVersion)), version })
   }
@@ -88,6 +95,22 @@
     this.compactedThrough = this.version
   }
 
+  /** The store as it is now, to be restored later. */
+  takeCopy (): MemoryCopy {
+    return { version: this.version, objects: new Map(this.objects) }
+  }
+
+  /** Comes back from an older copy, in another epoch: what was written since is gone, and revisions count on from the copy's. */
+  restore (copy: MemoryCopy): void {
+    const epoch = readEpoch(this.version) + 1
+    this.version = buildVersion(epoch, readRevision(copy.version))
+    this.objects.clear()
+    for (const [key, { version, text }] of copy.objects) this.objects.set(key, { version: buildVersion(epoch, readRevision(version)), text })
+    this.log = []
+    this.compactedThrough = this.version
+    this.epochs.note(epoch)
+  }
+
   private async isFailing (): Promise<boolean> {
     if (this.faults.delayMs > 0) await this.opts.clock.wait(this.faults.delayMs)
     return this.faults.down
@@ -155,6 +178,10 @@
   return new PulleystackError('STORE_UNAVAILABLE', 'The object API is down', { retryAfterSeconds: 1 })
 }
 
+function createCompacted (afterVersion: number): PulleystackError {
+  return new PulleystackError('STORE_COMPACTED', `Changes after ${afterVersion} are gone`)
+}
+
 function createUnknown (key: string): PulleystackError {
   return new PulleystackError('STORE_OUTCOME_UNKNOWN', `Whether the write of ${key} took effect is not known`)
 }
--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -1,3 +1,4 @@
+import type { StoreEpochs } from '@pulleystack/backend.interfaces'
 import type { QuotaOutcome, RoutedOutcome } from '@pulleystack/gateway.routed'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
@@ -15,6 +16,7 @@
   fleet: Pick<BackendFleet, 'listAll'>
   mesh: Pick<InstanceMesh, 'listLive'>
   network: Pick<WebSocketNetwork, 'backlogBytes' | 'unsentFrames'>
+  epochs: Pick<StoreEpochs, 'newest' | 'changes'>
   readConfigVersion: () => number
   readWaiting: () => number
   readSuspects: () => number
@@ -58,7 +60,9 @@
     this.addGauge('suspect_requests', 'Requests that are remembered since a server ended under them', opts.readSuspects)
     this.addGauge('peer_backlog_bytes', 'Bytes that wait to leave for peers', () => opts.network.backlogBytes)
     this.addGauge('timer_delay_seconds', 'Longest delay of a timer in the last seconds', () => opts.readTimerDelayMs() / 1000)
+    this.addGauge('store_epoch', 'Epoch of the store that was seen last; 0 where it names none', () => opts.epochs.newest ?? 0)
     this.addCopyAges(opts.listCopies)
+    this.addRestores(opts.epochs)
     this.addUnsentFrames(() => opts.network.unsentFrames)
   }
 
@@ -90,6 +94,17 @@
     })
   }
 
+  private addRestores (epochs: EntryMetricsOptions['epochs']): void {
+    const restores = new Counter({
+      name: 'pulleystack_store_restores_total',
+      help: 'Times that the store was seen to have come back from an older copy',
+      registers: [this.registry],
+    })
+    epochs.changes.subscribe(({ former }) => {
+      if (former !== undefined) restores.inc()
+    })
+  }
+
   private addUnsentFrames (read: () => number): void {
     new Counter({
       name: 'pulleystack_frames_not_sent_total',
--- a/program/entry/src/createMetrics.ts
+++ b/program/entry/src/createMetrics.ts
@@ -21,13 +21,14 @@
 
 /** The figures, timers' delay among them, which is sampled until the signal ends. */
 export function createMetrics (parts: MetricsParts): EntryMetrics {
-  const { clock, fleet, mesh, network, readTable, readWaiting, readSuspects, listCopies, signal } = parts
+  const { clock, deps, fleet, mesh, network, readTable, readWaiting, readSuspects, listCopies, signal } = parts
   const timerDelay = new TimerDelay(clock)
   timerDelay.start(signal)
   return new EntryMetrics({
     fleet,
     mesh,
     network,
+    epochs: deps.store.epochs,
     readConfigVersion: () => readTable()?.config.version ?? 0,
     readWaiting,
     readSuspects,
--- a/program/entry/test/EntryMetrics.test.ts
+++ b/program/entry/test/EntryMetrics.test.ts
@@ -1,10 +1,13 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
+import { StoreEpochs } from '@pulleystack/backend.interfaces'
 import { EntryMetrics } from '../src/EntryMetrics.js'
 
 describe('the figures of an instance', () => {
   const state = { copies: [] as { prefix: string, ageMs: number }[], backlogBytes: 0, unsentFrames: 0 }
+  const epochs = new StoreEpochs()
   const metrics = new EntryMetrics({
+    epochs,
     fleet: { listAll: () => [] },
     mesh: { listLive: () => [] },
     network: state,
@@ -35,6 +38,13 @@
     assert.match(text, /^pulleystack_frames_not_sent_total 3$/m)
   })
 
+  it('show the epoch of the store, and how often it came back from an older copy', async () => {
+    for (const epoch of [4, 5, 5, 7]) epochs.note(epoch)
+    const text = await metrics.render()
+    assert.match(text, /^pulleystack_store_epoch 7$/m)
+    assert.match(text, /^pulleystack_store_restores_total 2$/m)
+  })
+
   it('show how late timers are', async () => {
     assert.match(await metrics.render(), /^pulleystack_timer_delay_seconds 0\.25$/m)
   })
