--- a/config/feed/test/StoreFeed.test.ts
+++ b/config/feed/test/StoreFeed.test.ts
@@ -107,7 +107,10 @@
 
   describe('when the store comes back from an older copy', () => {
     const OBJECTS = 20
-    const readAll = async (): Promise<unknown[][]> => (await bench.shared.listObjects(PREFIX))._unsafeUnwrap().objects.map(({ key, value }) => [key, value]).sort()
+    const readAll = async (): Promise<unknown[][]> => {
+      const { objects } = (await bench.shared.listObjects(PREFIX))._unsafeUnwrap()
+      return objects.map(({ key, value }) => [key, value]).sort()
+    }
     let copy: MemoryCopy
 
     beforeEach(async () => {
