--- a/config/feed/src/FeedCopy.ts
+++ b/config/feed/src/FeedCopy.ts
@@ -6,7 +6,7 @@
   bytes: number
 }
 
-/** What is held of everything under one prefix. Neither its revision nor an object's version goes back. */
+/** What is held of everything under one prefix. Neither its revision nor an object's version goes back, unless it is reset. */
 export class FeedCopy {
   /** Undefined before the first listing. */
   revision: number | undefined
@@ -43,11 +43,16 @@
   /** Takes everything as of a revision; false when what is held is newer. */
   replace (revision: number, objects: readonly StoredObject[]): boolean {
     if (revision < this.newest) return false
+    this.reset(revision, objects)
+    return true
+  }
+
+  /** Takes everything as of a revision, also of one that is older than what is held. */
+  reset (revision: number, objects: readonly StoredObject[]): void {
     this.held.clear()
     this.bytes = 0
     for (const object of objects) this.put(object)
     this.advance(revision)
-    return true
   }
 
   private advance (revision: number): void {
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,16 +1,15 @@
-import { readRevision, type ObjectStore, type StoreChange, type StoredObject } from '@pulleystack/backend.interfaces'
-import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { readRevision, type StoreListing } from '@pulleystack/backend.interfaces'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { listRanked } from '@pulleystack/core.hashing'
-import { measureSend, type PeerNetwork } from '@pulleystack/membership.peers'
-import type { DecisionLog } from '@pulleystack/timeline.decisions'
+import { measureSend } from '@pulleystack/membership.peers'
 import { answerSnapshots } from './answerSnapshots.js'
 import { findBudget, type ByteBudget } from './ByteBudget.js'
 import { NEWS, NOTICE, SNAPSHOT, type FeedNews, type FeedSnapshot, type FeedSpan } from './channels.js'
 import { CopyStates, type CopyState } from './CopyWatch.js'
 import { FeedCopy, keepNewest, measureValue } from './FeedCopy.js'
-import { describeRestored, isOfLaterEpoch, recordRefused, recordRestored } from './restoredCopies.js'
+import { describeRestored, isOfLaterEpoch, recordRefused, recordReset, recordRestored } from './restoredCopies.js'
 import { StoreContact } from './StoreContact.js'
+import type { StoreFeedOptions } from './StoreFeedOptions.js'
 import { WatcherChoice } from './WatcherChoice.js'
 
 /** A watcher's call waits this long at most, so that the others hear from it at least so often. */
@@ -48,28 +47,8 @@
 /** A listing up to this size is never worse than many versions of few objects: 26 ms of a link of 10 Mbit/s. */
 const SMALL_LISTING_BYTES = 32_000
 
-export interface StoreFeedOptions {
-  clock: Clock
-  random: RandomSource
-  store: ObjectStore
-  network: PeerNetwork
-  log: DecisionLog
-  prefix: string
-  instance: string
-  /** Live instances that could watch, this one among them. */
-  listCandidates: () => readonly string[]
-  /** All objects, at first, after a gap, when that costs less than the changes, and when the store came back from an older copy. */
-  onListing: (objects: readonly StoredObject[], facts: ListingFacts) => void
-  /** Changes, in order; of several of one object in one answer only the newest. */
-  onChanges: (changes: readonly StoreChange[]) => void
-}
-
-/** What is known of a listing. */
-export interface ListingFacts {
-  version: number
-  /** The store came back from an older copy: some of what the listing shows, or lacks, may be older than what was known. */
-  isRestored: boolean
-}
+/** So many listings in a row that are older than the copy, though it stood before they were asked for, show that the copy is not of this store. */
+const REFUSALS_BEFORE_RESET = 3
 
 /** One instance's copy of everything under one prefix. Its revision, an epoch's and a number, never goes back. */
 export class StoreFeed {
@@ -85,6 +64,7 @@
   private asking: Promise<unknown> | undefined
   /** The store's history since the copy is gone, so that only a listing, or a peer's news of it, brings the copy up to date. */
   private mustList = false
+  private refusals = 0
   private isAsking = false
   private wake: () => void = () => undefined
 
@@ -219,7 +199,23 @@
     const isTaken = this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: askedAt })
     this.forgetTold(told)
     if (isTaken && news && this.isWatcher()) this.tellNews(news)
-    return isTaken || this.copy.newest !== held ? undefined : new PulleystackError('STORE_ANSWER_INVALID', 'The listing is older than what is held')
+    this.refusals = isTaken || this.copy.newest !== held ? 0 : this.refusals + 1
+    if (this.refusals === 0) return undefined
+    if (this.refusals < REFUSALS_BEFORE_RESET) return new PulleystackError('STORE_ANSWER_INVALID', 'The listing is older than what is held')
+    this.reset(listing.value, askedAt)
+    return undefined
+  }
+
+  /** Takes what the store itself says for the truth: a peer told of what it never had. */
+  private reset ({ version, objects }: StoreListing, knownAt: number): void {
+    recordReset(this.opts, { version, held: this.copy.newest })
+    this.copy.reset(version, objects)
+    this.refusals = 0
+    this.mustList = false
+    this.told = { revision: 0, by: '', bytes: 0 }
+    this.freshAt = knownAt
+    this.contact.noteReturned()
+    this.opts.onListing(objects, { version, isRestored: true })
   }
 
   private async watch (signal: AbortSignal): Promise<PulleystackError | undefined> {
--- a/config/feed/src/restoredCopies.ts
+++ b/config/feed/src/restoredCopies.ts
@@ -9,6 +9,12 @@
   prefix: string
 }
 
+/** Versions of a listing and of the copy that it is compared with. */
+export interface ComparedListing {
+  version: number
+  held: number
+}
+
 /** Whether the store came back from an older copy between two versions. */
 export function isOfLaterEpoch (version: number, than: number): boolean {
   return readEpoch(version) > readEpoch(than)
@@ -34,12 +40,15 @@
 }
 
 /** Logs that a listing was older than the copy. */
-export function recordRefused ({ log, prefix }: CopyRecord, it: { version: number, held: number }): void {
-  log.record(DecisionKinds.LISTING_REFUSED, {
-    prefix,
-    epoch: readEpoch(it.version),
-    revision: readRevision(it.version),
-    heldEpoch: readEpoch(it.held),
-    heldRevision: readRevision(it.held),
-  })
+export function recordRefused ({ log, prefix }: CopyRecord, it: ComparedListing): void {
+  log.record(DecisionKinds.LISTING_REFUSED, { prefix, ...describeCompared(it) })
+}
+
+/** Logs that the copy was given up for an older listing. */
+export function recordReset ({ log, prefix }: CopyRecord, it: ComparedListing): void {
+  log.record(DecisionKinds.COPY_RESET, { prefix, ...describeCompared(it) })
+}
+
+function describeCompared ({ version, held }: ComparedListing): { epoch: number, revision: number, heldEpoch: number, heldRevision: number } {
+  return { epoch: readEpoch(version), revision: readRevision(version), heldEpoch: readEpoch(held), heldRevision: readRevision(held) }
 }
--- a/config/feed/test/StoreFeed.test.ts
+++ b/config/feed/test/StoreFeed.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
+import { buildVersion } from '@pulleystack/backend.interfaces'
 import type { MemoryCopy } from '@pulleystack/emulator.stand-ins'
 import fc from 'fast-check'
+import { NEWS } from '../src/channels.js'
 import { FeedBench, IN_FORCE_MS, PREFIX, type Node } from './FeedBench.js'
 
 /** By hand PULLEYSTACK_EXPLORE=1 plays many more. */
@@ -150,6 +152,22 @@
     })
   })
 
+  // Guards against one wrong message after which a copy refuses all that the store says.
+  it('is what the store says again after a peer told of what the store never had', async () => {
+    const value = await write('x')
+    const stranger = bench.hub.createNode({ instance: 'n9', incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
+    const to = buildVersion(7, 9_000)
+    for (const node of nodes) {
+      const from = node.feed.newestRevision
+      const changes = [{ key: `${PREFIX}x`, version: to, value: 'wrong' }]
+      stranger.send(node.name, NEWS, { prefix: PREFIX, from, to, knownAt: bench.clock.readTime(), changes })
+    }
+    await bench.clock.advance(100)
+    bench.hub.removeNode('n9')
+    await bench.clock.advance(6_000)
+    for (const node of nodes) assert.equal(node.values.get(`${PREFIX}x`), value, node.name)
+  })
+
   it('ends like the store, whatever is lost, repeated, overtaken or cut and however often it comes back from an older copy', async () => {
     const kinds = ['write', 'write', 'cut', 'heal', 'silent', 'failing', 'good', 'compact', 'copy', 'restore', 'pass'] as const
     const step = fc.record({ kind: fc.constantFrom(...kinds), node: fc.nat(4), other: fc.nat(4) })
--- a/emulator/stand-ins/src/MemoryObjectStore.ts
+++ b/emulator/stand-ins/src/MemoryObjectStore.ts
@@ -81,7 +81,7 @@
   async waitForChanges (prefix: string, afterVersion: number, waitMs: number, signal?: AbortSignal): Promise<Result<ChangeBatch, PulleystackError>> {
     this.counts.watches++
     if (await this.isFailing()) return err(createUnavailable())
-    if (afterVersion < this.compactedThrough) return err(createCompacted(afterVersion))
+    if (afterVersion < this.compactedThrough || afterVersion > this.version) return err(createCompacted(afterVersion))
     if (this.listChanges(prefix, afterVersion).length === 0) await this.waitForWrite(prefix, afterVersion, waitMs, signal)
     if (this.faults.down) return err(createUnavailable())
     if (readEpoch(afterVersion) < readEpoch(this.version)) return err(createCompacted(afterVersion))
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -18,6 +18,8 @@
   'copy-restored': { prefix: string, epoch: number, revision: number, formerEpoch: number, formerRevision: number, changed: number }
   /** A listing of the store was passed over, since it is of `epoch` and `revision` and the copy here of `heldEpoch` and `heldRevision`. */
   'listing-refused': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
+  /** The copy was given up for a listing of the store, as several in a row were older than it: a peer had told of what the store never had. */
+  'copy-reset': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
   /** The copy of this kind of object was not confirmed for `ageMs`; `cause`: `store-lost`, `asking`, `gap` or `listening`. */
   'copy-stale': { prefix: string, ageMs: number | undefined, revision: number, isWatcher: boolean, cause: string }
   /** It is confirmed again; it was over the limit for `staleMs`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -12,6 +12,7 @@
   STORE_RESTORED: 'store-restored',
   COPY_RESTORED: 'copy-restored',
   LISTING_REFUSED: 'listing-refused',
+  COPY_RESET: 'copy-reset',
   /** What the process believes. */
   COPY_STALE: 'copy-stale',
   COPY_CURRENT: 'copy-current',
