--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -338,7 +338,9 @@
   private async keepSelf (standing: StoredObject | undefined): Promise<boolean> {
     const { self } = this.opts
     if (standing && readRecord(self.instance, standing)?.peerAddress === self.peerAddress) return true
-    return this.writeSelf(standing?.version ?? 0)
+    const isWritten = await this.writeSelf(standing?.version ?? 0)
+    if (isWritten) this.opts.log.record(DecisionKinds.RECORD_RESTORED, { record: 'instance', key: self.instance })
+    return isWritten
   }
 
   /** Objects of instances that are gone would be listed and dialled for ever. One that lives writes itself again. */
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -1,4 +1,5 @@
 import { LeaseOrigins, type ShardLease } from '@pulleystack/placement.ledger'
+import { readEpoch } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
@@ -257,9 +258,12 @@
 
   // Two renewals at once would conflict with each other.
   private async renew (): Promise<void> {
+    const { lease, log } = this.opts
+    const epoch = readEpoch(lease.recordVersion)
     this.renewing = true
-    const renewed = await this.opts.lease.renew(() => this.mayOrder)
+    const renewed = await lease.renew(() => this.mayOrder)
     this.renewing = false
+    if (renewed.isOk() && readEpoch(lease.recordVersion) > epoch) log.record(DecisionKinds.RECORD_RESTORED, { record: 'lease', key: this.opts.life })
     // A successor counts from the newest version that it was told of, so that it is told of each at once.
     if (renewed.isOk() && this.mayOrder) this.tellBeat()
   }
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -86,9 +86,9 @@
 }
 
 /** What all instances together know of requests under which servers ended. */
-export function createQuarantine ({ settings, deps, clock, mesh, network }: Pick<GatewayParts, 'settings' | 'deps' | 'clock' | 'mesh' | 'network'>): Quarantine {
+export function createQuarantine ({ settings, deps, clock, log, mesh, network }: Pick<GatewayParts, 'settings' | 'deps' | 'clock' | 'log' | 'mesh' | 'network'>): Quarantine {
   const standing = { instance: settings.instance, listServing: () => listServing(mesh) }
-  return new Quarantine({ clock, network, standing, rule: new LoneRunRule(), store: deps.store })
+  return new Quarantine({ clock, network, standing, log, rule: new LoneRunRule(), store: deps.store })
 }
 
 function createBudgets ({ settings, clock, mesh, network }: GatewayParts): RetryBudgets {
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
+import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, filter, type Observable, type Subscription } from 'rxjs'
 import { RunLeases, type LeaseAnswer } from './RunLeases.js'
 import type { ServerEnd, SuspectNews } from './Suspect.js'
@@ -48,6 +49,7 @@
   network: PeerNetwork
   standing: QuarantineStanding
   rule: SuspectRule
+  log?: DecisionLog
   /** Keeps the worst suspects over the end of all instances; undefined where nothing does. */
   store?: ObjectStore
 }
@@ -172,7 +174,10 @@
     const { clock, standing } = this.opts
     const since = clock.readTime() - LONGEST_LOSS_MS
     const recent = this.table.list().filter(({ identity, endedAt }) => endedAt >= since && this.findOwner(identity) === standing.instance)
-    for (const { identity } of recent) await this.archive?.keepAgain(identity, signal)
+    for (const { identity } of recent) {
+      await this.archive?.keepAgain(identity, signal)
+      this.opts.log?.record(DecisionKinds.RECORD_RESTORED, { record: 'suspect', key: identity })
+    }
   }
 
   /** The instance that decides about runs of a request. */
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -20,6 +20,8 @@
   'listing-refused': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
   /** The copy was given up for a listing of the store, as several in a row were older than it: a peer had told of what the store never had. */
   'copy-reset': { prefix: string, epoch: number, revision: number, heldEpoch: number, heldRevision: number }
+  /** A record of the system's own that the store had lost is there again: `instance`, `lease` or `suspect`. */
+  'record-restored': { record: string, key: string }
   /** The copy of this kind of object was not confirmed for `ageMs`; `cause`: `store-lost`, `asking`, `gap` or `listening`. */
   'copy-stale': { prefix: string, ageMs: number | undefined, revision: number, isWatcher: boolean, cause: string }
   /** It is confirmed again; it was over the limit for `staleMs`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -13,6 +13,7 @@
   COPY_RESTORED: 'copy-restored',
   LISTING_REFUSED: 'listing-refused',
   COPY_RESET: 'copy-reset',
+  RECORD_RESTORED: 'record-restored',
   /** What the process believes. */
   COPY_STALE: 'copy-stale',
   COPY_CURRENT: 'copy-current',
