--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -3,7 +3,7 @@
 import { RouteTable } from '@pulleystack/config.routes'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { BackendDirectory, type BackendFleet } from '@pulleystack/routing.fleet'
+import { BackendDirectory, shareRevived, type BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { EntrySources } from './EntrySources.js'
 import { UnreadableEntries } from './UnreadableEntries.js'
@@ -61,6 +61,7 @@
   opts.signal.addEventListener('abort', () => noteChange.unsubscribe(), { once: true })
   const unreadable = new UnreadableEntries(opts.clock, log)
   const directory = new BackendDirectory({ clock: opts.clock, fleet, readSettledMs: () => feed.settledMs })
+  const tellRevived = shareRevived({ network: opts.network, directory }, opts.signal)
   const take = (object: StoredObject): void => {
     const entry = sources.readBackend(object)
     if (entry) {
@@ -75,6 +76,7 @@
       if (isRestored) directory.noteRestored(version)
       objects.forEach(take)
       directory.keepOnly(new Set(objects.map((object) => readName(sources.backendPrefix, object))))
+      if (isRestored) tellRevived()
     },
     onChanges: (changes) => changes.forEach((change) => {
       if (change.value === undefined) directory.remove(readName(sources.backendPrefix, change))
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -175,5 +175,55 @@
       await clock.advance(2 * REVIVED_MS)
       assert.equal(isLeaving('r2'), true)
     })
+
+    // Guards against an instance that starts in that moment and takes the older copy's word.
+    describe('seen by an instance that starts meanwhile', () => {
+      let started: BackendDirectory
+      let seen: BackendFleet
+      const listReady = (): string[] => seen.listAll().filter(({ entry }) => !entry.draining).map(({ id }) => id).sort()
+      const list = (): void => {
+        for (const id of ['r1', 'r2', 'r3']) started.put(createEntry(id), RESTORED - 10)
+      }
+      const tell = (): void => {
+        const revived = directory.describeRevived()
+        if (revived) started.takeRevived(revived)
+      }
+
+      beforeEach(() => {
+        seen = new BackendFleet()
+        started = new BackendDirectory({ clock, fleet: seen, readSettledMs: () => SETTLED_MS })
+        directory.put(createEntry('r3'))
+        directory.remove('r1')
+        restore(createEntry('r1'), createEntry('r2'), createEntry('r3'))
+      })
+
+      it('are used without those that its peers know better, whether it lists before or after it is told', () => {
+        list()
+        tell()
+        assert.deepEqual(listReady(), ['r3'])
+        list()
+        assert.deepEqual(listReady(), ['r3'])
+      })
+
+      it('are used again as any are once they write themselves', () => {
+        tell()
+        list()
+        started.put(createEntry('r1'), RESTORED + 1)
+        tell()
+        assert.deepEqual(listReady(), ['r1', 'r3'])
+      })
+
+      it('are used after a while if their entries stand, but for those that leave', async () => {
+        list()
+        tell()
+        await clock.advance(REVIVED_MS)
+        assert.deepEqual(listReady(), ['r1', 'r3'])
+      })
+
+      it('are told of no more once servers have had time to write themselves', async () => {
+        await clock.advance(REVIVED_MS)
+        assert.equal(directory.describeRevived(), undefined)
+      })
+    })
   })
 })
