--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -6,7 +6,7 @@
 import { readBody } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
-import { DecisionKinds } from '@pulleystack/timeline.decisions'
+import { DecisionKinds, type DecisionFacts } from '@pulleystack/timeline.decisions'
 import { ClientResponse, chooseStatus } from './ClientResponse.js'
 import { findTeam } from './findTeam.js'
 import type { QuotaGate, QuotaUse } from './QuotaGate.js'
@@ -307,15 +307,20 @@
     outcome.ms = this.opts.clock.readTime() - arrivedAt
     if (outcome.status === 0) outcome.status = response.statusCode
     const { route, service, status, code, reason } = outcome
-    const streamed = stream?.firstAt === undefined
-      ? {}
-      : { events: stream.events, firstMs: Math.round(stream.firstAt - arrivedAt), longestPauseMs: Math.round(stream.longestPauseMs) }
+    const streamed = stream ? describeStream(stream, arrivedAt) : {}
     const ended = { request: facts.requestId, route, service, status, code, reason, ms: Math.round(outcome.ms) }
     this.opts.log.record(DecisionKinds.REQUEST_ENDED, { ...ended, ...streamed })
     this.opts.onOutcome(outcome)
   }
 }
 
+/** What the log says of a stream that has begun. */
+function describeStream ({ firstAt, events, longestPauseMs, framing, incompleteBytes }: StreamProgress, arrivedAt: number): Partial<DecisionFacts['request-ended']> {
+  const ending = framing === undefined ? {} : { framing, ...incompleteBytes > 0 && { incompleteBytes } }
+  if (firstAt === undefined) return ending
+  return { events, firstMs: Math.round(firstAt - arrivedAt), longestPauseMs: Math.round(longestPauseMs), ...ending }
+}
+
 function lowerAttempts (route: Route, attempts: number): Route {
   return { ...route, maxAttempts: Math.min(route.maxAttempts, attempts) }
 }
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
-import { EventSplitter, type ExchangeResponse } from '@pulleystack/routing.forward'
+import { EventSplitter, type ExchangeResponse, type Framing } from '@pulleystack/routing.forward'
 import type { ClientResponse } from './ClientResponse.js'
 import { EventGaps } from './EventGaps.js'
 import type { StreamFlusher } from './StreamFlusher.js'
@@ -15,6 +15,10 @@
   /** Longest pause between two events, in milliseconds. */
   longestPauseMs: number
   gaps: EventGaps
+  /** Framing of the newest response; undefined before the first. */
+  framing: Framing | undefined
+  /** Bytes after the last complete event of the newest response. */
+  incompleteBytes: number
   /** Whether reading paused for a slow client. */
   hadBackpressure: boolean
 }
@@ -39,6 +43,7 @@
 export async function relayStream (opts: StreamRelayOptions): Promise<void> {
   const { response, client, flusher } = opts
   const splitter = new EventSplitter()
+  opts.progress.framing = response.framing
   let pending: Buffer[] = []
   let isFirst = true
   const flush = (): void => {
@@ -75,6 +80,7 @@
   } finally {
     // The client also gets the complete events of an interrupted stream.
     flush()
+    opts.progress.incompleteBytes = splitter.pendingBytes
   }
   if (!client.hasBegun) client.beginStream(response)
   const rest = splitter.takeRemainder()
@@ -83,7 +89,17 @@
 }
 
 export function createStreamProgress (lastEventId: string | undefined): StreamProgress {
-  return { lastEventId, events: 0, firstAt: undefined, newestAt: undefined, longestPauseMs: 0, gaps: new EventGaps(), hadBackpressure: false }
+  return {
+    lastEventId,
+    events: 0,
+    firstAt: undefined,
+    newestAt: undefined,
+    longestPauseMs: 0,
+    gaps: new EventGaps(),
+    framing: undefined,
+    incompleteBytes: 0,
+    hadBackpressure: false,
+  }
 }
 
 function recordEvent (progress: StreamProgress, id: string | undefined, now: number): void {
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -3,9 +3,19 @@
 import type { ResponseFacts } from '@pulleystack/backend.interfaces'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
+/** What determines where the body of a response ends. */
+export const Framings = {
+  LENGTH: 'length',
+  CHUNKED: 'chunked',
+  /** The close of the connection, so that a body that was broken off looks like a complete one. */
+  CLOSE: 'close',
+} as const
+export type Framing = typeof Framings[keyof typeof Framings]
+
 /** A response whose head has been received; the body can be read from it. */
 export class ExchangeResponse {
   readonly facts: ResponseFacts
+  readonly framing: Framing
   private readonly request: http.ClientRequest
   private readonly message: http.IncomingMessage
   private failure: Error | undefined
@@ -19,7 +29,8 @@
     opts.request.on('error', (cause) => {
       if (!this.message.complete) this.failure = cause
     })
-    if (!isFramed(opts.message)) this.watchEnd(opts.message.socket)
+    this.framing = readFraming(opts.message)
+    if (this.framing === Framings.CLOSE) this.watchEnd(opts.message.socket)
   }
 
   /**
@@ -113,9 +124,10 @@
   }
 }
 
-/** Whether the head determines where the body ends; otherwise it ends when the connection closes. */
-function isFramed (message: http.IncomingMessage): boolean {
-  return message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined
+function readFraming ({ headers, statusCode }: http.IncomingMessage): Framing {
+  if (statusCode === 204 || statusCode === 304) return Framings.LENGTH
+  if (headers['transfer-encoding'] !== undefined) return /chunked$/i.test(headers['transfer-encoding']) ? Framings.CHUNKED : Framings.CLOSE
+  return headers['content-length'] === undefined ? Framings.CLOSE : Framings.LENGTH
 }
 
 function createBodyError (message: string, cause?: unknown): PulleystackError {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -162,7 +162,10 @@
   'quota-refused': { request: string | undefined, team: string, units: number, retryAfterMs: number }
   /** A stream was resumed on another server, after event `after`. */
   'stream-resumed': { request: string, after: string | undefined }
-  /** The final response to a request; for streams also the time to the first event and the longest pause between events. */
+  /**
+   * The final response to a request; for streams also the time to the first event, the longest pause between events, the `framing` of the newest server
+   * response (`length`, `chunked` or `close`), and its bytes after the last complete event.
+   */
   'request-ended': {
     request: string | undefined
     route: string
@@ -174,6 +177,8 @@
     events?: number
     firstMs?: number
     longestPauseMs?: number
+    framing?: string
+    incompleteBytes?: number
   }
   /** The lease holder starts to load a model on a server because of unmet demand; the models in `victims` are unloaded first. */
   'load-planned': {
--- a/timeline/story/src/buildRequestTrace.ts
+++ b/timeline/story/src/buildRequestTrace.ts
@@ -114,7 +114,7 @@
   // The instance that a request was forwarded to logs an end of its own, which is earlier.
   const ended = lines.findLast((line) => line.kind === 'request-ended')
   if (!ended) return 'the end of the request is not logged: the instance stopped before it, or the line was dropped'
-  const { status, code, reason, ms, firstMs, longestPauseMs } = ended.fields
+  const { status, code, reason, ms, firstMs, longestPauseMs, incompleteBytes } = ended.fields
   const failures = lines.filter((line) => line.kind === 'attempt-failed').map((line) => `${String(line.fields['backend'])}: ${String(line.fields['reason'])}`)
   const forwarded = lines.filter((line) => line.kind === 'request-forwarded').map((line) => String(line.fields['peer']))
   const limited = lines.find((line) => line.kind === 'limit-reached')
@@ -126,6 +126,7 @@
   if (failures.length > 0) parts.push(`failed attempts: ${failures.join('; ')}`)
   if (forwarded.length > 0) parts.push(`forwarded, as the servers could not be reached from there, to ${forwarded.join(', ')}`)
   if (firstMs !== undefined) parts.push(`first event after ${String(firstMs)} ms, longest pause ${String(longestPauseMs)} ms`)
+  if (incompleteBytes !== undefined) parts.push(`the last server response ended ${String(incompleteBytes)} bytes into an event`)
   if (Number(longestPauseMs) > allowedPauseMs) parts.push(...lines.filter((line) => line.kind === 'attempt-sent').map(describeServerLoad))
   return parts.join('; ')
 }
