--- a/gateway/routed/src/relayServerResponse.ts
+++ b/gateway/routed/src/relayServerResponse.ts
@@ -28,7 +28,7 @@
 /** Relays a server's response; returns an error instead if the server failed and another attempt may succeed. */
 export async function relayServerResponse (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<PulleystackError | undefined> {
   const { work, progress, response, client } = it
-  if (work.route.streams && response.status === 200) {
+  if (work.route.streams && response.status === 200 && isEventStream(response)) {
     await relayStream({
       clock: opts.clock,
       response,
@@ -57,3 +57,8 @@
   }
   return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server responded with status ${response.status}`)
 }
+
+/** Servers may leave the type out. */
+function isEventStream ({ headers }: ExchangeResponse): boolean {
+  return /^\s*text\/event-stream\b/i.test(headers['content-type'] ?? 'text/event-stream')
+}
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
-import { EventSplitter, type ExchangeResponse, type Framing } from '@pulleystack/routing.forward'
+import { PulleystackError } from '@pulleystack/core.errors'
+import { EventSplitter, Framings, type ExchangeResponse, type Framing } from '@pulleystack/routing.forward'
 import type { ClientResponse } from './ClientResponse.js'
 import { EventGaps } from './EventGaps.js'
 import type { StreamFlusher } from './StreamFlusher.js'
@@ -38,7 +39,7 @@
 
 /**
  * Forwards a stream event by event, so that an interrupted one can be resumed after the last complete event. The client keeps the head of the first
- * response when another attempt resumes the stream. Rejects when the stream is interrupted.
+ * response when another attempt resumes the stream. Rejects when the stream is interrupted or ends inside an event.
  */
 export async function relayStream (opts: StreamRelayOptions): Promise<void> {
   const { response, client, flusher } = opts
@@ -82,12 +83,26 @@
     flush()
     opts.progress.incompleteBytes = splitter.pendingBytes
   }
+  checkEnd(opts.progress, response, splitter)
   if (!client.hasBegun) client.beginStream(response)
   const rest = splitter.takeRemainder()
   if (rest.length > 0) client.write(rest)
   client.endStream()
 }
 
+/**
+ * Rejects a response that ended inside an event, whatever its framing says, or without any event where only the close of its connection ended it.
+ * Errors: ATTEMPT_FAILED_UNKNOWN.
+ */
+function checkEnd (progress: StreamProgress, { framing }: ExchangeResponse, splitter: EventSplitter): void {
+  if (!splitter.isBetweenEvents) {
+    throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The stream ended ${splitter.pendingBytes} bytes into an event`)
+  }
+  // A resumed stream may have ended after the event that the client has.
+  const mayBeEmpty = framing !== Framings.CLOSE || progress.lastEventId !== undefined
+  if (progress.events === 0 && !mayBeEmpty) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The stream ended before its first event')
+}
+
 export function createStreamProgress (lastEventId: string | undefined): StreamProgress {
   return {
     lastEventId,
--- a/routing/forward/test/EventSplitter.test.ts
+++ b/routing/forward/test/EventSplitter.test.ts
@@ -18,6 +18,27 @@
     assert.deepEqual(events.map((event) => event.id), [undefined, '9'])
   })
 
+  it('accepts lines that end with a carriage return alone', () => {
+    const events = new EventSplitter().push(Buffer.from('id: 1\rdata: a\r\rid: 2\rdata: b\r\rid: 3'))
+    assert.deepEqual(events.map((event) => event.id), ['1', '2'])
+  })
+
+  describe('after its last chunk', () => {
+    const endsBetweenEvents = (text: string): boolean => {
+      const splitter = new EventSplitter()
+      splitter.push(Buffer.from(text))
+      return splitter.isBetweenEvents
+    }
+
+    it('is between events after a blank line, further blank lines and whole comments', () => {
+      for (const text of ['', 'id: 1\n\n', 'id: 1\r\n\r\n', 'id: 1\r\r', 'id: 1\n\n\n', 'id: 1\n\n\r\n', 'id: 1\n\n: done\n']) assert.ok(endsBetweenEvents(text), JSON.stringify(text))
+    })
+
+    it('is inside an event whose blank line is not complete', () => {
+      for (const text of ['id', 'id: 1\n', 'id: 1\r\n\r', 'id: 1\n\nid: 2\ndata: b', 'id: 1\n\n: do', 'id: 1\n\n: note\nid: 2\n']) assert.ok(!endsBetweenEvents(text), JSON.stringify(text))
+    })
+  })
+
   it('neither loses nor adds bytes for any split into chunks', () => {
     const line = fc.constantFrom('id: 1', 'data: x', 'data: ', ': note', '')
     fc.assert(fc.property(fc.array(line, { maxLength: 40 }), fc.array(fc.nat(200), { maxLength: 10 }), (lines, cuts) => {
