--- a/gateway/callers/src/handleCompletion.ts
+++ b/gateway/callers/src/handleCompletion.ts
@@ -1,5 +1,5 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { HeaderNames, parseJsonBody, readBody } from '@pulleystack/gateway.http'
+import { HeaderNames, cutResponse, parseJsonBody, readBody } from '@pulleystack/gateway.http'
 import type { DemandMeter } from '@pulleystack/placement.demand'
 import type { GenerateEnd, TokenSink } from '@pulleystack/backend.interfaces'
 import type { StoredOutcome } from '@pulleystack/routing.claims'
@@ -160,7 +160,7 @@
 function endBrokenStream (context: RequestContext, error: PulleystackError): Promise<void> {
   return new Promise((resolve) => {
     const closeConnection = (): void => {
-      context.response.destroy()
+      cutResponse(context.response)
       resolve()
     }
     context.response.write(`event: error\ndata: ${JSON.stringify(error.renderBody(context.id))}\n\n`, closeConnection)
--- a/gateway/callers/src/handleServiceCall.ts
+++ b/gateway/callers/src/handleServiceCall.ts
@@ -4,7 +4,7 @@
 import type { ConfigObject } from '@pulleystack/config.objects'
 import type { ConfigIndex } from '@pulleystack/config.replica'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { HeaderNames, readBody } from '@pulleystack/gateway.http'
+import { HeaderNames, cutResponse, readBody } from '@pulleystack/gateway.http'
 import type { ServiceAnswer } from '@pulleystack/backend.interfaces'
 import type { StoredOutcome } from '@pulleystack/routing.claims'
 import type { ServiceDispatcher, ServiceRequest } from '@pulleystack/routing.dispatch'
@@ -143,7 +143,7 @@
   try {
     await pipeline(serviceResponse.body, response)
   } catch (cause) {
-    response.destroy()
+    cutResponse(response)
     throw new PulleystackError('ANSWER_BROKEN', 'The response was interrupted while it was sent to the caller', { cause })
   }
 }
--- a/gateway/callers/src/relayRequest.ts
+++ b/gateway/callers/src/relayRequest.ts
@@ -2,7 +2,7 @@
 import { pipeline } from 'node:stream/promises'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import { HeaderNames } from '@pulleystack/gateway.http'
+import { HeaderNames, cutResponse } from '@pulleystack/gateway.http'
 import type { RequestContext } from './RequestContext.js'
 
 const HOP_BY_HOP_HEADERS = ['connection', 'keep-alive', 'transfer-encoding', 'host', 'expect', 'content-length']
@@ -31,7 +31,7 @@
       if (body === undefined) throw thrown
       return false
     }
-    if (context.response.headersSent) context.response.destroy()
+    if (context.response.headersSent) cutResponse(context.response)
     throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The connection to ${target.instance} failed while the request was relayed`, { cause: thrown })
   }
 }
--- a/gateway/http/src/index.ts
+++ b/gateway/http/src/index.ts
@@ -1,3 +1,3 @@
 export { readBody, parseJsonBody } from './readBody.js'
-export { sendError, sendJson, HeaderNames } from './responses.js'
+export { cutResponse, sendError, sendJson, HeaderNames } from './responses.js'
 export { parseBearerToken, parsePositiveIntegerHeader, parseYesNoHeader } from './headers.js'
--- a/gateway/http/src/responses.ts
+++ b/gateway/http/src/responses.ts
@@ -17,10 +17,19 @@
   response.end(body)
 }
 
+/**
+ * Closes the connection of a response that is not complete. Without chunks, as for HTTP/1.0, a regular close would end the response, so that the
+ * connection is reset.
+ */
+export function cutResponse (response: http.ServerResponse): void {
+  if (response.headersSent && !response.chunkedEncoding) response.socket?.resetAndDestroy()
+  response.destroy()
+}
+
 /** Sends an error response. If a response has already started, destroys its connection so that the client can tell it is incomplete. */
 export function sendError (response: http.ServerResponse, error: PulleystackError, requestId?: string): void {
   if (response.headersSent) {
-    response.destroy()
+    cutResponse(response)
     return
   }
   const headers: http.OutgoingHttpHeaders = { [HeaderNames.RAN]: error.ran }
--- a/gateway/routed/src/ClientResponse.ts
+++ b/gateway/routed/src/ClientResponse.ts
@@ -2,6 +2,7 @@
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { Ran } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
+import { cutResponse } from '@pulleystack/gateway.http'
 import type { ExchangeResponse } from '@pulleystack/routing.forward'
 import { RELAY_HEADER_NAMES, RelayHeaders } from './relayHeaders.js'
 
@@ -56,7 +57,7 @@
 
   /** Closes the connection, so that the client does not take the response for complete. */
   destroy (): void {
-    this.opts.response.destroy()
+    cutResponse(this.opts.response)
   }
 
   /** Sends an error response, or closes the connection when a response has begun. */
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -3,7 +3,7 @@
 import { chooseTarget, type Route, type RouteTable, type Team } from '@pulleystack/config.routes'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
-import { readBody } from '@pulleystack/gateway.http'
+import { cutResponse, readBody } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
 import { DecisionKinds, type DecisionFacts } from '@pulleystack/timeline.decisions'
@@ -135,7 +135,7 @@
     this.active++
     const sent = waitUntilSent(response)
     await this.answer(request, response, arrivedAt)
-    const cancelTimer = this.opts.clock.setTimer(UNREAD_RESPONSE_TIMEOUT_MS, () => response.destroy())
+    const cancelTimer = this.opts.clock.setTimer(UNREAD_RESPONSE_TIMEOUT_MS, () => cutResponse(response))
     await sent
     cancelTimer()
     this.active--
