--- a/gateway/routed/src/relayServerResponse.ts
+++ b/gateway/routed/src/relayServerResponse.ts
@@ -28,7 +28,7 @@
 /** Relays a server's response; returns an error instead if the server failed and another attempt may succeed. */
 export async function relayServerResponse (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<PulleystackError | undefined> {
   const { work, progress, response, client } = it
-  if (work.route.streams && response.status === 200 && isEventStream(response)) {
+  if (work.route.streams && response.status === 200 && work.method !== 'HEAD' && isEventStream(response)) {
     await relayStream({
       clock: opts.clock,
       response,
@@ -60,5 +60,5 @@
 
 /** Servers may leave the type out. */
 function isEventStream ({ headers }: ExchangeResponse): boolean {
-  return /^\s*text\/event-stream\b/i.test(headers['content-type'] ?? 'text/event-stream')
+  return /^\s*text\/event-stream\b/i.test(headers['content-type'] || 'text/event-stream')
 }
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -18,8 +18,10 @@
   gaps: EventGaps
   /** Framing of the newest response; undefined before the first. */
   framing: Framing | undefined
-  /** Bytes after the last complete event of the newest response. */
+  /** Bytes of the event inside which the newest response ended. */
   incompleteBytes: number
+  /** Whether a response to an earlier attempt ended inside an event, so that at least one event is left. */
+  wasCutInsideEvent: boolean
   /** Whether reading paused for a slow client. */
   hadBackpressure: boolean
 }
@@ -46,7 +48,7 @@
   const splitter = new EventSplitter()
   opts.progress.framing = response.framing
   let pending: Buffer[] = []
-  let isFirst = true
+  let events = 0
   const flush = (): void => {
     if (pending.length === 0) return
     const bytes = pending.length === 1 ? pending[0] as Buffer : Buffer.concat(pending)
@@ -63,44 +65,44 @@
   try {
     await response.read((chunk) => {
       const now = opts.clock.readTime()
+      const hadEvents = events > 0
       for (const event of splitter.push(chunk)) {
-        recordEvent(opts.progress, event.id, now)
         pending.push(event.bytes)
+        if (event.isComment) continue
+        events++
+        recordEvent(opts.progress, event.id, now)
       }
       if (pending.length === 0) return
       opts.onEvents()
-      if (!isFirst) {
-        flusher.schedule(flush)
-        return
-      }
-      isFirst = false
+      if (hadEvents) flusher.schedule(flush)
+      if (hadEvents || events === 0) return
       opts.onFirstEvent()
       if (!client.hasBegun) client.beginStream(response)
       flush()
     })
   } finally {
     // The client also gets the complete events of an interrupted stream.
-    flush()
-    opts.progress.incompleteBytes = splitter.pendingBytes
+    if (client.hasBegun) flush()
+    opts.progress.incompleteBytes = splitter.isBetweenEvents ? 0 : splitter.pendingBytes
+    opts.progress.wasCutInsideEvent ||= opts.progress.incompleteBytes > 0
   }
-  checkEnd(opts.progress, response, splitter)
+  checkEnd(opts.progress, response, events)
   if (!client.hasBegun) client.beginStream(response)
   const rest = splitter.takeRemainder()
   if (rest.length > 0) client.write(rest)
   client.endStream()
 }
 
-/**
- * Rejects a response that ended inside an event, whatever its framing says, or without any event where only the close of its connection ended it.
- * Errors: ATTEMPT_FAILED_UNKNOWN.
- */
-function checkEnd (progress: StreamProgress, { framing }: ExchangeResponse, splitter: EventSplitter): void {
-  if (!splitter.isBetweenEvents) {
-    throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The stream ended ${splitter.pendingBytes} bytes into an event`)
-  }
-  // A resumed stream may have ended after the event that the client has.
-  const mayBeEmpty = framing !== Framings.CLOSE || progress.lastEventId !== undefined
-  if (progress.events === 0 && !mayBeEmpty) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The stream ended before its first event')
+/** Rejects a response that ended before the last event, whatever its framing says. Errors: ATTEMPT_FAILED_UNKNOWN. */
+function checkEnd (progress: StreamProgress, response: ExchangeResponse, events: number): void {
+  if (progress.incompleteBytes > 0) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The stream ended ${progress.incompleteBytes} bytes into an event`)
+  if (events === 0 && !mayBeEmpty(progress, response)) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The stream ended before its next event')
+}
+
+/** Whether a response without events may be whole: the client, or an earlier attempt, may have received the last one. */
+function mayBeEmpty ({ wasCutInsideEvent, events, lastEventId }: StreamProgress, { framing }: ExchangeResponse): boolean {
+  if (framing !== Framings.CLOSE) return !wasCutInsideEvent
+  return events === 0 && lastEventId !== undefined && !wasCutInsideEvent
 }
 
 export function createStreamProgress (lastEventId: string | undefined): StreamProgress {
@@ -113,6 +115,7 @@
     gaps: new EventGaps(),
     framing: undefined,
     incompleteBytes: 0,
+    wasCutInsideEvent: false,
     hadBackpressure: false,
   }
 }
--- a/routing/forward/src/EventSplitter.ts
+++ b/routing/forward/src/EventSplitter.ts
@@ -9,6 +9,8 @@
   bytes: Buffer
   /** Undefined when the event has no id field. */
   id: string | undefined
+  /** Consists of comments and blank lines only, such as a heartbeat. */
+  isComment: boolean
 }
 
 /** Blank lines and comments, which belong to no event. */
@@ -50,7 +52,8 @@
 }
 
 function createEvent (bytes: Buffer): StreamEvent {
-  return { bytes, id: ID_FIELD.exec(bytes.toString('latin1'))?.[1] }
+  const text = bytes.toString('latin1')
+  return { bytes, id: ID_FIELD.exec(text)?.[1], isComment: NO_EVENT.test(text) }
 }
 
 /** Index after the blank line that ends the event starting at `start`; 0 when the event is incomplete. */
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -29,7 +29,7 @@
     opts.request.on('error', (cause) => {
       if (!this.message.complete) this.failure = cause
     })
-    this.framing = readFraming(opts.message)
+    this.framing = readFraming(opts.message, opts.request.method)
     if (this.framing === Framings.CLOSE) this.watchEnd(opts.message.socket)
   }
 
@@ -124,9 +124,9 @@
   }
 }
 
-function readFraming ({ headers, statusCode }: http.IncomingMessage): Framing {
-  if (statusCode === 204 || statusCode === 304) return Framings.LENGTH
-  if (headers['transfer-encoding'] !== undefined) return /chunked$/i.test(headers['transfer-encoding']) ? Framings.CHUNKED : Framings.CLOSE
+function readFraming ({ headers, statusCode }: http.IncomingMessage, method: string): Framing {
+  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) return Framings.LENGTH
+  if (headers['transfer-encoding'] !== undefined) return /\bchunked$/i.test(headers['transfer-encoding']) ? Framings.CHUNKED : Framings.CLOSE
   return headers['content-length'] === undefined ? Framings.CLOSE : Framings.LENGTH
 }
 
