--- a/routing/fleet/src/BackendEntry.ts
+++ b/routing/fleet/src/BackendEntry.ts
@@ -23,6 +23,8 @@
   /** Models with a copy in host memory or on disk. */
   inMemory: readonly string[]
   onDisk: readonly string[]
+  /** Version of the server's software; undefined if the entry names none. */
+  softwareVersion?: string
 }
 
 /** Identifies an incarnation of a server: one run of its process. */
@@ -32,6 +34,11 @@
   return startedAt === undefined ? id : `${id}@${startedAt}`
 }
 
+/** Version of a server's software as its entry names it, '' if it names none. */
+export function readSoftwareVersion ({ softwareVersion }: Pick<BackendEntry, 'softwareVersion'>): string {
+  return softwareVersion ?? ''
+}
+
 /** Returns the name of a model, or of a model with an adapter. */
 export function nameWeights (model: string, adapter: string | undefined): string {
   return adapter === undefined ? model : `${model}/${adapter}`
--- /dev/null
+++ b/routing/origins/src/OriginLookup.ts
@@ -0,0 +1,73 @@
+import type { Clock } from '@pulleystack/core.clock'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
+import type { InvalidMessages } from './InvalidMessages.js'
+import { LOOKUP, parseAnswer } from './messages.js'
+import { CANDIDATES } from './RecordKeepers.js'
+import type { StreamOrigin } from './StreamOrigin.js'
+
+/** Further instances asked if no candidate of the ranking knows. */
+const FURTHER_ASKED = 16
+const ANSWER_TIMEOUT_MS = 250
+
+/** What a lookup found, and how many of the instances that were asked did not answer. */
+export interface LookupOutcome {
+  origin: StreamOrigin | undefined
+  asked: number
+  silent: number
+}
+
+export interface OriginLookupOptions {
+  clock: Clock
+  network: PeerNetwork
+  invalid: InvalidMessages
+  /** Other serving instances, those that most likely have the record first. */
+  rankPeers: (requestId: string) => readonly string[]
+}
+
+/** Asks other instances for the origin of a stream. Concurrent lookups of a stream share one. */
+export class OriginLookup {
+  private readonly pending = new Map<string, Promise<LookupOutcome>>()
+
+  constructor (private readonly opts: OriginLookupOptions) {}
+
+  /** Resolves within half a second; never rejects. */
+  find (requestId: string): Promise<LookupOutcome> {
+    const pending = this.pending.get(requestId)
+    if (pending) return pending
+    const lookup = this.askAll(requestId).finally(() => this.pending.delete(requestId))
+    this.pending.set(requestId, lookup)
+    return lookup
+  }
+
+  private async askAll (requestId: string): Promise<LookupOutcome> {
+    const peers = this.opts.rankPeers(requestId)
+    const first = await this.askSome(peers.slice(0, CANDIDATES), requestId)
+    if (first.origin) return first
+    const further = await this.askSome(peers.slice(CANDIDATES, CANDIDATES + FURTHER_ASKED), requestId)
+    return { origin: further.origin, asked: first.asked + further.asked, silent: first.silent + further.silent }
+  }
+
+  /** The first instance that knows settles it. */
+  private async askSome (peers: readonly string[], requestId: string): Promise<LookupOutcome> {
+    const settled = new AbortController()
+    let answered = 0
+    const answers = peers.map(async (peer) => {
+      const origin = await this.ask(peer, requestId, () => answered++)
+      return origin ?? Promise.reject(new Error('unknown'))
+    })
+    // A call that has to open a link first may take longer than its timeout.
+    const timeout = this.opts.clock.wait(ANSWER_TIMEOUT_MS, settled.signal).then(() => undefined)
+    const origin = await Promise.race([Promise.any(answers).catch(() => undefined), timeout])
+    settled.abort()
+    return { origin, asked: peers.length, silent: peers.length - answered }
+  }
+
+  private async ask (peer: string, requestId: string, onAnswer: () => void): Promise<StreamOrigin | undefined> {
+    const answer = await this.opts.network.call(peer, LOOKUP, { requestId }, ANSWER_TIMEOUT_MS)
+    if (answer.isErr()) return undefined
+    onAnswer()
+    const { origin, isValid } = parseAnswer(answer.value)
+    if (!isValid) this.opts.invalid.record(peer, LOOKUP.name)
+    return origin
+  }
+}
--- /dev/null
+++ b/routing/origins/src/OriginTable.ts
@@ -0,0 +1,65 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { LRUCache } from 'lru-cache'
+import { RETENTION_MS } from './retention.js'
+import { isSameOrigin, type StreamOrigin } from './StreamOrigin.js'
+
+/** About 200 bytes each. */
+const MAX_RECORDS = 100_000
+
+interface OriginRecord {
+  origin: StreamOrigin
+  /** Whether this instance passed on the stream's first event. */
+  isOwn: boolean
+  /** Monotonic time in milliseconds at which it was last recorded or used. */
+  usedAt: number
+}
+
+/** Origins of streams by request id, bounded in number and age. */
+export class OriginTable {
+  // Age is kept here: the cache reads the machine's clock and takes a time of 0 for none.
+  private readonly records: LRUCache<string, OriginRecord>
+
+  constructor (private readonly clock: Clock, maxRecords = MAX_RECORDS) {
+    this.records = new LRUCache({ max: maxRecords })
+  }
+
+  /** Number of records kept. */
+  count (): number {
+    this.dropExpired()
+    return this.records.size
+  }
+
+  find (id: string): StreamOrigin | undefined {
+    this.dropExpired()
+    return this.records.peek(id)?.origin
+  }
+
+  /** Records an origin unless another one is known, and lets its time run anew; returns the one that is kept. */
+  record (id: string, origin: StreamOrigin, isOwn: boolean): StreamOrigin {
+    this.dropExpired()
+    const known = this.records.peek(id)
+    if (known && !isSameOrigin(known.origin, origin)) return known.origin
+    this.records.set(id, { origin, isOwn: isOwn || known?.isOwn === true, usedAt: this.clock.readTime() })
+    return origin
+  }
+
+  /** Records of a service's streams that this instance began, newest first. */
+  listOwn (service: string): [id: string, origin: StreamOrigin][] {
+    this.dropExpired()
+    const own = [...this.records.entries()].filter(([, { origin, isOwn }]) => isOwn && origin.service === service)
+    return own.map(([id, { origin }]) => [id, origin])
+  }
+
+  private dropExpired (): void {
+    const oldestUse = this.clock.readTime() - RETENTION_MS
+    for (let id = this.readOldest(); id !== undefined; id = this.readOldest()) {
+      if ((this.records.peek(id)?.usedAt ?? -Infinity) > oldestUse) return
+      this.records.delete(id)
+    }
+  }
+
+  private readOldest (): string | undefined {
+    const oldest = this.records.rkeys().next()
+    return oldest.done ? undefined : oldest.value
+  }
+}
--- /dev/null
+++ b/routing/origins/src/StreamOrigins.ts
@@ -0,0 +1,110 @@
+import type { Clock } from '@pulleystack/core.clock'
+import type { PeerNetwork } from '@pulleystack/membership.peers'
+import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { InvalidMessages } from './InvalidMessages.js'
+import { LOOKUP, RECORDS, parseLookup, parseRecords } from './messages.js'
+import { OriginLookup } from './OriginLookup.js'
+import { OriginTable } from './OriginTable.js'
+import { RecordKeepers } from './RecordKeepers.js'
+import { shareVersions } from './shareVersions.js'
+import { isName, isRecordId, isSameOrigin, type StreamOrigin } from './StreamOrigin.js'
+import type { VersionHistory } from './VersionHistory.js'
+
+export interface StreamOriginsOptions {
+  clock: Clock
+  network: PeerNetwork
+  versions: VersionHistory
+  log: DecisionLog
+  /** Name of this instance. */
+  instance: string
+  /** Instances that serve clients; may include this one. */
+  listServing: () => readonly string[]
+}
+
+/** Origins of streams by the request id of the attempt that brought the first event, known beyond the instance that began them. */
+export class StreamOrigins {
+  private readonly table: OriginTable
+  private readonly keepers: RecordKeepers
+  private readonly lookup: OriginLookup
+  private readonly invalid: InvalidMessages
+
+  constructor (private readonly opts: StreamOriginsOptions) {
+    this.table = new OriginTable(opts.clock)
+    this.keepers = new RecordKeepers(opts)
+    this.invalid = new InvalidMessages(opts.log)
+    this.lookup = new OriginLookup({ ...opts, invalid: this.invalid, rankPeers: (requestId) => this.keepers.rankPeers(requestId) })
+  }
+
+  /** Exchanges records and versions with other instances until the signal aborts. */
+  start (signal: AbortSignal): void {
+    const { network, versions } = this.opts
+    this.invalid.start(network, signal)
+    network.handleCalls(LOOKUP, (from, body) => this.answerLookup(from, body))
+    const subscriptions = [
+      network.receive(RECORDS).subscribe(({ from, body }) => this.receiveRecords(from, body)),
+      versions.changes.subscribe((service) => this.handleMixed(service, signal)),
+    ]
+    signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
+    shareVersions({ network, versions, invalid: this.invalid }, signal)
+  }
+
+  /**
+   * Records where a stream began; must be called before its first event is passed on. While the service is mixed, the messages to other instances have been
+   * sent on return. Ids and names that are too long are not kept.
+   */
+  record (requestId: string, origin: StreamOrigin): void {
+    if (!isRecordId(requestId) || !isName(origin.service) || !isName(origin.version)) return
+    const kept = this.keep(requestId, origin, { isOwn: true })
+    if (isSameOrigin(kept, origin) && this.opts.versions.isMixed(origin.service)) this.keepers.tell(requestId, origin)
+  }
+
+  /**
+   * Finds where a stream began, which may be another service than the given one. Undefined if that is unknown and the service is mixed or has no known
+   * version. Resolves within half a second; never rejects.
+   */
+  async find (requestId: string | undefined, service: string): Promise<StreamOrigin | undefined> {
+    const id = isRecordId(requestId) ? requestId : undefined
+    const known = id === undefined ? undefined : this.table.find(id)
+    if (known) return this.table.record(id as string, known, false)
+    const version = this.opts.versions.findSole(service)
+    if (version !== undefined) return { service, version }
+    if (id === undefined || !this.opts.versions.isMixed(service)) return this.reportUnknown(id, service)
+    const { origin, asked, silent } = await this.lookup.find(id)
+    return origin ? this.keep(id, origin) : this.reportUnknown(id, service, asked, silent)
+  }
+
+  private reportUnknown (stream: string | undefined, service: string, asked = 0, silent = 0): undefined {
+    const versions = this.opts.versions.list(service).map(({ version }) => version)
+    this.opts.log.record(DecisionKinds.STREAM_ORIGIN_UNKNOWN, { stream, service, versions, asked, silent })
+  }
+
+  /** Keeps the first origin of a stream; returns it. */
+  private keep (stream: string, origin: StreamOrigin, { isOwn = false, peer }: { isOwn?: boolean, peer?: string } = {}): StreamOrigin {
+    const kept = this.table.record(stream, origin, isOwn)
+    if (!isSameOrigin(kept, origin)) {
+      const facts = { stream, ...kept, otherService: origin.service, otherVersion: origin.version, peer }
+      this.opts.log.record(DecisionKinds.STREAM_ORIGIN_CONTRADICTED, facts)
+    }
+    return kept
+  }
+
+  private handleMixed (service: string, signal: AbortSignal): void {
+    const { versions, log } = this.opts
+    log.record(DecisionKinds.SERVICE_MIXED, { service, versions: versions.list(service).map(({ version }) => version) })
+    void this.keepers.tellAll(this.table.listOwn(service), signal)
+  }
+
+  private receiveRecords (from: string, body: unknown): void {
+    const { items, isValid } = parseRecords(body)
+    if (!isValid) this.invalid.record(from, RECORDS.name)
+    for (const [requestId, service, version] of items) this.keep(requestId, { service, version }, { peer: from })
+  }
+
+  /** Answers from the own table only, so that lookups never cascade. */
+  private answerLookup (from: string, body: unknown): { origin?: [service: string, version: string] } {
+    const requestId = parseLookup(body)
+    if (requestId === undefined) this.invalid.record(from, LOOKUP.name)
+    const origin = requestId === undefined ? undefined : this.table.find(requestId)
+    return origin ? { origin: [origin.service, origin.version] } : {}
+  }
+}
--- /dev/null
+++ b/routing/origins/src/VersionHistory.ts
@@ -0,0 +1,123 @@
+import type { Clock } from '@pulleystack/core.clock'
+import { readSoftwareVersion, type BackendFleet, type FleetChange } from '@pulleystack/routing.fleet'
+import { Subject, type Observable } from 'rxjs'
+import { RETENTION_MS } from './retention.js'
+import { ServiceVersions } from './ServiceVersions.js'
+
+/** Services without servers are dropped first beyond this number; those with servers are bounded by the fleet. */
+const MAX_SERVICES = 1_024
+/** A version seen again within this time after its last server went is no news. */
+const NEWS_AFTER_MS = 10_000
+
+/** A version of a service and when it was last seen. */
+export interface VersionSighting {
+  service: string
+  version: string
+  /** Milliseconds since then; 0 while a server has it. */
+  msAgo: number
+}
+
+export interface VersionHistoryOptions {
+  clock: Clock
+  fleet: BackendFleet
+}
+
+/** Software versions of each service that served within the retention time. Draining servers count. */
+export class VersionHistory {
+  private readonly services = new Map<string, ServiceVersions>()
+  /** What the entry of each server last named. */
+  private readonly servers = new Map<string, { service: string, version: string }>()
+  private readonly changeSubject = new Subject<string>()
+  private readonly newsSubject = new Subject<string>()
+  /** Until then, a service without record may have had versions that were dropped. */
+  private mayLackUntil = -Infinity
+
+  constructor (private readonly opts: VersionHistoryOptions) {
+    for (const backend of opts.fleet.listAll()) this.applyChange({ kind: 'added', backend })
+    opts.fleet.changes.subscribe((change) => this.applyChange(change))
+  }
+
+  /** Emits services that became mixed, also those of which a peer told. */
+  get changes (): Observable<string> {
+    return this.changeSubject
+  }
+
+  /** Emits mixed services of which an entry names a version that was not seen lately. */
+  get news (): Observable<string> {
+    return this.newsSubject
+  }
+
+  /** Whether servers of several versions have served the service within the retention time. */
+  isMixed (service: string): boolean {
+    const now = this.opts.clock.readTime()
+    return this.services.get(service)?.isMixed(now) ?? now < this.mayLackUntil
+  }
+
+  /** The only version of the service within the retention time; undefined if there are several or none. */
+  findSole (service: string): string | undefined {
+    return this.isMixed(service) ? undefined : this.list(service)[0]?.version
+  }
+
+  /** Versions of a service within the retention time. */
+  list (service: string): VersionSighting[] {
+    const versions = this.services.get(service)?.list(this.opts.clock.readTime()) ?? []
+    return versions.map(([version, msAgo]) => ({ service, version, msAgo }))
+  }
+
+  /** Versions of all mixed services. */
+  listMixed (): VersionSighting[] {
+    return [...this.services.keys()].filter((service) => this.isMixed(service)).flatMap((service) => this.list(service))
+  }
+
+  /** Applies what a peer saw; versions without an entry here count as gone since then. */
+  applyFromPeer ({ service, version, msAgo }: VersionSighting): void {
+    if (msAgo >= RETENTION_MS) return
+    this.update(service, (versions, now) => versions.applyFromPeer(version, now - msAgo))
+  }
+
+  private applyChange ({ kind, backend: { id, entry } }: FleetChange): void {
+    const former = this.servers.get(id)
+    const current = kind === 'removed' ? undefined : { service: entry.service, version: readSoftwareVersion(entry) }
+    if (former && former.service === current?.service && former.version === current.version) return
+    if (current) {
+      this.servers.set(id, current)
+      this.addServer(current.service, current.version)
+    } else {
+      this.servers.delete(id)
+    }
+    if (former) this.update(former.service, (versions, now) => versions.removeServer(former.version, now))
+  }
+
+  private addServer (service: string, version: string): void {
+    let msAgo = 0
+    this.update(service, (versions, now) => {
+      msAgo = versions.addServer(version, now)
+    })
+    if (msAgo > NEWS_AFTER_MS && this.isMixed(service)) this.newsSubject.next(service)
+  }
+
+  private update (service: string, change: (versions: ServiceVersions, now: number) => void): void {
+    const wasMixed = this.isMixed(service)
+    change(this.findOrCreate(service), this.opts.clock.readTime())
+    if (!wasMixed && this.isMixed(service)) this.changeSubject.next(service)
+  }
+
+  private findOrCreate (service: string): ServiceVersions {
+    const existing = this.services.get(service)
+    if (existing) return existing
+    if (this.services.size >= MAX_SERVICES) this.dropOldest()
+    const created = new ServiceVersions(this.mayLackUntil)
+    this.services.set(service, created)
+    return created
+  }
+
+  /** Drops the service whose last server went first. */
+  private dropOldest (): void {
+    const gone = [...this.services].filter(([, versions]) => !versions.hasServers)
+    const [oldest] = gone.sort(([, a], [, b]) => a.goneAt - b.goneAt)
+    if (!oldest) return
+    const [service, { goneAt }] = oldest
+    this.services.delete(service)
+    this.mayLackUntil = Math.max(this.mayLackUntil, goneAt + RETENTION_MS)
+  }
+}
--- /dev/null
+++ b/routing/origins/src/index.ts
@@ -0,0 +1,6 @@
+export { StreamOrigins } from './StreamOrigins.js'
+export type { StreamOriginsOptions } from './StreamOrigins.js'
+export type { StreamOrigin } from './StreamOrigin.js'
+export { VersionHistory } from './VersionHistory.js'
+export type { VersionSighting } from './VersionHistory.js'
+export { RETENTION_MS } from './retention.js'
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -61,10 +61,14 @@
    * a minute after the last such report, no server of the service is sent more than it has slots for.
    */
   'service-brittle': { service: string, backend?: string, source: string, peer?: string, tolerance: number }
+  /** Servers of several software versions have served a service within the last two minutes, so that a stream must go on at the version that began it. */
+  'service-mixed': { service: string, versions: readonly string[] }
   /** A status reported by a backend server could not be parsed and was ignored; `count` responses had one since the last such line. */
   'statement-unreadable': { backend: string, value: string, count: number }
   /** A peer sent an impossible pace of a server, which was ignored; logged once for each link to the peer. Without `backend` no server could be read. */
   'pace-refused': { backend: string | undefined, peer: string, value: string }
+  /** A peer sent a message on `channel` of which at least a part could not be read and was ignored; logged once for each link to the peer. */
+  'peer-message-invalid': { peer: string, channel: string }
   /** A connection to another instance was established. */
   'peer-joined': { peer: string, incarnation: number }
   /** A peer closed its connection, or nothing was received from it for too long. */
@@ -162,6 +166,13 @@
   'quota-refused': { request: string | undefined, team: string, units: number, retryAfterMs: number }
   /** A stream was resumed on another server, after event `after`. */
   'stream-resumed': { request: string, after: string | undefined }
+  /**
+   * The software version that began the stream of request `stream` is not known, and `service` has several or none. `asked` instances were asked, of which
+   * `silent` did not answer; `stream` is left out if it is missing or too long.
+   */
+  'stream-origin-unknown': { stream: string | undefined, service: string, versions: readonly string[], asked: number, silent: number }
+  /** Another origin of a stream was recorded, or told by a `peer`, than the one already known, which stays. */
+  'stream-origin-contradicted': { stream: string, service: string, version: string, otherService: string, otherVersion: string, peer: string | undefined }
   /** The final response to a request; for streams also the time to the first event and the longest pause between events. */
   'request-ended': {
     request: string | undefined
