--- a/routing/fleet/src/BackendEntry.ts
+++ b/routing/fleet/src/BackendEntry.ts
@@ -10,6 +10,8 @@
   id: string
   /** Unix time of the start in milliseconds; undefined if the server doesn't report it. */
   startedAt?: number
+  /** Version of the server's software; undefined if the entry names none. Streams go on only at the version that began them. */
+  softwareVersion?: string
   service: string
   /** host:port; may be reused by another server after this one has stopped. */
   address: string
@@ -28,6 +30,22 @@
 /** Identifies an incarnation of a server: one run of its process. */
 export type ServerIncarnation = Pick<BackendEntry, 'id' | 'startedAt'>
 
+/** The service and the software version of the server that sent a stream's first event. */
+export interface StreamOrigin {
+  service: string
+  version: string
+}
+
+/** Returns the version of a server's software; empty if its entry names none. */
+export function readSoftwareVersion ({ softwareVersion }: Pick<BackendEntry, 'softwareVersion'>): string {
+  return softwareVersion ?? ''
+}
+
+/** Whether a server may get a request for which the version is required; any may without one. */
+export function isOfVersion (entry: Pick<BackendEntry, 'softwareVersion'>, requiredVersion: string | undefined): boolean {
+  return requiredVersion === undefined || readSoftwareVersion(entry) === requiredVersion
+}
+
 export function formatIncarnation ({ id, startedAt }: ServerIncarnation): string {
   return startedAt === undefined ? id : `${id}@${startedAt}`
 }
--- a/routing/fleet/src/BackendFleet.ts
+++ b/routing/fleet/src/BackendFleet.ts
@@ -1,7 +1,7 @@
 import type { PaceSample, PaceTable } from '@pulleystack/routing.pace'
 import { Subject, type Observable } from 'rxjs'
 import { Backend } from './Backend.js'
-import { formatIncarnation, type BackendEntry, type ServerIncarnation } from './BackendEntry.js'
+import { formatIncarnation, readSoftwareVersion, type BackendEntry, type ServerIncarnation } from './BackendEntry.js'
 import { BrittleServices } from './BrittleServices.js'
 import { FleetPaces, type BackendPace } from './FleetPaces.js'
 import type { LoadTally } from './LoadTally.js'
@@ -177,6 +177,8 @@
     if (existing && hasRestarted(existing.entry, entry)) {
       // State of the former incarnation, such as load, cached prefixes and overrides, doesn't apply to the new one.
       this.remove(entry.id)
+      // Without another start time, what the former incarnation reported is stored under the same name.
+      if (formatIncarnation(existing.entry) === formatIncarnation(entry)) this.reportedStatuses.remove(entry)
     } else if (existing) {
       existing.update(entry)
       this.changeSubject.next({ kind: 'updated', backend: existing })
@@ -297,5 +299,6 @@
 }
 
 function hasRestarted (previous: BackendEntry, next: BackendEntry): boolean {
+  if (readSoftwareVersion(previous) !== readSoftwareVersion(next)) return true
   return previous.startedAt !== undefined && next.startedAt !== undefined && previous.startedAt !== next.startedAt
 }
--- a/routing/fleet/src/ReportedStatus.ts
+++ b/routing/fleet/src/ReportedStatus.ts
@@ -34,6 +34,10 @@
     this.byIncarnation.set(formatIncarnation(status.incarnation), status)
   }
 
+  remove (incarnation: ServerIncarnation): void {
+    this.byIncarnation.delete(formatIncarnation(incarnation))
+  }
+
   /** Draining incarnations, newest first. */
   listDraining (limit: number): ServerIncarnation[] {
     return [...this.byIncarnation.values()].filter(({ isDraining }) => isDraining).slice(0, limit).map(({ incarnation }) => incarnation)
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -3,7 +3,7 @@
 import { dropFailing, listUsable } from '@pulleystack/routing.retries'
 import { DEFAULT_PACE, expectFirstEventMs, type PaceEstimate } from '@pulleystack/routing.pace'
 import type { Backend } from './Backend.js'
-import { nameWeights } from './BackendEntry.js'
+import { isOfVersion, nameWeights } from './BackendEntry.js'
 import { chooseByPace, computePacedLimit, computePickWeight, type ServerPaces } from './chooseByPace.js'
 import type { LoadTally } from './LoadTally.js'
 import type { PromptPart } from './PrefixTracker.js'
@@ -38,11 +38,15 @@
   isBrittle?: boolean
   /** Whether another instance could take the request to a server that this one can't reach. */
   mayForward?: boolean
+  /** Excludes servers of any other software version. */
+  requiredVersion?: string
 }
 
 export const ChoiceFailures = {
   /** No server of the service is known, reachable and not draining. */
   NO_BACKEND: 'no-backend',
+  /** A software version is required, and every server of it drains or has failed this request. */
+  VERSION_GONE: 'version-gone',
   /** Servers with the model can be reached by other instances only. */
   PATH_LOST: 'path-lost',
   /** No server has the model or adapter. */
@@ -93,7 +97,9 @@
 /** Chooses the backend server with the lowest expected latency; with pace estimates, one of those with nearly the lowest. */
 export function chooseBackend (opts: ChoiceOptions): BackendChoice | ChoiceFailure {
   const { demand, now } = opts
-  const staying = opts.backends.filter((backend) => !backend.entry.draining)
+  const isPinned = demand.requiredVersion !== undefined
+  const staying = opts.backends.filter(({ entry }) => !entry.draining && isOfVersion(entry, demand.requiredVersion))
+  if (isPinned && staying.length === 0) return ChoiceFailures.VERSION_GONE
   const available = staying.filter((backend) => backend.isReachable(now))
   const { generation } = demand
   const hasNeededWeights = (backend: Backend): boolean => !generation || backend.hasWeights(generation.model, generation.adapter)
@@ -101,6 +107,8 @@
   const canForward = demand.mayForward === true && staying.some((backend) => backend.path.mayPeersReach && hasNeededWeights(backend))
   if (canForward && holders.every((backend) => demand.excluded.has(backend.id))) return ChoiceFailures.PATH_LOST
   if (available.length === 0) return ChoiceFailures.NO_BACKEND
+  // Another copy of the weights can't help either.
+  if (isPinned && staying.every((backend) => demand.excluded.has(backend.id))) return ChoiceFailures.VERSION_GONE
   if (holders.length === 0) return ChoiceFailures.NOT_RESIDENT
   const unreported = holders.filter((backend) => !backend.path.isReportedDown(now))
   const choice = unreported.length === 0 ? ChoiceFailures.NO_BACKEND : chooseAmong(unreported, opts)
--- a/routing/fleet/test/chooseBackend.test.ts
+++ b/routing/fleet/test/chooseBackend.test.ts
@@ -8,6 +8,7 @@
   PathVerdicts,
   chooseBackend,
   type BackendChoice,
+  type BackendDemand,
   type BackendEntry,
   type ChoiceFailure,
   type GenerationDemand,
@@ -191,6 +192,79 @@
     assert.equal(choose({}, ['r1', 'r2']), ChoiceFailures.NOT_RESIDENT)
   })
 
+  describe('for a stream that may go on at one software version only', () => {
+    const choosePinned = (changes: Partial<BackendDemand> = {}, now = 0): string => {
+      const choice = chooseBackend({
+        backends: fleet.list('s'),
+        demand: { dataHall: 'z1', excluded: new Set(), generation: DEMAND, overcommitShare: 1, prefillLimit, requiredVersion: 'v2', ...changes },
+        capacity: FIGURES,
+        random: new RandomSource(1),
+        now,
+        policy: DEFAULT_POLICY,
+        onPermitNeeded: ({ id }) => permitsNeeded.push(id),
+      })
+      return typeof choice === 'string' ? choice : choice.backend.id
+    }
+    let permitsNeeded: string[]
+
+    beforeEach(() => {
+      permitsNeeded = []
+      fleet.replaceAll([createEntry({ id: 'r1', softwareVersion: 'v1' }), createEntry({ id: 'r2', dataHall: 'z2', softwareVersion: 'v2' }), createEntry({ id: 'r3' })])
+    })
+
+    it('chooses a server of that version', () => {
+      assert.equal(choosePinned(), 'r2')
+      assert.equal(choosePinned({ requiredVersion: 'v1' }), 'r1')
+      assert.equal(choosePinned({ requiredVersion: '' }), 'r3')
+    })
+
+    it('reports that the version is gone if all its servers drain or none is known', () => {
+      fleet.put(createEntry({ id: 'r2', softwareVersion: 'v2', draining: true }))
+      assert.equal(choosePinned(), ChoiceFailures.VERSION_GONE)
+      assert.equal(choosePinned({ requiredVersion: 'v3', generation: undefined }), ChoiceFailures.VERSION_GONE)
+    })
+
+    it('reports that the version is gone if the request failed at all its servers', () => {
+      for (const generation of [DEMAND, undefined]) {
+        assert.equal(choosePinned({ generation, excluded: new Set(['r2']) }), ChoiceFailures.VERSION_GONE)
+      }
+      find('r2').recordModel('m', false)
+      assert.equal(choosePinned({ excluded: new Set(['r2']) }), ChoiceFailures.VERSION_GONE)
+    })
+
+    it('asks for a copy at another server of the version', () => {
+      fleet.put(createEntry({ id: 'r4', softwareVersion: 'v2', models: [] }))
+      assert.equal(choosePinned({ excluded: new Set(['r2']) }), ChoiceFailures.NOT_RESIDENT)
+    })
+
+    it('has no use for copies, paths, slots or permits at other versions', () => {
+      find('r2').recordModel('m', false)
+      assert.equal(choosePinned(), ChoiceFailures.NOT_RESIDENT)
+      find('r2').recordModel('m', true)
+      find('r2').path.recordPeerReport(0)
+      assert.equal(choosePinned(), 'r2')
+      find('r2').ownLoad.running = FIGURES.batchSlots
+      assert.equal(choosePinned(), ChoiceFailures.FULL)
+      find('r2').ownLoad.running = 0
+      fleet.recordLimit(find('r2'), { perSecond: 5, reportedAfter: 0, reportedBefore: 0 })
+      assert.equal(choosePinned(), ChoiceFailures.LIMITED)
+      assert.deepEqual(permitsNeeded, ['r2'])
+      fleet.recordRetryAfter(find('r2'), 1_000, 0)
+      assert.equal(choosePinned(), ChoiceFailures.BACKING_OFF)
+      find('r2').path.recordFailure(0)
+      assert.equal(choosePinned({}, 100), ChoiceFailures.NO_BACKEND)
+    })
+
+    it('leaves the request to an instance that reaches a server of the version', () => {
+      find('r1').path.recordFailure(0)
+      find('r1').path.recordVerdict(PathVerdicts.PATH_LOST, 0)
+      assert.equal(choosePinned({ mayForward: true, excluded: new Set(['r2']) }), ChoiceFailures.VERSION_GONE)
+      find('r2').path.recordFailure(0)
+      find('r2').path.recordVerdict(PathVerdicts.PATH_LOST, 0)
+      assert.equal(choosePinned({ mayForward: true, excluded: new Set(['r2']) }, 100), ChoiceFailures.PATH_LOST)
+    })
+  })
+
   it('keeps large prompts away from servers with many streams', () => {
     find('r1').ownLoad.running = 5
     assert.equal(chooseId({ promptTokens: 9_000, parts: [] }), 'r2')
