--- a/placement/residency/src/CapacityPlanner.ts
+++ b/placement/residency/src/CapacityPlanner.ts
@@ -102,7 +102,9 @@
 /** Models that another copy could help, by descending upper bound of the gain. */
 function listNeeds (plan: Plan): { need: ModelNeed, maxGain: number }[] {
   const needs = new ModelNeeds({ ...plan, listWaiting: plan.input.listWaiting })
-  return plan.input.serving.models
+  const { serving, onlyModel } = plan.input
+  return serving.models
+    .filter(({ name }) => onlyModel === undefined || name === onlyModel)
     .map((served) => needs.compute(served))
     .filter((need) => need !== undefined)
     .map((need) => ({ need, maxGain: computeMaxGain(need) }))
--- a/placement/residency/src/LoadPlanner.ts
+++ b/placement/residency/src/LoadPlanner.ts
@@ -12,6 +12,8 @@
   demandKnownMs?: number
   /** Milliseconds since the first request for any model; undefined before. */
   firstDemandMs?: number | undefined
+  /** Restricts the plan to one model. */
+  onlyModel?: string
 }
 
 /** Chooses the next load of a service. */
--- a/placement/residency/src/ResidencyClient.ts
+++ b/placement/residency/src/ResidencyClient.ts
@@ -13,6 +13,8 @@
   dueMs?: number
   /** 0 is the most urgent. */
   priority?: number
+  /** Only weights on servers of this software version help; undefined if any do. */
+  softwareVersion?: string
 }
 
 /** The weights that a request uses. */
--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -1,6 +1,6 @@
 import { isHeterogeneous, type ModelServing, type RouteTable } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
-import { nameWeights, type Backend } from '@pulleystack/routing.fleet'
+import { isOfVersion, nameWeights, type Backend } from '@pulleystack/routing.fleet'
 import type { PaceEstimate } from '@pulleystack/routing.pace'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { CapacityPlanner } from './CapacityPlanner.js'
@@ -32,7 +32,10 @@
 export class ResidencyHolder {
   private readonly demandByService = new Map<string, DemandTracker>()
   private readonly bucketByService = new Map<string, LoadBucket>()
-  private readonly stakesByService = new Map<string, WaitingStakes>()
+  /** By service, and by service and version for requests that only one software version may serve. */
+  private readonly stakesByGroup = new Map<string, WaitingStakes>()
+  /** Demand of requests that only one software version may serve, by service and version. */
+  private readonly demandByGroup = new Map<string, DemandTracker>()
   private readonly loads: ServerLoads
   private readonly capacityPlanner = new CapacityPlanner()
   private readonly slotPlanner = new SlotPlanner()
@@ -78,12 +81,15 @@
     if (!this.opts.readPermit()) return { coming: false, reason: 'this instance does not hold the lease', isUndecided: true }
     const serving = this.findServing(request.service)
     if (!serving) return { coming: false, reason: 'the service has no models' }
+    if (request.softwareVersion !== undefined && this.listUsable(request.service, request.softwareVersion).length === 0) {
+      return { coming: false, reason: 'no server of the software version is usable', earliestMs: Infinity }
+    }
     const servers = this.listWithModel(request)
     this.recordStake(request, servers.length > 0)
     if (!request.isMore && servers.length > 0) return { coming: true, expectedMs: this.ensureAdapter(serving, servers, request) }
-    this.findDemand(request.service).recordWaiting(request.model, servers.length > 0)
-    if (this.loads.findExpectedMs(request.model) === undefined) this.planService(request.service, serving)
-    const expectedMs = this.loads.findExpectedMs(request.model)
+    this.findWaitingDemand(request).recordWaiting(request.model, servers.length > 0)
+    if (this.findExpectedMs(request) === undefined) this.planFor(request, serving)
+    const expectedMs = this.findExpectedMs(request)
     if (expectedMs !== undefined) return { coming: true, expectedMs }
     return { coming: false, reason: 'other loads have priority', earliestMs: this.estimateEarliestMs(serving, request) }
   }
@@ -93,16 +99,26 @@
     return this.findStakes(service).list(model)
   }
 
+  /** Milliseconds until a load that helps the request ends. */
+  private findExpectedMs ({ service, model, softwareVersion }: WeightsRequest): number | undefined {
+    return this.loads.findExpectedMs(model, softwareVersion === undefined ? undefined : this.listUsable(service, softwareVersion))
+  }
+
+  private planFor ({ service, model, softwareVersion }: WeightsRequest, serving: ModelServing): void {
+    if (softwareVersion === undefined) this.planService(service, serving)
+    else this.planService(service, serving, () => this.buildVersionInput(service, serving, { model, softwareVersion }))
+  }
+
   /** Requests that wait for a slot or an adapter at a server with the model are part of the demand, not of the stakes. */
   private recordStake (request: WeightsRequest, hasModel: boolean): void {
-    const stakes = this.findStakes(request.service)
+    const stakes = this.findStakes(nameGroup(request))
     if (hasModel || request.isMore) stakes.remove(request)
     else stakes.record(request)
   }
 
   private estimateEarliestMs (serving: ModelServing, request: WeightsRequest): number {
     const served = serving.models.find((model) => model.name === request.model)
-    const servers = this.listUsable(request.service).map((backend) => this.loads.describe(backend))
+    const servers = this.listUsable(request.service, request.softwareVersion).map((backend) => this.loads.describe(backend))
     return served ? estimateEarliestMs(servers, served) : Infinity
   }
 
@@ -115,20 +131,20 @@
     }
   }
 
-  private planService (service: string, serving: ModelServing): void {
+  private planService (service: string, serving: ModelServing, buildInput = () => this.buildPlanInput(service, serving)): void {
     const { clock } = this.opts
     const startedAt = clock.readTime()
     if (startedAt < this.nextPlanAt) return
-    this.beginLoads(service, serving)
+    this.beginLoads(service, serving, buildInput)
     const now = clock.readTime()
     this.nextPlanAt = now + (now - startedAt) * (1 / MAX_PLANNING_SHARE - 1)
   }
 
-  private beginLoads (service: string, serving: ModelServing): void {
+  private beginLoads (service: string, serving: ModelServing, buildInput: () => LoadPlannerInput): void {
     const bucket = this.findBucket(service)
     const planner = this.choosePlanner(serving)
     while (this.loads.size < computeMaxConcurrentLoads(serving)) {
-      const load = planner.planLoad(this.buildPlanInput(service, serving), bucket.waitMs === 0)
+      const load = planner.planLoad(buildInput(), bucket.waitMs === 0)
       if (!load || !this.mayBegin(service, load)) return
       this.recordPlannedLoad(service, load)
       void this.loads.run(serving, load)
@@ -163,7 +179,7 @@
     const { model, adapter } = request
     if (adapter === undefined) return 0
     const now = this.opts.clock.readTime()
-    const name = `${request.service}|${nameWeights(model, adapter)}`
+    const name = `${nameGroup(request)}|${nameWeights(model, adapter)}`
     const readyAt = this.adapterReadyAt.get(name)
     if (readyAt !== undefined) return Math.max(0, readyAt - now)
     this.adapterReadyAt.set(name, now + EXPECTED_ADAPTER_LOAD_MS)
@@ -174,12 +190,12 @@
   }
 
   private listWithModel (request: WeightsRequest): Backend[] {
-    return this.listUsable(request.service).filter((backend) => this.loads.isRetaining(backend, request.model))
+    return this.listUsable(request.service, request.softwareVersion).filter((backend) => this.loads.isRetaining(backend, request.model))
   }
 
-  private listUsable (service: string): Backend[] {
+  private listUsable (service: string, softwareVersion?: string): Backend[] {
     const now = this.opts.clock.readTime()
-    const staying = this.opts.fleet.list(service).filter((backend) => backend.isAvailable(now))
+    const staying = this.opts.fleet.list(service).filter((backend) => backend.isAvailable(now) && isOfVersion(backend.entry, softwareVersion))
     return staying.filter((backend) => !backend.outlier.isEjected(now))
   }
 
@@ -198,6 +214,21 @@
     }
   }
 
+  /** For a model wanted at one version: copies elsewhere don't help, and only the requests that wait count as its demand. */
+  private buildVersionInput (service: string, serving: ModelServing, wanted: { model: string, softwareVersion: string }): LoadPlannerInput {
+    const input = this.buildPlanInput(service, serving)
+    const { model, softwareVersion } = wanted
+    const ids = new Set(this.listUsable(service, softwareVersion).map(({ id }) => id))
+    const group = { service, softwareVersion }
+    return {
+      ...input,
+      servers: input.servers.filter(({ id }) => ids.has(id)),
+      readDemand: (name) => name === model ? this.findWaitingDemand(group).read(name) : input.readDemand(name),
+      listWaiting: (name) => name === model ? this.findStakes(nameGroup(group)).list(name) : input.listWaiting(name),
+      onlyModel: model,
+    }
+  }
+
   private findServing (service: string): ModelServing | undefined {
     return this.opts.readTable()?.findService(service)?.serving
   }
@@ -205,18 +236,31 @@
   private findDemand (service: string): DemandTracker {
     const present = this.demandByService.get(service)
     if (present) return present
-    const { clock, policy, readTable } = this.opts
-    const created = new DemandTracker(clock, policy.demandTrend, policy.demandTrend && isHeterogeneous(this.findServing(service)))
+    const created = this.createDemand(service)
     // Without a configuration it is not known yet whether shifts have to be detected.
-    if (readTable()) this.demandByService.set(service, created)
+    if (this.opts.readTable()) this.demandByService.set(service, created)
     return created
   }
 
-  private findStakes (service: string): WaitingStakes {
-    const present = this.stakesByService.get(service)
+  /** Demand in which a waiting request counts. */
+  private findWaitingDemand (group: RequestGroup): DemandTracker {
+    if (group.softwareVersion === undefined) return this.findDemand(group.service)
+    const name = nameGroup(group)
+    const found = this.demandByGroup.get(name) ?? this.createDemand(group.service)
+    this.demandByGroup.set(name, found)
+    return found
+  }
+
+  private createDemand (service: string): DemandTracker {
+    const { clock, policy } = this.opts
+    return new DemandTracker(clock, policy.demandTrend, policy.demandTrend && isHeterogeneous(this.findServing(service)))
+  }
+
+  private findStakes (group: string): WaitingStakes {
+    const present = this.stakesByGroup.get(group)
     if (present) return present
     const created = new WaitingStakes(this.opts.clock)
-    this.stakesByService.set(service, created)
+    this.stakesByGroup.set(group, created)
     return created
   }
 
@@ -229,6 +273,13 @@
   }
 }
 
+/** Requests that the same servers may serve. */
+type RequestGroup = Pick<WeightsRequest, 'service' | 'softwareVersion'>
+
+function nameGroup ({ service, softwareVersion }: RequestGroup): string {
+  return softwareVersion === undefined ? service : JSON.stringify([service, softwareVersion])
+}
+
 function roundToHundredths (value: number): number {
   return Math.round(value * 100) / 100
 }
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -122,10 +122,11 @@
     return ordered.filter(([, agoMs]) => agoMs < withinMs)
   }
 
-  /** Estimated milliseconds until a load of the model ends; undefined when none is in progress. */
-  findExpectedMs (model: string): number | undefined {
+  /** Estimated milliseconds until a load of the model ends on one of the servers; undefined when none is in progress. Without `servers` any counts. */
+  findExpectedMs (model: string, servers?: readonly Backend[]): number | undefined {
     const leftMs = [...this.running.values()]
-      .filter((running) => running.load.model === model && this.isExpected(running))
+      .filter(({ load }) => load.model === model && (servers === undefined || servers.some(({ id }) => id === load.server)))
+      .filter((running) => this.isExpected(running))
       .map((running) => Math.max(0, this.computeLeftMs(running)))
     return leftMs.length === 0 ? undefined : Math.min(...leftMs)
   }
--- a/placement/residency/test/ResidencyHolder.test.ts
+++ b/placement/residency/test/ResidencyHolder.test.ts
@@ -3,7 +3,7 @@
 import { RouteTable, type ModelServing } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { ManualClock } from '@pulleystack/core.clock'
-import { BackendFleet } from '@pulleystack/routing.fleet'
+import { BackendFleet, type Backend } from '@pulleystack/routing.fleet'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { ResidencyHolder } from '../src/index.js'
 import { RecordingServers, SERVING } from './RecordingServers.js'
@@ -60,6 +60,85 @@
   })
 })
 
+describe('ResidencyHolder with servers of several software versions', () => {
+  const REQUEST = { service: 's', model: 'd', adapter: undefined, isMore: false, waitMs: 9_000, dueMs: 5_000, priority: 0, requestId: 'q1' }
+
+  for (const [kind, sizesMb] of Object.entries({ alike: [60, 60, 60, 60], heterogeneous: [60, 60, 60, 30] })) {
+    describe(`for models that are ${kind}`, () => {
+      let clock: ManualClock
+      let servers: RecordingServers
+      let fleet: BackendFleet
+      let holder: ResidencyHolder
+
+      const putServer = (id: string, softwareVersion: string, ...models: string[]): void => {
+        servers.add(id, ...models)
+        fleet.put({ id, softwareVersion, service: 's', address: `${id}:1`, dataHall: 'z', slots: 8, draining: false, models: models.map((name) => ({ name, adapters: [] })), inMemory: [], onDisk: [] })
+      }
+
+      beforeEach(async () => {
+        clock = new ManualClock()
+        servers = new RecordingServers(clock)
+        fleet = new BackendFleet()
+        putServer('old', 'v1', 'a')
+        putServer('new1', 'v2', 'd')
+        putServer('new2', 'v2')
+        const models = SERVING.models.map((model, at) => ({ ...model, weightsMb: sizesMb[at] as number }))
+        const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+        const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models } }], limits })
+        const readPermit = (): { holder: string, fence: number } => ({ holder: 'h', fence: 1 })
+        const log = new NullDecisionLog()
+        const sources = { readTable: () => table, readPermit, onChange: () => undefined }
+        holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: { ...DEFAULT_POLICY, capacityPlanning: true }, ...sources })
+        holder.plan()
+        await clock.advance(1_000)
+      })
+
+      it('loads a model for a stream on a server of the version that began it', async () => {
+        assert.equal(holder.handleRequest({ ...REQUEST, softwareVersion: 'v1' }).coming, true)
+        await clock.advance(1_000)
+        assert.deepEqual(servers.received.map(({ server }) => server), ['old'])
+      })
+
+      it('loads nothing else there on that occasion', async () => {
+        holder.recordDemand('e1', { counts: [{ service: 's', model: 'b', adapter: undefined, requests: 50, ended: 0, heldMs: 0, readTokens: 0, inHand: 50 }], spanMs: 1_000 })
+        holder.handleRequest({ ...REQUEST, softwareVersion: 'v1' })
+        await clock.advance(1_000)
+        assert.deepEqual([...servers.stateById.get('old')?.models ?? []], ['a', 'd'])
+      })
+
+      it('takes copies at any version for help to other requests', async () => {
+        assert.deepEqual(holder.handleRequest(REQUEST), { coming: true, expectedMs: 0 })
+        await clock.advance(1_000)
+        assert.deepEqual(servers.received, [])
+      })
+
+      it('does not announce loads at other versions to a stream', () => {
+        assert.equal(holder.handleRequest({ ...REQUEST, model: 'b', requestId: 'q2', softwareVersion: 'v2' }).coming, true)
+        fleet.remove('old')
+        putServer('old', 'v1', 'a', 'c', 'd')
+        fleet.recordRetryAfter(fleet.find('old') as Backend, 600_000, clock.readTime())
+        for (const isMore of [false, true]) assert.equal(holder.handleRequest({ ...REQUEST, model: 'b', isMore, softwareVersion: 'v1' }).coming, false)
+      })
+
+      it('tells a stream whose version has no usable server that no load will come', () => {
+        const answer = holder.handleRequest({ ...REQUEST, softwareVersion: 'v0' })
+        assert.deepEqual([answer.coming, !answer.coming && answer.earliestMs], [false, Infinity])
+      })
+
+      it('loads no copy at another version for a stream that waits', async () => {
+        fleet.remove('new1')
+        fleet.recordRetryAfter(fleet.find('old') as Backend, 600_000, clock.readTime())
+        for (let at = 0; at < 10; at++) {
+          holder.handleRequest({ ...REQUEST, softwareVersion: 'v1' })
+          holder.plan()
+          await clock.advance(100)
+        }
+        assert.deepEqual(servers.received.filter(({ server }) => server === 'new2'), [])
+      })
+    })
+  }
+})
+
 describe('ResidencyHolder after a client was told when its model is loaded', () => {
   const SMALL_FIRST = [{ ...SERVING.models[0], weightsMb: 40 }, ...SERVING.models.slice(1)] as ModelServing['models']
   let clock: ManualClock
