--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -3,7 +3,7 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { compareUrgency, isWithinTarget, judgeWait, type Candidate, type WaitEstimate } from '@pulleystack/routing.admission'
-import { ChoiceFailures, PREFILL_TOKENS_PER_MS, chooseBackend, nameWeights, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
+import { ChoiceFailures, nameWeights, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import type { ServerPermits } from '@pulleystack/routing.permits'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendSlot, SlotChanges } from './BackendSlot.js'
@@ -14,14 +14,11 @@
 import type { PeerForwarder } from './PeerForwarder.js'
 import { PermitDemand } from './PermitDemand.js'
 import { mustReserve } from './mustReserve.js'
+import { ServerChooser } from './ServerChooser.js'
 import { WeightsWait } from './WeightsWait.js'
 
-/** Requests that may be queued at a server without generation beyond its slots, as a share of the slots. */
-const QUEUE_SHARE = 1.5
 /** Retry delay for clients when no wait can be estimated. */
 const DEFAULT_RETRY_AFTER_SECONDS = 1
-/** Share of a route's longest pause for which prompts may be processed beside streams; late ones had a median of 12 within 200 ms, others 6. */
-const PREFILL_PAUSE_SHARE = 0.5
 /** Bounds the cost of a pass over the queue, which must be shorter than the time between two passes. */
 const MAX_WAITING_REQUESTS = 400
 /** Largest random extension of a retry delay, as a share of it; keeps clients from retrying all at once. */
@@ -56,12 +53,14 @@
   private waiting: WaitingRequest[] = []
   private isClosed = false
   private readonly forecast: SlotForecast
+  private readonly chooser: ServerChooser
   private readonly permitDemand: PermitDemand
   /** Next scheduled pass over the queue, with its monotonic time in milliseconds. */
   private nextPass: { at: number, cancel: () => void } | undefined
 
   constructor (private readonly opts: BackendQueueOptions) {
     this.forecast = new SlotForecast({ ...opts, findPaces: (service) => findPaces(opts, service) })
+    this.chooser = new ServerChooser(opts)
     this.permitDemand = new PermitDemand(opts.permits)
     opts.fleet.changes.subscribe(() => this.assignSlots())
   }
@@ -82,10 +81,10 @@
       // Permits requested for a better, rate-limited server can serve the next request.
       if (slot instanceof BackendSlot) this.permitDemand.request()
       if (slot instanceof BackendSlot) return Promise.resolve(slot)
-      if (typeof slot === 'string' && isImmediate(slot)) return Promise.reject(createRejection(slot, this.computeRetryAfterSeconds(work)))
+      if (typeof slot === 'string' && isImmediate(slot)) return Promise.reject(this.createRejection(work, slot))
     }
     if (this.isClosed && !hasPartialAnswer(work)) return Promise.reject(createStoppingError())
-    if (this.waiting.length >= MAX_WAITING_REQUESTS) return Promise.reject(createRejection(ChoiceFailures.FULL, this.computeRetryAfterSeconds(work)))
+    if (this.waiting.length >= MAX_WAITING_REQUESTS) return Promise.reject(this.createRejection(work, ChoiceFailures.FULL))
     return this.wait(work)
   }
 
@@ -97,7 +96,7 @@
   /** Whether a server other than that of `slot` could accept the request now, here or through another instance. */
   hasSlotElsewhere (work: RoutedWork, slot: BackendSlot): boolean {
     const excluded = new Set([...work.excluded, slot.backend.id])
-    const choice = this.chooseServer(work, this.computePrefillLimit(work), excluded)
+    const choice = this.chooser.choose(work, { excluded })
     return typeof choice !== 'string' || choice === ChoiceFailures.PATH_LOST
   }
 
@@ -126,12 +125,12 @@
   private mustYield ({ work, candidate }: WaitingRequest): boolean {
     if (!this.opts.policy.timelyFirst || hasPartialAnswer(work)) return false
     if (isWithinTarget(candidate, this.opts.clock.readTime()) || this.opts.fleet.waiting.countAtPeers(buildQueueKey(work)) === 0) return false
-    return typeof this.chooseServer(work, this.computePrefillLimit(work), work.excluded) !== 'string'
+    return typeof this.chooser.choose(work) !== 'string'
   }
 
   private handleFailure (item: WaitingRequest, failure: ChoiceFailure): void {
     item.lastFailure = failure
-    if (isImmediate(failure)) item.reject(createRejection(failure, this.computeRetryAfterSeconds(item.work)))
+    if (isImmediate(failure)) item.reject(this.createRejection(item.work, failure))
     else if (failure === ChoiceFailures.NOT_RESIDENT) this.checkWeights(item)
     else if (failure === ChoiceFailures.FULL) this.checkSlotWait(item, () => this.forecast.estimateSlotWait(item.work, this.countAhead(item)))
     else if (failure === ChoiceFailures.BACKING_OFF) this.checkBackoff(item)
@@ -145,8 +144,8 @@
     if (slot instanceof BackendSlot) item.resolve(slot)
   }
 
-  private tryAcquire (work: RoutedWork, prefillLimit = this.computePrefillLimit(work)): BackendSlot | ChoiceFailure {
-    const choice = this.chooseServer(work, prefillLimit, work.excluded, (backend) => this.permitDemand.add(backend))
+  private tryAcquire (work: RoutedWork, prefillLimit?: number): BackendSlot | ChoiceFailure {
+    const choice = this.chooser.choose(work, { prefillLimit, onPermitNeeded: (backend) => this.permitDemand.add(backend) })
     if (typeof choice === 'string') return choice
     if (!mustReserve(work, this.opts.policy, this.isBrittle(work))) this.recordPrefix(choice, work)
     const stopTracking = this.forecast.recordAcquired(choice.backend.id)
@@ -163,43 +162,9 @@
     return slot
   }
 
-  private chooseServer (
-    work: RoutedWork,
-    prefillLimit: number,
-    excluded: ReadonlySet<string>,
-    onPermitNeeded?: (backend: Backend) => void,
-  ): BackendChoice | ChoiceFailure {
-    return chooseBackend({
-      backends: this.opts.fleet.list(work.service.name),
-      demand: {
-        dataHall: this.opts.dataHall,
-        excluded,
-        generation: work.generation,
-        overcommitShare: QUEUE_SHARE,
-        prefillLimit,
-        longestPauseMs: work.route.longestPauseMs,
-        mustAvoidSuspects: work.mustAvoidSuspects,
-        deniedUntil: work.deniedUntil,
-        isBrittle: this.isBrittle(work),
-        mayForward: this.opts.forwarder?.mayForward(work),
-      },
-      capacity: work.service.serving,
-      policy: this.opts.policy,
-      paces: findPaces(this.opts, work.service),
-      random: this.opts.random,
-      now: this.opts.clock.readTime(),
-      onPermitNeeded,
-    })
-  }
-
   /** Whether servers of the request's service get no more than they have slots for. */
-  isBrittle ({ service }: RoutedWork): boolean {
-    return this.opts.policy.brittleCare && this.opts.fleet.brittle.hasCare(service.name, this.opts.clock.readTime())
-  }
-
-  private computePrefillLimit (work: RoutedWork): number {
-    const longestPauseMs = this.opts.policy.pacedReading ? work.route.longestPauseMs ?? Infinity : Infinity
-    return longestPauseMs * PREFILL_PAUSE_SHARE * PREFILL_TOKENS_PER_MS
+  isBrittle (work: RoutedWork): boolean {
+    return this.chooser.isBrittle(work)
   }
 
   private noteEnded (slot: BackendSlot, work: RoutedWork): void {
@@ -262,7 +227,7 @@
         }),
         setTimer(candidate.expiresAt, () => {
           this.tryIgnoringPrefillLimit(item)
-          if (this.waiting.includes(item)) item.reject(createRejection(item.lastFailure, this.computeRetryAfterSeconds(work)))
+          if (this.waiting.includes(item)) item.reject(this.createRejection(work, item.lastFailure))
         }),
       ]
       work.signal.addEventListener('abort', handleAbort, { once: true })
@@ -322,7 +287,7 @@
     const { work, candidate, lastFailure } = item
     if (!estimate || !this.opts.policy.waitEstimate || hasPartialAnswer(work)) return
     const verdict = judgeWait(candidate, estimate, this.opts.clock.readTime())
-    if (!verdict.mayWait) item.reject(createRejection(lastFailure, this.computeRetryAfterSeconds(work, verdict.expectedMs)))
+    if (!verdict.mayWait) item.reject(this.createRejection(work, lastFailure, verdict.expectedMs))
   }
 
   private countAhead (item: WaitingRequest): number {
@@ -362,6 +327,10 @@
     }))
   }
 
+  private createRejection (work: RoutedWork, failure: ChoiceFailure, expectedMs?: number): PulleystackError {
+    return createRejection(failure, this.computeRetryAfterSeconds(work, expectedMs), work.origin?.version)
+  }
+
   /** Computes the retry delay: until a slot is expected, at most until the deadline, plus jitter. */
   private computeRetryAfterSeconds (work: RoutedWork, expectedMs = DEFAULT_RETRY_AFTER_SECONDS * 1_000): number {
     const leftMs = Math.max(0, work.deadline - this.opts.clock.readTime())
@@ -392,7 +361,7 @@
 
 /** Whether waiting here would not help. */
 function isImmediate (failure: ChoiceFailure): boolean {
-  return failure === ChoiceFailures.NO_BACKEND || failure === ChoiceFailures.PATH_LOST
+  return failure === ChoiceFailures.NO_BACKEND || failure === ChoiceFailures.PATH_LOST || failure === ChoiceFailures.VERSION_GONE
 }
 
 function hasPartialAnswer (work: RoutedWork): boolean {
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -1,6 +1,6 @@
 import type { RoutedRequestFacts } from '@pulleystack/backend.interfaces'
 import type { Route, RoutedService, Team } from '@pulleystack/config.routes'
-import type { GenerationDemand } from '@pulleystack/routing.fleet'
+import type { GenerationDemand, StreamOrigin } from '@pulleystack/routing.fleet'
 import type { StreamProgress } from './relayStream.js'
 
 const DEFAULT_OUTPUT_SHARE = 0.35
@@ -40,6 +40,8 @@
   /** Instances to which it was forwarded. */
   triedPeers: Set<string>
   stream: StreamProgress
+  /** Where the stream that it continues began; undefined unless it continues one. */
+  origin?: StreamOrigin
   /** Aborted when the client disconnects or the deadline passes. */
   signal: AbortSignal
   /** Identity of the request across retries with other request ids; undefined until computed. */
--- a/gateway/routed/src/SlotForecast.ts
+++ b/gateway/routed/src/SlotForecast.ts
@@ -1,6 +1,6 @@
 import { RecentMean, RecentRate, estimateWaits, type Candidate, type QueueState, type WaitEstimate } from '@pulleystack/routing.admission'
 import type { Clock } from '@pulleystack/core.clock'
-import { PREFILL_TOKENS_PER_MS, nameWeights, type Backend, type BackendFleet, type ServerPaces } from '@pulleystack/routing.fleet'
+import { PREFILL_TOKENS_PER_MS, isOfVersion, nameWeights, type Backend, type BackendFleet, type ServerPaces } from '@pulleystack/routing.fleet'
 import { computePermitsPerSecond } from '@pulleystack/routing.permits'
 import type { ReachedLimit } from '@pulleystack/timeline.decisions'
 import type { RoutedWork } from './RoutedWork.js'
@@ -178,9 +178,9 @@
     return this.listReachable(work, now).filter((backend) => !backend.reported.backoff.isActive(now))
   }
 
-  /** Lists reachable servers that are not draining and hold the weights, paused ones included. */
-  private listReachable ({ service, generation }: RoutedWork, now: number): Backend[] {
-    const reachable = this.opts.fleet.list(service.name).filter((backend) => backend.isAvailable(now))
+  /** Lists reachable servers of the required version that are not draining and hold the weights, paused ones included. */
+  private listReachable ({ service, generation, origin }: RoutedWork, now: number): Backend[] {
+    const reachable = this.opts.fleet.list(service.name).filter((backend) => backend.isAvailable(now) && isOfVersion(backend.entry, origin?.version))
     return generation ? reachable.filter((backend) => backend.hasWeights(generation.model, generation.adapter)) : reachable
   }
 
--- a/gateway/routed/src/WeightsBound.ts
+++ b/gateway/routed/src/WeightsBound.ts
@@ -8,6 +8,8 @@
   NOT_PLANNED: 'not-planned',
   /** An announced load is not complete long after its expected time. */
   OVERDUE: 'overdue',
+  /** No server of the version that began the stream has the weights or loads them. */
+  NOT_AT_VERSION: 'not-at-version',
   /** An announced load is not in progress any more, and no other one replaces it. */
   CANCELLED: 'cancelled',
 } as const
--- a/gateway/routed/src/WeightsWait.ts
+++ b/gateway/routed/src/WeightsWait.ts
@@ -3,7 +3,7 @@
 import type { Policy } from '@pulleystack/config.settings'
 import { estimateLoadMs, type ResidencyClient, type WeightsAnswer } from '@pulleystack/placement.residency'
 import type { Candidate } from '@pulleystack/routing.admission'
-import type { BackendFleet } from '@pulleystack/routing.fleet'
+import { isOfVersion, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
 import type { RoutedWork } from './RoutedWork.js'
 import { WeightsBound, WeightsRejections, type WeightsRejection } from './WeightsBound.js'
 
@@ -38,7 +38,8 @@
   private cancelCheck = (): void => undefined
 
   constructor (private readonly opts: WeightsWaitOptions, private readonly work: RoutedWork, private readonly candidate: Candidate) {
-    const isBounded = opts.policy.weightsBound && isHeterogeneous(work.service.serving)
+    // A stream that may go on at one version has fewer servers to hope for, and its client can do more with an early refusal.
+    const isBounded = work.origin !== undefined || (opts.policy.weightsBound && isHeterogeneous(work.service.serving))
     if (isBounded) this.bound = new WeightsBound(work.arrivedAt, work.route.targetLatencyMs)
   }
 
@@ -56,14 +57,15 @@
   /** Requests the weights, unless that was done a moment ago; calls `onAnswer` when the answer has been recorded. */
   request (isExtraCopy: boolean, onAnswer: () => void): void {
     const { clock, residency } = this.opts
-    const { generation, service } = this.work
+    const { generation, service, origin } = this.work
     if (!generation || clock.readTime() < this.nextRequestAt) return
     const now = clock.readTime()
     this.nextRequestAt = now + this.chooseIntervalMs()
     this.hasRequested = true
     const { model, adapter } = generation
     const { dueAt, expiresAt, priority } = this.candidate
-    const request = { service: service.name, model, adapter, isMore: isExtraCopy, waitMs: expiresAt - now }
+    const isMore = isExtraCopy || this.hasFailedAtHolders()
+    const request = { service: service.name, model, adapter, isMore, waitMs: expiresAt - now, ...origin && { softwareVersion: origin.version } }
     void residency.requestWeights({ ...request, requestId: this.work.requestId, dueMs: dueAt - now, priority }).then((answer) => {
       this.recordAnswer(answer, isExtraCopy)
       onAnswer()
@@ -84,11 +86,13 @@
 
   /** Why the request is not to wait any longer; undefined while it may wait. */
   judge (): WeightsVerdict | undefined {
-    if (!this.latest || !this.opts.policy.waitEstimate || this.work.stream.events > 0) return undefined
+    const { origin, stream } = this.work
+    if (!this.latest || !this.opts.policy.waitEstimate || (stream.events > 0 && !origin)) return undefined
     const now = this.opts.clock.readTime()
     const { answer, at } = this.latest
     // Without an ordered load, the minimal duration of a load is a lower bound.
     const expectedMs = answer.coming ? answer.expectedMs : this.estimateEarliestMs(answer)
+    if (origin && expectedMs === Infinity) return { reason: WeightsRejections.NOT_AT_VERSION, expectedMs: undefined }
     if (at + expectedMs > this.candidate.expiresAt) return { reason: WeightsRejections.LATE, expectedMs: at + expectedMs - now }
     const reason = this.bound?.judge(now)
     return reason && { reason, expectedMs: this.estimateEarliestMs(answer) || undefined }
@@ -115,9 +119,22 @@
   private estimateLoadMs (): number {
     const { generation, service } = this.work
     const servedModel = service.serving?.models.find((model) => model.name === generation?.model)
-    const servers = this.opts.fleet.list(service.name).filter((backend) => !backend.entry.draining)
+    const servers = this.listUsable()
     // If a server holds the model, only the adapter is missing, which loads quickly.
     if (!servedModel || servers.some((backend) => backend.hasWeights(servedModel.name))) return 0
     return estimateLoadMs(servers.map((backend) => backend.entry), servedModel)
   }
+
+  /** Whether only servers that failed the request have the weights, at the one version that it may use: it then needs another copy there. */
+  private hasFailedAtHolders (): boolean {
+    const { generation, origin, excluded } = this.work
+    if (!origin || !generation) return false
+    const holders = this.listUsable().filter((backend) => backend.hasWeights(generation.model, generation.adapter))
+    return holders.length > 0 && holders.every((backend) => excluded.has(backend.id))
+  }
+
+  private listUsable (): Backend[] {
+    const { service, origin } = this.work
+    return this.opts.fleet.list(service.name).filter(({ entry }) => !entry.draining && isOfVersion(entry, origin?.version))
+  }
 }
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_POLICY } from '@pulleystack/config.settings'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import type { WeightsAnswer, ResidencyClient } from '@pulleystack/placement.residency'
+import type { WeightsAnswer, WeightsRequest, ResidencyClient } from '@pulleystack/placement.residency'
 import { BackendFleet, type Backend, type BackendEntry } from '@pulleystack/routing.fleet'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { BackendSlot, BackendQueue } from '../src/index.js'
@@ -34,14 +34,19 @@
   let clock: ManualClock
   let weightsAnswer: WeightsAnswer
   let fleet: BackendFleet
+  let onWeightsRequest: (request: WeightsRequest) => void
 
   beforeEach(() => {
     clock = new ManualClock()
     weightsAnswer = { coming: false, reason: '' }
+    onWeightsRequest = () => undefined
     fleet = new BackendFleet()
     fleet.replaceAll([createEntry('a'), createEntry('b')])
     const residency = {
-      requestWeights: () => Promise.resolve(weightsAnswer),
+      requestWeights: (request: WeightsRequest) => {
+        onWeightsRequest(request)
+        return Promise.resolve(weightsAnswer)
+      },
       recordEnded: () => undefined,
     } as unknown as ResidencyClient
     queue = new BackendQueue({ clock, random: new RandomSource(1), fleet, residency, log: new NullDecisionLog(), dataHall: 'z', policy: DEFAULT_POLICY })
@@ -163,6 +168,117 @@
     })
   })
 
+  describe('with a request that continues a stream', () => {
+    let asked: WeightsRequest[]
+    const createPinned = (model: string, changes: Partial<RoutedWork> = {}): RoutedWork => ({ ...createWork(model), origin: { service: 's', version: 'v1' }, ...changes })
+    const begin = (work: RoutedWork): RoutedWork => {
+      work.stream.events = 3
+      return work
+    }
+    const reject = async (work: RoutedWork): Promise<PulleystackError> => {
+      const outcome = queue.acquire(work).then(() => undefined, (error: unknown) => error)
+      let rejection: unknown
+      void outcome.then((it) => {
+        rejection = it
+      })
+      await clock.advance(1)
+      assert.ok(rejection instanceof PulleystackError)
+      assert.equal(rejection.ran, Ran.NO)
+      return rejection
+    }
+
+    beforeEach(() => {
+      asked = []
+      onWeightsRequest = (request) => asked.push(request)
+      fleet.replaceAll([{ ...createEntry('a'), softwareVersion: 'v1' }, { ...createEntry('b'), softwareVersion: 'v2' }])
+    })
+
+    it('assigns slots at servers of the version that began it only', async () => {
+      const slots = await Promise.all(Array.from({ length: 8 }, () => queue.acquire(createPinned('held'))))
+      assert.deepEqual([...new Set(slots.map(({ backend }) => backend.id))], ['a'])
+      const work = createPinned('held')
+      assert.equal(queue.hasSlotElsewhere(work, slots[0] as BackendSlot), false)
+      const waiting = queue.acquire(work)
+      await clock.advance(10)
+      assert.equal(queue.size, 1)
+      slots[0]?.release()
+      assert.equal((await waiting).backend.id, 'a')
+    })
+
+    for (const events of [0, 3]) {
+      const when = events > 0 ? 'of which the client has a part' : 'of another connection'
+
+      it(`refuses a stream ${when} at once if its version is gone`, async () => {
+        fleet.put({ ...createEntry('a'), softwareVersion: 'v1', draining: true })
+        const work = createPinned('held')
+        work.stream.events = events
+        const { code, message, retryAfterSeconds = 0 } = await reject(work)
+        assert.equal(code, 'NO_RUNNER')
+        assert.equal(message, 'No server of software version "v1" is left to continue the stream')
+        assert.ok(retryAfterSeconds >= 1)
+      })
+
+      it(`refuses a stream ${when} at once if the only server of its version failed it`, async () => {
+        const work = createPinned('held', { excluded: new Set(['a']) })
+        work.stream.events = events
+        assert.equal((await reject(work)).code, 'NO_RUNNER')
+      })
+
+      it(`refuses a stream ${when} at once if no server of its version will hold the model`, async () => {
+        weightsAnswer = { coming: false, reason: '', earliestMs: Infinity }
+        const work = createPinned('elsewhere')
+        work.stream.events = events
+        const { code, retryAfterSeconds = Infinity } = await reject(work)
+        assert.equal(code, 'NO_RUNNER')
+        assert.ok(retryAfterSeconds <= 1.5, `retry after ${retryAfterSeconds} s`)
+      })
+    }
+
+    it('refuses a stream that waits as soon as the last server of its version leaves', async () => {
+      weightsAnswer = { coming: true, expectedMs: 5_000 }
+      const outcome = queue.acquire(begin(createPinned('elsewhere'))).catch((error: unknown) => error)
+      await clock.advance(100)
+      assert.equal(queue.size, 1)
+      fleet.remove('a')
+      assert.match(String(await outcome), /No server of software version "v1"/)
+    })
+
+    it('lets a stream wait for a load that is announced', async () => {
+      weightsAnswer = { coming: true, expectedMs: 2_000 }
+      const waiting = queue.acquire(begin(createPinned('elsewhere')))
+      await clock.advance(1_900)
+      assert.equal(queue.size, 1)
+      fleet.put({ ...createEntry('a'), softwareVersion: 'v1', models: [{ name: 'elsewhere', adapters: [] }] })
+      assert.equal((await waiting).backend.id, 'a')
+    })
+
+    it('asks for weights at the version that began it, and for another copy there if the present ones failed it', async () => {
+      fleet.put({ ...createEntry('c'), softwareVersion: 'v1', models: [] })
+      void queue.acquire(createPinned('elsewhere')).catch(() => undefined)
+      void queue.acquire(createPinned('held', { excluded: new Set(['a']) })).catch(() => undefined)
+      void queue.acquire(createWork('other')).catch(() => undefined)
+      await clock.advance(1)
+      assert.deepEqual(asked.slice(0, 3).map(({ model, isMore, softwareVersion }) => [model, isMore, softwareVersion]), [['elsewhere', false, 'v1'], ['held', true, 'v1'], ['other', false, undefined]])
+    })
+
+    it('gives up a stream for which no load is planned soon, though other streams go on waiting', async () => {
+      weightsAnswer = { coming: false, reason: '', earliestMs: 500 }
+      const pinned = queue.acquire(begin(createPinned('elsewhere'))).catch((error: unknown) => error)
+      void queue.acquire(begin(createWork('elsewhere'))).catch(() => undefined)
+      await clock.advance(1_000)
+      assert.equal((await pinned as PulleystackError).code, 'NO_RUNNER')
+      assert.equal(queue.size, 1)
+    })
+
+    it('waits for the pauses of servers of its version only', async () => {
+      fleet.recordRetryAfter(fleet.find('a') as Backend, 6_000, 0)
+      fleet.recordRetryAfter(fleet.find('b') as Backend, 1_000, 0)
+      const rejection = await reject(createPinned('held', { deadline: 4_000 }))
+      assert.equal(rejection.code, 'OVERLOADED')
+      assert.ok((rejection.retryAfterSeconds ?? 0) >= 4)
+    })
+  })
+
   describe('when requests wait for slots at several instances', () => {
     const fillServers = async (): Promise<BackendSlot[]> => Promise.all(Array.from({ length: 16 }, () => queue.acquire(createWork('held'))))
 
