--- a/routing/origins/src/OriginLookup.ts
+++ b/routing/origins/src/OriginLookup.ts
@@ -1,9 +1,9 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import type { InvalidMessages } from './InvalidMessages.js'
 import { LOOKUP, parseAnswer } from './messages.js'
 import { CANDIDATES } from './RecordKeepers.js'
-import type { StreamOrigin } from './StreamOrigin.js'
 
 /** Further instances asked if no candidate of the ranking knows. */
 const FURTHER_ASKED = 16
--- a/routing/origins/src/OriginTable.ts
+++ b/routing/origins/src/OriginTable.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '@pulleystack/core.clock'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import { LRUCache } from 'lru-cache'
 import { RETENTION_MS } from './retention.js'
-import { isSameOrigin, type StreamOrigin } from './StreamOrigin.js'
+import { isSameOrigin } from './StreamOrigin.js'
 
 /** About 200 bytes each. */
 const MAX_RECORDS = 100_000
--- a/routing/origins/src/RecordKeepers.ts
+++ b/routing/origins/src/RecordKeepers.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { rankMembers } from '@pulleystack/core.hashing'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import { MAX_ITEMS, RECORDS, type RecordItem } from './messages.js'
-import type { StreamOrigin } from './StreamOrigin.js'
 
 /** Instances that are told of a record. */
 const KEEPERS = 3
--- a/routing/origins/src/StreamOrigin.ts
+++ b/routing/origins/src/StreamOrigin.ts
@@ -1,8 +1,4 @@
-/** The service and the software version of the server that sent a stream's first event. */
-export interface StreamOrigin {
-  service: string
-  version: string
-}
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 
 const MAX_ID_LENGTH = 128
 const MAX_NAME_LENGTH = 256
--- a/routing/origins/src/StreamOrigins.ts
+++ b/routing/origins/src/StreamOrigins.ts
@@ -1,13 +1,14 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import { InvalidMessages } from './InvalidMessages.js'
 import { LOOKUP, RECORDS, parseLookup, parseRecords } from './messages.js'
 import { OriginLookup } from './OriginLookup.js'
 import { OriginTable } from './OriginTable.js'
 import { RecordKeepers } from './RecordKeepers.js'
 import { shareVersions } from './shareVersions.js'
-import { isName, isRecordId, isSameOrigin, type StreamOrigin } from './StreamOrigin.js'
+import { isName, isRecordId, isSameOrigin } from './StreamOrigin.js'
 import type { VersionHistory } from './VersionHistory.js'
 
 export interface StreamOriginsOptions {
--- a/routing/origins/src/messages.ts
+++ b/routing/origins/src/messages.ts
@@ -1,5 +1,6 @@
 import { defineChannel } from '@pulleystack/membership.peers'
-import { isName, isRecordId, type StreamOrigin } from './StreamOrigin.js'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
+import { isName, isRecordId } from './StreamOrigin.js'
 import type { VersionSighting } from './VersionHistory.js'
 
 /** Items in a message at most; further ones are ignored. */
--- a/routing/origins/test/StreamOrigins.test.ts
+++ b/routing/origins/test/StreamOrigins.test.ts
@@ -5,7 +5,7 @@
 import { FakeHub, type FakeNetwork } from '@pulleystack/membership.fake-network'
 import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
 import { DecisionLog, type DecisionKind } from '@pulleystack/timeline.decisions'
-import { RETENTION_MS, StreamOrigins, VersionHistory, type StreamOrigin } from '../src/index.js'
+import { RETENTION_MS, StreamOrigins, VersionHistory } from '../src/index.js'
 
 const NAMES = Array.from({ length: 8 }, (_, at) => `e${at}`)
 const MESSAGE_MS = 10
