--- a/backend/interfaces/src/RoutedProtocol.ts
+++ b/backend/interfaces/src/RoutedProtocol.ts
@@ -27,6 +27,8 @@
   generation: RoutedGeneration | undefined
   /** Last event that the client received, if it resumes a stream. */
   lastEventId: string | undefined
+  /** Request id of the client's attempt that received the first event, if it resumes a stream. */
+  resumedRequestId?: string
   /** Maximum number of input and output tokens stated by the request; undefined if it states none. */
   tokens?: number
   /** The caller's access key. It must not be logged or sent to a backend server. */
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -4,7 +4,7 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
-import { ChoiceFailures, PathVerdicts, type BackendFleet, type PathVerdict, type ServerReports } from '@pulleystack/routing.fleet'
+import { ChoiceFailures, PathVerdicts, readSoftwareVersion, type BackendFleet, type PathVerdict, type ServerReports } from '@pulleystack/routing.fleet'
 import type { PathChecker } from '@pulleystack/routing.paths'
 import type { SuspectRun } from '@pulleystack/routing.quarantine'
 import type { WindowBudget } from '@pulleystack/routing.retries'
@@ -177,6 +177,9 @@
     keptTokens: slot.choice.cachedTokens,
     leftMs: Math.round(work.deadline - sentAt),
     limitPerSecond: slot.backend.reported.limit.perSecond,
+    version: readSoftwareVersion(slot.backend.entry),
+    after: progress.stream.lastEventId,
+    resumes: work.facts.resumedRequestId,
   })
   try {
     const exchange = buildExchange(opts, work, progress, slot)
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -32,6 +32,7 @@
 describe('runRequest, for a retry', () => {
   const work = {
     requestId: 'q',
+    facts: {},
     route: { name: 'r', repeat: RepeatModes.REPEATABLE, maxAttempts: 2, targetLatencyMs: 60_000, streams: false },
     service: { name: 's' },
     method: 'GET',
--- a/routing/origins/test/StreamOrigins.test.ts
+++ b/routing/origins/test/StreamOrigins.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { FakeHub, type FakeNetwork } from '@pulleystack/membership.fake-network'
-import { BackendFleet, type BackendEntry } from '@pulleystack/routing.fleet'
+import { BackendFleet, type BackendEntry, type StreamOrigin } from '@pulleystack/routing.fleet'
 import { DecisionLog, type DecisionKind } from '@pulleystack/timeline.decisions'
 import { RETENTION_MS, StreamOrigins, VersionHistory } from '../src/index.js'
 
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -132,8 +132,8 @@
   /** A forwarded request was not answered by a server. `ran`: whether it may have run. */
   'forward-failed': { request: string | undefined, peer: string, code: string, ran: string, reason: string }
   /**
-   * An attempt was sent: the model of a generation, the server's load from all instances, its cached tokens of the prompt, the time left, and the limit
-   * that it has reported.
+   * An attempt was sent: the server's software `version`, the model of a generation, the server's load from all instances, its cached tokens of the prompt,
+   * the time left, and the limit that it has reported. A stream goes on after event `after`; the client says that request `resumes` began it.
    */
   'attempt-sent': {
     request: string
@@ -145,6 +145,9 @@
     keptTokens: number
     leftMs: number
     limitPerSecond: number | undefined
+    version?: string
+    after?: string | undefined
+    resumes?: string | undefined
   }
   /** An attempt failed; `ran` says whether the request may have run. */
   'attempt-failed': { request: string, backend: string, send: number, code: string, ran: string, reason: string }
