--- a/gateway/routed/src/ClientResponse.ts
+++ b/gateway/routed/src/ClientResponse.ts
@@ -3,8 +3,9 @@
 import { Ran } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
 import { cutResponse } from '@pulleystack/gateway.http'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import type { ExchangeResponse } from '@pulleystack/routing.forward'
-import { RELAY_HEADER_NAMES, RelayHeaders } from './relayHeaders.js'
+import { ForwardHeaders, RELAY_HEADER_NAMES, RelayHeaders, formatOrigin } from './relayHeaders.js'
 
 const OMITTED_HEADERS = new Set<string>(['content-length', ...RELAY_HEADER_NAMES])
 const DEFAULT_RETRY_SECONDS = 0.25
@@ -16,6 +17,8 @@
   ownHeaders: Record<string, string>
   /** Reads the configuration version to report to the instance that relayed the request; undefined for a direct request. */
   readRelayVersion?: () => number | undefined
+  /** Reads where the stream began, for the instance that forwarded the request; undefined for a direct request. */
+  readOrigin?: () => StreamOrigin | undefined
   /** Whether the connection has to close after this response. */
   mustClose: () => boolean
 }
@@ -84,6 +87,8 @@
     if (this.opts.mustClose()) headers.push('Connection', 'close')
     const version = this.opts.readRelayVersion?.()
     if (version !== undefined) headers.push(RelayHeaders.VERSION, String(version))
+    const origin = this.opts.readOrigin?.()
+    if (origin) headers.push(ForwardHeaders.ORIGIN, formatOrigin(origin))
     this.opts.response.writeHead(response.status, response.statusMessage, headers)
   }
 }
--- a/gateway/routed/src/PeerForwarder.ts
+++ b/gateway/routed/src/PeerForwarder.ts
@@ -4,7 +4,7 @@
 import type { ServerContacts } from '@pulleystack/routing.fleet'
 import { openExchange, type BackendAgent, type ExchangeResponse } from '@pulleystack/routing.forward'
 import type { RelayTarget } from './InstanceRelay.js'
-import { ForwardHeaders, RelayHeaders } from './relayHeaders.js'
+import { ForwardHeaders, RelayHeaders, formatOrigin } from './relayHeaders.js'
 import type { RoutedWork } from './RoutedWork.js'
 
 const CONNECT_TIMEOUT_MS = 300
@@ -99,6 +99,7 @@
     if (work.body !== undefined) headers.push('Content-Length', String(work.body.length))
     headers.push(RelayHeaders.MIN_VERSION, String(this.opts.readConfigVersion()))
     headers.push(ForwardHeaders.KEY, target.forwardKey ?? '', ForwardHeaders.ATTEMPTS, String(attemptsLeft))
+    if (work.origin) headers.push(ForwardHeaders.ORIGIN, formatOrigin(work.origin))
     return headers
   }
 
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -1,11 +1,13 @@
 import type http from 'node:http'
 import type { RoutedProtocol, RoutedRequestFacts } from '@pulleystack/backend.interfaces'
 import { chooseTarget, type Route, type RouteTable, type Team } from '@pulleystack/config.routes'
-import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
 import { cutResponse, readBody } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
+import type { StreamOrigins } from '@pulleystack/routing.origins'
 import { DecisionKinds, type DecisionFacts } from '@pulleystack/timeline.decisions'
 import { ClientResponse, chooseStatus } from './ClientResponse.js'
 import { findTeam } from './findTeam.js'
@@ -22,6 +24,8 @@
 const UNCONFIGURED_RETRY_SECONDS = 0.5
 /** Time for this instance to receive the newest configuration. */
 const OUTDATED_RETRY_SECONDS = 0.5
+/** Time for instances that could not be asked where a stream began to be reachable again. */
+const UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
 const CLIENT_CLOSED_STATUS = 499
 /** Time limit for relaying a request; a shorter one of the client takes precedence. */
 const RELAY_TIMEOUT_MS = 30_000
@@ -44,6 +48,7 @@
 export interface RoutedGatewayOptions extends RunOptions {
   protocol: RoutedProtocol
   residency: ResidencyClient
+  origins: Pick<StreamOrigins, 'record' | 'find'>
   /** Relays requests while this instance has no recent configuration; undefined where each instance serves its own requests. */
   relay?: InstanceRelay
   /** Key by which other instances prove that they forward a request; undefined where none does. */
@@ -149,6 +154,7 @@
       response,
       ownHeaders: this.opts.protocol.buildOwnHeaders(facts.requestId),
       readRelayVersion: () => minVersion === undefined ? undefined : this.opts.readTable()?.config.version,
+      ...forwarded && { readOrigin: () => unfinished.work?.origin },
       mustClose: this.opts.mustClose,
     })
     let stream: StreamProgress | undefined
@@ -156,7 +162,7 @@
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const aborter = createRequestAborter(response)
     this.aborters.add(aborter)
-    const unfinished = this.noteUnfinished(facts.requestId, response, arrivedAt)
+    const unfinished: UnfinishedRequest = this.noteUnfinished(facts.requestId, response, arrivedAt)
     try {
       const table = this.findTable(minVersion)
       if (table === undefined) {
@@ -261,7 +267,9 @@
   private async createWork (arrived: ArrivedRequest): Promise<RoutedWork> {
     const { table, team, facts, request, forwarded } = arrived
     const route = forwarded ? lowerAttempts(arrived.route, forwarded.attemptsLeft) : arrived.route
-    const name = chooseTarget(route, this.opts.random)
+    const target = chooseTarget(route, this.opts.random)
+    const origin = facts.lastEventId && route.streams ? await waitUnlessAborted(arrived.signal, this.findOrigin(arrived, target)) : undefined
+    const name = route.targets.some(({ service }) => service === origin?.service) ? origin?.service ?? target : target
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
     const body = await readRequestBody(request, table.config.limits.bodyBytes, arrived.signal)
     return {
@@ -285,11 +293,24 @@
       deniedUntil: new Map(),
       isForwarded: request.headers[ForwardHeaders.KEY] !== undefined,
       triedPeers: new Set(),
+      ...origin && { origin },
       stream: createStreamProgress(facts.lastEventId),
       signal: arrived.signal,
     }
   }
 
+  /** Finds where the stream that the request continues began. Errors: NO_RUNNER if that is unknown and its service has several versions. */
+  private async findOrigin ({ facts, forwarded }: ArrivedRequest, service: string): Promise<StreamOrigin> {
+    // An instance that doesn't tell the origin forwards the request under the id by which the stream began.
+    const beganAs = facts.resumedRequestId ?? (forwarded ? facts.requestId : undefined)
+    const origin = forwarded?.origin ?? await this.opts.origins.find(beganAs, service)
+    if (origin) return origin
+    throw new PulleystackError('NO_RUNNER', `The software version that began stream "${beganAs ?? ''}" is unknown, and service "${service}" has several or none`, {
+      ran: Ran.NO,
+      retryAfterSeconds: UNKNOWN_ORIGIN_RETRY_SECONDS,
+    })
+  }
+
   /** Counts a request; the returned function has to be called at its end. */
   private noteDemand (work: RoutedWork): () => void {
     const { generation, service } = work
--- a/gateway/routed/src/relayHeaders.ts
+++ b/gateway/routed/src/relayHeaders.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http'
+import type { StreamOrigin } from '@pulleystack/routing.fleet'
 
 /** Headers between an instance that hands requests on and one that answers them, in lower case; neither servers nor clients see them. */
 export const RelayHeaders = {
@@ -10,12 +11,14 @@
   OUTDATED: 'pulleystack-relay-outdated',
 } as const
 
-/** Request headers of an instance that forwards a request whose servers it can't reach, in lower case. */
+/** Headers of a request whose servers an instance can't reach and that it forwards, in lower case. */
 export const ForwardHeaders = {
   /** The receiver's own key, which only other instances know. */
   KEY: 'pulleystack-forward-key',
   /** Attempts at servers that are left for the request. */
   ATTEMPTS: 'pulleystack-forward-attempts',
+  /** Request and response header: where the stream began. */
+  ORIGIN: 'pulleystack-stream-origin',
 } as const
 
 export const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set([...Object.values(RelayHeaders), ...Object.values(ForwardHeaders)])
@@ -23,13 +26,33 @@
 /** A request that another instance forwards: it has admitted and counted the request. */
 export interface ForwardedRequest {
   attemptsLeft: number
+  /** Where the stream that it continues began; undefined unless it continues one. */
+  origin?: StreamOrigin
 }
 
 /** Reads what another instance says of a request that it forwards; undefined for any other request. */
 export function readForwarded (headers: IncomingHttpHeaders, ownKey: string | undefined): ForwardedRequest | undefined {
   if (ownKey === undefined || headers[ForwardHeaders.KEY] !== ownKey) return undefined
   const attempts = Number(headers[ForwardHeaders.ATTEMPTS])
-  return { attemptsLeft: Number.isInteger(attempts) && attempts > 0 ? attempts : 1 }
+  const origin = readOrigin(headers)
+  return { attemptsLeft: Number.isInteger(attempts) && attempts > 0 ? attempts : 1, ...origin && { origin } }
+}
+
+/** Encodes an origin, whose names may have any letters, as the value of a header. */
+export function formatOrigin ({ service, version }: StreamOrigin): string {
+  return Buffer.from(JSON.stringify([service, version])).toString('base64url')
+}
+
+/** Reads where a stream began from the headers of an instance; undefined if they don't tell, or not in a valid form. */
+export function readOrigin (headers: IncomingHttpHeaders): StreamOrigin | undefined {
+  const value = headers[ForwardHeaders.ORIGIN]
+  if (typeof value !== 'string') return undefined
+  try {
+    const [service, version] = JSON.parse(Buffer.from(value, 'base64url').toString('utf8')) as unknown[]
+    return typeof service === 'string' && typeof version === 'string' ? { service, version } : undefined
+  } catch {
+    return undefined
+  }
 }
 
 /** Reads the oldest configuration version that may serve a relayed request; undefined for a request sent by a client. */
--- a/gateway/routed/src/relayServerResponse.ts
+++ b/gateway/routed/src/relayServerResponse.ts
@@ -19,6 +19,8 @@
   client: ClientResponse
   response: ExchangeResponse
   attempt: AttemptSignal
+  /** Called before the first event of the response is passed on. */
+  onFirstEvent: () => void
   /** Called when the server has processed the prompt. */
   onPrefilled: () => void
   /** Called at the regular end of a stream. */
@@ -37,7 +39,10 @@
       flusher: opts.flusher,
       onEvents: it.attempt.recordActivity,
       onBackpressure: it.attempt.setPaused,
-      onFirstEvent: it.onPrefilled,
+      onFirstEvent: () => {
+        it.onFirstEvent()
+        it.onPrefilled()
+      },
     })
     it.onStreamEnd()
     return undefined
--- a/gateway/routed/src/runForwardedAttempt.ts
+++ b/gateway/routed/src/runForwardedAttempt.ts
@@ -2,11 +2,14 @@
 import { PulleystackError, Ran, convertToError, parseErrorBody, type ResultCodeName } from '@pulleystack/core.errors'
 import { parseRetryAfter } from '@pulleystack/core.headers'
 import type { ExchangeResponse } from '@pulleystack/routing.forward'
+import type { StreamOrigins } from '@pulleystack/routing.origins'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
 import type { ClientResponse } from './ClientResponse.js'
 import type { ForwardTarget, PeerForwarder } from './PeerForwarder.js'
+import { readOrigin } from './relayHeaders.js'
 import { MIN_SERVER_ERROR_STATUS, relayServerResponse } from './relayServerResponse.js'
+import { recordOrigin } from './recordOrigin.js'
 import type { RoutedWork } from './RoutedWork.js'
 import type { RunProgress } from './RunProgress.js'
 import type { StreamFlusher } from './StreamFlusher.js'
@@ -22,6 +25,7 @@
   log: DecisionLog
   flusher: StreamFlusher
   forwarder: PeerForwarder
+  origins: Pick<StreamOrigins, 'record'>
 }
 
 /** Why a forwarded attempt did not end with a server's response. */
@@ -74,7 +78,16 @@
     recordFailure(opts, work, target, failure.error)
     return failure
   }
-  const error = await relayServerResponse(opts, { work, progress, client, response, attempt, onPrefilled: () => undefined, onStreamEnd: () => undefined })
+  const error = await relayServerResponse(opts, {
+    work,
+    progress,
+    client,
+    response,
+    attempt,
+    onFirstEvent: () => recordOrigin(opts.origins, work, readOrigin(response.headers)),
+    onPrefilled: () => undefined,
+    onStreamEnd: () => undefined,
+  })
   if (!error) return undefined
   // The other instance has made all attempts.
   progress.runs = Math.max(progress.runs + 1, work.route.maxAttempts)
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -4,6 +4,7 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import type { BackendAgent } from '@pulleystack/routing.forward'
 import { openExchange } from '@pulleystack/routing.forward'
+import type { StreamOrigins } from '@pulleystack/routing.origins'
 import { ChoiceFailures, PathVerdicts, readSoftwareVersion, type BackendFleet, type PathVerdict, type ServerReports } from '@pulleystack/routing.fleet'
 import type { PathChecker } from '@pulleystack/routing.paths'
 import type { SuspectRun } from '@pulleystack/routing.quarantine'
@@ -16,6 +17,7 @@
 import type { ClientResponse } from './ClientResponse.js'
 import type { PeerForwarder } from './PeerForwarder.js'
 import { MIN_SERVER_ERROR_STATUS, relayServerResponse } from './relayServerResponse.js'
+import { recordOrigin } from './recordOrigin.js'
 import type { ReservedSlots } from './ReservedSlots.js'
 import { isSlowOnly } from './isSlowOnly.js'
 import type { RoutedWork } from './RoutedWork.js'
@@ -51,6 +53,8 @@
   slots: Pick<ReservedSlots, 'acquire'>
   fleet: BackendFleet
   reports: ServerReports
+  /** Origins of streams, by which their clients take them up again. */
+  origins: Pick<StreamOrigins, 'record'>
   /** Schedules the writes of stream events. */
   flusher: StreamFlusher
   log: DecisionLog
@@ -195,6 +199,7 @@
       client,
       response,
       attempt,
+      onFirstEvent: () => recordOrigin(opts.origins, work, { service: work.service.name, version: readSoftwareVersion(slot.backend.entry) }),
       onPrefilled: () => slot.recordPrefilled(),
       onStreamEnd: () => slot.recordPace(buildEventSample(slot, work)),
     })
@@ -307,6 +312,8 @@
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
   if (progress.runs > 0 && !mayRepeat(work)) return false
   if (progress.runs >= work.route.maxAttempts) return false
+  const mayBelongTogether = progress.stream.events === 0 || work.origin !== undefined
+  if (!mayBelongTogether) return false
   if (!reserveRetry(opts, work, progress, error)) return false
   if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
   return true
--- a/gateway/routed/test/relayHeaders.test.ts
+++ b/gateway/routed/test/relayHeaders.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ForwardHeaders, readForwarded } from '../src/relayHeaders.js'
+import { ForwardHeaders, formatOrigin, readForwarded, readOrigin } from '../src/relayHeaders.js'
 
 const OWN_KEY = 'own-key'
 
@@ -18,3 +18,20 @@
     for (const attempts of ['', '0', '-1', '1.5', 'many']) assert.deepEqual(read(OWN_KEY, attempts), { attemptsLeft: 1 })
   })
 })
+
+describe('the origin of a stream in the headers of an instance', () => {
+  const origin = { service: 'writer', version: 'v1, \u00e9\ud800\r\n' }
+
+  it('is told whatever its names hold', () => {
+    const value = formatOrigin(origin)
+    assert.match(value, /^[\w-]+$/)
+    const told = readForwarded({ [ForwardHeaders.KEY]: OWN_KEY, [ForwardHeaders.ATTEMPTS]: '2', [ForwardHeaders.ORIGIN]: value }, OWN_KEY)
+    assert.deepEqual(told, { attemptsLeft: 2, origin: { ...origin, version: origin.version } })
+  })
+
+  it('is unknown if the header makes no sense, or a client sends it', () => {
+    const senseless = ['', 'x', '%', ...['null', '7', '{}', '["a"]', '["a",1]'].map((text) => Buffer.from(text).toString('base64url'))]
+    for (const value of senseless) assert.equal(readOrigin({ [ForwardHeaders.ORIGIN]: value }), undefined, value)
+    assert.equal(readForwarded({ [ForwardHeaders.ORIGIN]: formatOrigin(origin) }, OWN_KEY), undefined)
+  })
+})
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -10,6 +10,7 @@
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { CountedLimits, PooledLimits, type TeamLimits } from '@pulleystack/routing.limits'
 import { ExclusiveRunRule, Quarantine } from '@pulleystack/routing.quarantine'
+import type { StreamOrigins } from '@pulleystack/routing.origins'
 import type { Reservations } from '@pulleystack/routing.reservations'
 import { RetryBudgets } from '@pulleystack/routing.retries'
 import { computeOwnSlots } from './computeOwnSlots.js'
@@ -29,6 +30,7 @@
   queue: BackendQueue
   reservations: Reservations
   residency: ResidencyService
+  origins: StreamOrigins
   relay: InstanceRelay
   forwarder: PeerForwarder
   limits: TeamLimits | undefined
@@ -50,7 +52,7 @@
 /** Creates the gateway for routed requests, with a retry budget per service; paths to backend servers are probed until the signal is aborted. */
 export function createGateway (parts: GatewayParts, signal: AbortSignal): RoutedGateway {
   const { settings, deps, clock, random, log, policy, mesh } = parts
-  const { limits, quarantine, queue, reservations, fleet, statements, residency, metrics } = parts
+  const { limits, quarantine, queue, reservations, fleet, statements, residency, origins, metrics } = parts
   const { readTable, isTableCurrent, mayStart, mustClose } = parts
   const { protocol } = deps
   const { agent, paths } = startPaths({ ...parts, onRestored: () => queue.assignSlots() }, signal)
@@ -76,6 +78,7 @@
       instance: `${settings.instance}@${mesh.self.incarnation}`,
     }),
     fleet,
+    origins,
     reports: statements,
     flusher: new StreamFlusher(clock),
     residency,
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -19,6 +19,7 @@
 import type { EntryParts } from './EntryParts.js'
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
+import { startOrigins } from './startOrigins.js'
 import { startQueue } from './startQueue.js'
 import { startReservations } from './startReservations.js'
 import { startStatusReceiver } from './startStatusReceiver.js'
@@ -111,7 +112,7 @@
   const limits = createLimits(parts)
   const reservations = startReservations({ ...parts, metrics, onRoom: () => queue.assignSlots() }, ended.signal)
   const decisions = { ...parts, reservations, limits, forwarder, queue, relay, quarantine, statements, residency, metrics }
-  const gateway = createGateway({ ...decisions, random, isTableCurrent, mayStart, mustClose }, ended.signal)
+  const gateway = createGateway({ ...decisions, origins: startOrigins(parts, ended.signal), random, isTableCurrent, mayStart, mustClose }, ended.signal)
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
--- a/program/instance/src/createRoutedRequests.ts
+++ b/program/instance/src/createRoutedRequests.ts
@@ -12,6 +12,7 @@
 import { ResidencyClient, type WeightsAnswer } from '@pulleystack/placement.residency'
 import { BackendFleet, ServerReports, type Backend, type BackendEntry } from '@pulleystack/routing.fleet'
 import { BackendAgent, ServerProbe } from '@pulleystack/routing.forward'
+import { StreamOrigins, VersionHistory } from '@pulleystack/routing.origins'
 import { ServerPaths } from '@pulleystack/routing.paths'
 import { ExclusiveRunRule, Quarantine } from '@pulleystack/routing.quarantine'
 import { RetryBudgets } from '@pulleystack/routing.retries'
@@ -73,6 +74,7 @@
     queue,
     slots: queue,
     fleet,
+    origins: startOrigins(core, fleet),
     reports: new ServerReports({ clock, log, fleet }),
     flusher: new StreamFlusher(clock),
     residency,
@@ -128,6 +130,15 @@
   return quarantine
 }
 
+/** Starts to exchange where streams began with other instances until this one ends. */
+function startOrigins (core: Core, fleet: BackendFleet): StreamOrigins {
+  const { clock, network, view, ended } = core
+  const versions = new VersionHistory({ clock, fleet })
+  const origins = new StreamOrigins({ clock, network, versions, log: new NullDecisionLog(), instance: view.self.instance, listServing: () => listOthers(core) })
+  origins.start(ended.signal)
+  return origins
+}
+
 function listOthers ({ view }: Core): string[] {
   return view.listEligible().map((identity) => identity.instance).filter((other) => other !== view.self.instance)
 }
