--- a/gateway/routed/src/SlotForecast.ts
+++ b/gateway/routed/src/SlotForecast.ts
@@ -67,7 +67,7 @@
 
   recordServed (work: RoutedWork, { heldMs, firstOutputMs, readTokens }: ServedRequest): void {
     const prefillMs = readTokens / this.readTokensPerMs(work)
-    for (const key of [buildQueueKey(work), work.service.name]) {
+    for (const key of [buildTimesKey(work), work.service.name]) {
       this.heldMeans.add(key, heldMs)
       this.firstOutputMeans.add(key, firstOutputMs)
       this.prefillMeans.add(key, prefillMs)
@@ -190,12 +190,12 @@
   }
 
   private readHighMean (means: RecentMean, work: RoutedWork): number | undefined {
-    return means.readUpperBound(buildQueueKey(work)) ?? means.readUpperBound(work.service.name)
+    return means.readUpperBound(buildTimesKey(work)) ?? means.readUpperBound(work.service.name)
   }
 
   /** Falls back to the mean of the whole service for weights without samples. */
   private readMean (means: RecentMean, work: RoutedWork): number | undefined {
-    return means.read(buildQueueKey(work)) ?? means.read(work.service.name)
+    return means.read(buildTimesKey(work)) ?? means.read(work.service.name)
   }
 }
 
@@ -204,7 +204,12 @@
   return Math.min(...limited.map(({ reported }) => Math.max(0, reported.permits.nextExpectedAt - now)))
 }
 
-/** Identifies the slots that a request can use, by service and weights. */
-export function buildQueueKey ({ service, generation }: RoutedWork): string {
+/** Identifies the requests that take equally long, by service and weights. */
+function buildTimesKey ({ service, generation }: RoutedWork): string {
   return generation ? `${service.name}|${nameWeights(generation.model, generation.adapter)}` : service.name
 }
+
+/** Identifies the slots that a request can use, by service, weights and the software version that it needs. */
+export function buildQueueKey (work: RoutedWork): string {
+  return work.origin === undefined ? buildTimesKey(work) : `${buildTimesKey(work)}@${work.origin.version}`
+}
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -277,6 +277,20 @@
       assert.equal(rejection.code, 'OVERLOADED')
       assert.ok((rejection.retryAfterSeconds ?? 0) >= 4)
     })
+
+    it('is not rejected because of requests that wait for servers of any version', async () => {
+      fleet.replaceAll([{ ...createEntry('a'), softwareVersion: 'v1' }, { ...createEntry('b'), softwareVersion: 'v2' }])
+      const served = await queue.acquire(createWork('held'))
+      await clock.advance(1_000)
+      served.recordPrefilled()
+      served.release()
+      for (let count = 0; count < 16; count++) await queue.acquire(createWork('held'))
+      for (let count = 0; count < 20; count++) void queue.acquire({ ...createWork('held'), arrivedAt: 1_000 }).catch(() => undefined)
+      assert.equal(queue.size, 20)
+      void queue.acquire(createPinned('held', { arrivedAt: 1_000, deadline: 4_500 })).catch(() => undefined)
+      await clock.advance(0)
+      assert.equal(queue.size, 21)
+    })
   })
 
   describe('when requests wait for slots at several instances', () => {
