--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -300,10 +300,10 @@
   }
 
   /** Finds where the stream that the request continues began. Errors: NO_RUNNER if that is unknown and its service has several versions. */
-  private async findOrigin ({ facts, forwarded }: ArrivedRequest, service: string): Promise<StreamOrigin> {
+  private async findOrigin ({ facts, forwarded, route }: ArrivedRequest, service: string): Promise<StreamOrigin> {
     // An instance that doesn't tell the origin forwards the request under the id by which the stream began.
     const beganAs = facts.resumedRequestId ?? (forwarded ? facts.requestId : undefined)
-    const origin = forwarded?.origin ?? await this.opts.origins.find(beganAs, service)
+    const origin = forwarded?.origin ?? await this.opts.origins.find(beganAs, service, route.targets.map((target) => target.service))
     if (origin) return origin
     throw new PulleystackError('NO_RUNNER', `The software version that began stream "${beganAs ?? ''}" is unknown, and service "${service}" has several or none`, {
       ran: Ran.NO,
--- a/gateway/routed/src/recordOrigin.ts
+++ b/gateway/routed/src/recordOrigin.ts
@@ -9,5 +9,5 @@
 export function recordOrigin (origins: Pick<StreamOrigins, 'record'>, work: RoutedWork, origin: StreamOrigin | undefined): void {
   if (work.origin || !origin) return
   work.origin = origin
-  origins.record(work.requestId, origin)
+  origins.record(work.requestId, origin, work.route.targets.map(({ service }) => service))
 }
--- a/routing/origins/src/OriginLookup.ts
+++ b/routing/origins/src/OriginLookup.ts
@@ -5,7 +5,7 @@
 import { LOOKUP, parseAnswer } from './messages.js'
 import { CANDIDATES } from './RecordKeepers.js'
 
-/** Further instances asked if no candidate of the ranking knows. */
+/** Instances asked beside the candidates of the ranking, which may have changed since the stream began. */
 const FURTHER_ASKED = 16
 const ANSWER_TIMEOUT_MS = 250
 
@@ -30,7 +30,7 @@
 
   constructor (private readonly opts: OriginLookupOptions) {}
 
-  /** Resolves within half a second; never rejects. */
+  /** Resolves within a quarter of a second; never rejects. */
   find (requestId: string): Promise<LookupOutcome> {
     const pending = this.pending.get(requestId)
     if (pending) return pending
@@ -39,16 +39,9 @@
     return lookup
   }
 
-  private async askAll (requestId: string): Promise<LookupOutcome> {
-    const peers = this.opts.rankPeers(requestId)
-    const first = await this.askSome(peers.slice(0, CANDIDATES), requestId)
-    if (first.origin) return first
-    const further = await this.askSome(peers.slice(CANDIDATES, CANDIDATES + FURTHER_ASKED), requestId)
-    return { origin: further.origin, asked: first.asked + further.asked, silent: first.silent + further.silent }
-  }
-
   /** The first instance that knows settles it. */
-  private async askSome (peers: readonly string[], requestId: string): Promise<LookupOutcome> {
+  private async askAll (requestId: string): Promise<LookupOutcome> {
+    const peers = this.opts.rankPeers(requestId).slice(0, CANDIDATES + FURTHER_ASKED)
     const settled = new AbortController()
     let answered = 0
     const answers = peers.map(async (peer) => {
--- a/routing/origins/src/ServiceVersions.ts
+++ b/routing/origins/src/ServiceVersions.ts
@@ -53,12 +53,14 @@
     this.dropExcess()
   }
 
-  /** Records that a peer saw the version at a time. */
-  applyFromPeer (version: string, seenAt: number): void {
+  /** Records that a peer saw the version at a time; returns the time since the version was last seen before, Infinity if it never was. */
+  applyFromPeer (version: string, seenAt: number, now: number): number {
     const known = this.versions.get(version)
+    const msAgo = known ? measureAge(known, now) : Infinity
     if (known) known.goneAt = Math.max(known.goneAt, seenAt)
     else this.versions.set(version, { servers: 0, goneAt: seenAt })
     this.dropExcess()
+    return msAgo
   }
 
   /** Drops gone versions, the oldest first. Those that are left count for longer, so that the service stays mixed for as long. */
--- a/routing/origins/src/StreamOrigins.ts
+++ b/routing/origins/src/StreamOrigins.ts
@@ -50,26 +50,26 @@
   }
 
   /**
-   * Records where a stream began; must be called before its first event is passed on. While the service is mixed, the messages to other instances have been
-   * sent on return. Ids and names that are too long are not kept.
+   * Records where a stream began; must be called before its first event is passed on. While the services that the stream could have gone to are mixed, the
+   * messages to other instances have been sent on return. Ids and names that are too long are not kept.
    */
-  record (requestId: string, origin: StreamOrigin): void {
+  record (requestId: string, origin: StreamOrigin, services: readonly string[] = [origin.service]): void {
     if (!isRecordId(requestId) || !isName(origin.service) || !isName(origin.version)) return
     const kept = this.keep(requestId, origin, { isOwn: true })
-    if (isSameOrigin(kept, origin) && this.opts.versions.isMixed(origin.service)) this.keepers.tell(requestId, origin)
+    if (isSameOrigin(kept, origin) && this.opts.versions.isMixed(...services)) this.keepers.tell(requestId, origin)
   }
 
   /**
-   * Finds where a stream began, which may be another service than the given one. Undefined if that is unknown and the service is mixed or has no known
-   * version. Resolves within half a second; never rejects.
+   * Finds where a stream began, which may be another service than the given one. Undefined if that is unknown and the services that it could have gone to
+   * are mixed or have no known version. Resolves within a quarter of a second; never rejects.
    */
-  async find (requestId: string | undefined, service: string): Promise<StreamOrigin | undefined> {
+  async find (requestId: string | undefined, service: string, services: readonly string[] = [service]): Promise<StreamOrigin | undefined> {
     const id = isRecordId(requestId) ? requestId : undefined
     const known = id === undefined ? undefined : this.table.find(id)
     if (known) return this.table.record(id as string, known, false)
-    const version = this.opts.versions.findSole(service)
+    const version = this.opts.versions.findSole(...services)
     if (version !== undefined) return { service, version }
-    if (id === undefined || !this.opts.versions.isMixed(service)) return this.reportUnknown(id, service)
+    if (id === undefined || !this.opts.versions.isMixed(...services)) return this.reportUnknown(id, service)
     const { origin, asked, silent } = await this.lookup.find(id)
     return origin ? this.keep(id, origin) : this.reportUnknown(id, service, asked, silent)
   }
--- a/routing/origins/src/VersionHistory.ts
+++ b/routing/origins/src/VersionHistory.ts
@@ -42,20 +42,21 @@
     return this.changeSubject
   }
 
-  /** Emits mixed services of which an entry names a version that was not seen lately. */
+  /** Emits mixed services of which an entry or a peer names a version that was not seen lately. */
   get news (): Observable<string> {
     return this.newsSubject
   }
 
-  /** Whether servers of several versions have served the service within the retention time. */
-  isMixed (service: string): boolean {
+  /** Whether servers of several versions have served the services, such as those among which a route is split, within the retention time. */
+  isMixed (...services: readonly string[]): boolean {
     const now = this.opts.clock.readTime()
-    return this.services.get(service)?.isMixed(now) ?? now < this.mayLackUntil
+    const isOneMixed = services.some((service) => this.services.get(service)?.isMixed(now) ?? now < this.mayLackUntil)
+    return isOneMixed || this.collectVersions(services).size > 1
   }
 
-  /** The only version of the service within the retention time; undefined if there are several or none. */
-  findSole (service: string): string | undefined {
-    return this.isMixed(service) ? undefined : this.list(service)[0]?.version
+  /** The only version of the services within the retention time; undefined if there are several or none. */
+  findSole (...services: readonly string[]): string | undefined {
+    return this.isMixed(...services) ? undefined : [...this.collectVersions(services)][0]
   }
 
   /** Versions of a service within the retention time. */
@@ -72,7 +73,7 @@
   /** Applies what a peer saw; versions without an entry here count as gone since then. */
   applyFromPeer ({ service, version, msAgo }: VersionSighting): void {
     if (msAgo >= RETENTION_MS) return
-    this.update(service, (versions, now) => versions.applyFromPeer(version, now - msAgo))
+    this.noteVersion(service, (versions, now) => versions.applyFromPeer(version, now - msAgo, now))
   }
 
   private applyChange ({ kind, backend: { id, entry } }: FleetChange): void {
@@ -89,13 +90,22 @@
   }
 
   private addServer (service: string, version: string): void {
+    this.noteVersion(service, (versions, now) => versions.addServer(version, now))
+  }
+
+  /** Applies a sighting of a version, for which `apply` returns how long ago the last one was. */
+  private noteVersion (service: string, apply: (versions: ServiceVersions, now: number) => number): void {
     let msAgo = 0
     this.update(service, (versions, now) => {
-      msAgo = versions.addServer(version, now)
+      msAgo = apply(versions, now)
     })
     if (msAgo > NEWS_AFTER_MS && this.isMixed(service)) this.newsSubject.next(service)
   }
 
+  private collectVersions (services: readonly string[]): Set<string> {
+    return new Set(services.flatMap((service) => this.list(service).map(({ version }) => version)))
+  }
+
   private update (service: string, change: (versions: ServiceVersions, now: number) => void): void {
     const wasMixed = this.isMixed(service)
     change(this.findOrCreate(service), this.opts.clock.readTime())
--- a/routing/origins/test/StreamOrigins.test.ts
+++ b/routing/origins/test/StreamOrigins.test.ts
@@ -103,6 +103,31 @@
     })
   })
 
+  describe('of a route that is split over services', () => {
+    const SPLIT = ['s', 't']
+    const findSplit = async (name: string, id: string): Promise<StreamOrigin | undefined> => {
+      const found = get(name).origins.find(id, 't', SPLIT)
+      await clock.advance(MESSAGE_MS)
+      return found
+    }
+
+    it('are kept beyond their instance where the services have different versions', async () => {
+      putEverywhere({ ...createEntry('b', 'v2'), service: 't' })
+      get('e0').origins.record('q', V1, SPLIT)
+      await clock.advance(MESSAGE_MS)
+      stop('e0')
+      assert.deepEqual(await findSplit('e5', 'q'), V1)
+      assert.equal(await findSplit('e5', 'unknown'), undefined)
+    })
+
+    it('need no message where all have one version', async () => {
+      putEverywhere({ ...createEntry('b', 'v1'), service: 't' })
+      get('e0').origins.record('q', V1, SPLIT)
+      assert.deepEqual(await findSplit('e5', 'q'), { service: 't', version: 'v1' })
+      assert.equal(hub.messageCount, 0)
+    })
+  })
+
   describe('of a service with several versions', () => {
     beforeEach(async () => {
       putEverywhere(createEntry('b', 'v2'))
@@ -157,13 +182,20 @@
       assert.equal(get('e1').log.kinds.at(-1), 'stream-origin-unknown')
     })
 
-    it('are searched for no longer than half a second while other instances are silent', async () => {
+    it('have versions of which instances also hear through others', async () => {
+      hub.cut('e0', 'e4')
+      get('e0').fleet.put(createEntry('c', 'v3'))
+      await clock.advance(3 * MESSAGE_MS)
+      assert.deepEqual(get('e4').versions.list('s').map(({ version }) => version).sort(), ['v1', 'v2', 'v3'])
+    })
+
+    it('are searched for no longer than a quarter of a second while other instances are silent', async () => {
       get('e0').origins.record('q', V2)
       await clock.advance(MESSAGE_MS)
       const silent = new Promise<never>(() => undefined)
       for (const { network } of instances.values()) network.call = () => silent
-      assert.equal(await find('e1', 'x', 400), 'pending')
-      assert.equal(await find('e1', 'y', 510), undefined)
+      assert.equal(await find('e1', 'x', 240), 'pending')
+      assert.equal(await find('e1', 'y', 260), undefined)
     })
 
     it('stay the first ones recorded', async () => {
