--- a/backend/http/src/exchange.ts
+++ b/backend/http/src/exchange.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 import { parseAddress } from '@pulleystack/core.addresses'
+import { watchReset } from '@pulleystack/core.bodies'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
 const MAX_ANSWER_BYTES = 64 << 20
@@ -23,7 +24,10 @@
   body: Buffer
 }
 
-/** Sends a request and resolves with the head of its response. Errors have `ran: no` only if no connection was established. */
+/**
+ * Sends a request and resolves with the head of its response, whose body fails when the connection is reset. Errors have `ran: no` only if no connection
+ * was established.
+ */
 export function openExchange (opts: ExchangeOptions, writeBody: (request: http.ClientRequest) => void): Promise<http.IncomingMessage> {
   return new Promise((resolve, reject) => {
     const { host, port } = parseAddress(opts.address)
@@ -40,6 +44,7 @@
     request.on('response', (response) => {
       // Prevents an uncaught error if the request is aborted before the body is read. A reader still gets the error.
       response.on('error', () => undefined)
+      watchReset(request, response, (cause) => response.destroy(cause))
       resolve(response)
     })
     request.on('close', removeAbortListener)
--- a/gateway/callers/src/relayRequest.ts
+++ b/gateway/callers/src/relayRequest.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import { pipeline } from 'node:stream/promises'
 import { parseAddress } from '@pulleystack/core.addresses'
+import { watchReset } from '@pulleystack/core.bodies'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { HeaderNames, cutResponse } from '@pulleystack/gateway.http'
 import type { RequestContext } from './RequestContext.js'
@@ -57,7 +58,10 @@
         isConnected = true
       })
     })
-    outgoing.on('response', resolve)
+    outgoing.on('response', (message) => {
+      watchReset(outgoing, message, (cause) => message.destroy(cause))
+      resolve(message)
+    })
     outgoing.on('error', (cause) => reject(isConnected ? cause : new PulleystackError('ATTEMPT_FAILED_NOT_RUN', `Cannot reach ${target.instance}`, { cause })))
     if (body) outgoing.end(body)
     else request.pipe(outgoing)
--- a/gateway/callers/test/relayRequest.test.ts
+++ b/gateway/callers/test/relayRequest.test.ts
@@ -1,15 +1,23 @@
 import assert from 'node:assert/strict'
 import http from 'node:http'
-import type { AddressInfo } from 'node:net'
+import net, { type AddressInfo } from 'node:net'
+import { text } from 'node:stream/consumers'
 import { describe, it } from 'node:test'
 import { convertToError, type PulleystackError } from '@pulleystack/core.errors'
 import { buildCaller } from '@pulleystack/tools.testing'
-import { relayRequest } from '../src/relayRequest.js'
+import { relayRequest, type RelayTarget } from '../src/relayRequest.js'
 
 const UNREACHABLE_TARGET = { instance: 'gone', address: '127.0.0.1:1' }
 
-/** Relays one request to an instance that can't be reached; resolves to the result or the error. */
-async function relayToUnreachable (isBuffered: boolean): Promise<boolean | PulleystackError> {
+interface RelayResult {
+  /** Result of the relay, or its error. */
+  outcome: boolean | PulleystackError
+  /** Body that the caller received; undefined when it was broken off. */
+  received: string | undefined
+}
+
+/** Relays one request to an instance. */
+async function relayTo (target: RelayTarget, isBuffered: boolean): Promise<RelayResult> {
   const deferred = createDeferred()
   const server = http.createServer((request, response) => {
     const context = {
@@ -21,18 +29,21 @@
       arrivedAt: 0,
       signal: new AbortController().signal,
     }
-    relayRequest(context, UNREACHABLE_TARGET, 'a', isBuffered ? Buffer.from('body') : undefined)
+    relayRequest(context, target, 'a', isBuffered ? Buffer.from('body') : undefined)
       .then(deferred.resolve, (thrown: unknown) => deferred.resolve(convertToError(thrown)))
       .finally(() => response.end())
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const request = http.request({ port: (server.address() as AddressInfo).port, host: '127.0.0.1', method: 'POST', agent: false })
-  request.on('error', () => undefined)
+  const received = new Promise<string | undefined>((resolve) => {
+    request.on('error', () => resolve(undefined))
+    request.on('response', (response) => text(response).then(resolve, () => resolve(undefined)))
+  })
   request.end('body')
-  const outcome = await deferred.promise
+  const result = { outcome: await deferred.promise, received: await received }
   server.close()
   server.closeAllConnections()
-  return outcome
+  return result
 }
 
 function createDeferred () {
@@ -45,13 +56,25 @@
 
 describe('relayRequest', () => {
   it('returns false for a request with a buffered body when the instance can\'t be reached', async () => {
-    assert.equal(await relayToUnreachable(true), false)
+    assert.equal((await relayTo(UNREACHABLE_TARGET, true)).outcome, false)
   })
 
   // The part of the body that was read for the relay would be missing in any later attempt.
   it('throws an error with `ran: no` for a request with a streamed body', async () => {
-    const outcome = await relayToUnreachable(false)
+    const { outcome } = await relayTo(UNREACHABLE_TARGET, false)
     assert.ok(typeof outcome !== 'boolean')
     assert.deepEqual([outcome.code, outcome.ran], ['ATTEMPT_FAILED_NOT_RUN', 'no'])
   })
+  // A response that was broken off passed as complete.
+  it('breaks the response off when the instance resets one without a length and chunks', async () => {
+    const instance = net.createServer((socket) => {
+      socket.on('error', () => undefined)
+      socket.once('data', () => socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf', () => setTimeout(() => socket.resetAndDestroy(), 20)))
+    })
+    await new Promise<void>((resolve) => instance.listen(0, '127.0.0.1', resolve))
+    const { outcome, received } = await relayTo({ instance: 'b', address: `127.0.0.1:${(instance.address() as AddressInfo).port}` }, true)
+    instance.close()
+    assert.ok(typeof outcome !== 'boolean')
+    assert.deepEqual([outcome.code, received], ['ATTEMPT_FAILED_UNKNOWN', undefined])
+  })
 })
--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,6 +1,7 @@
+import { Framings, type Framing } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { EventSplitter, Framings, type ExchangeResponse, type Framing } from '@pulleystack/routing.forward'
+import { EventSplitter, type ExchangeResponse } from '@pulleystack/routing.forward'
 import type { ClientResponse } from './ClientResponse.js'
 import { EventGaps } from './EventGaps.js'
 import type { StreamFlusher } from './StreamFlusher.js'
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -1,17 +1,8 @@
 import type http from 'node:http'
-import type { Socket } from 'node:net'
 import type { ResponseFacts } from '@pulleystack/backend.interfaces'
+import { readFraming, watchReset, type Framing } from '@pulleystack/core.bodies'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
-/** What determines where the body of a response ends. */
-export const Framings = {
-  LENGTH: 'length',
-  CHUNKED: 'chunked',
-  /** The close of the connection, so that a body that was broken off looks like a complete one. */
-  CLOSE: 'close',
-} as const
-export type Framing = typeof Framings[keyof typeof Framings]
-
 /** A response whose head has been received; the body can be read from it. */
 export class ExchangeResponse {
   readonly facts: ResponseFacts
@@ -24,22 +15,9 @@
     this.facts = opts.facts
     this.request = opts.request
     this.message = opts.message
-    // Node ends the body of a response without a length normally even when the connection was reset. An error after a
-    // complete response, as from surplus bytes, concerns only the connection.
-    opts.request.on('error', (cause) => {
-      if (!this.message.complete) this.failure = cause
-    })
     this.framing = readFraming(opts.message, opts.request.method)
-    if (this.framing === Framings.CLOSE) this.watchEnd(opts.message.socket)
-  }
-
-  /**
-   * Detects a connection reset that libuv reports as the end of the stream, as it does when data arrives with the reset.
-   * Only a connection that was closed normally still has a remote address.
-   */
-  private watchEnd (socket: Socket): void {
-    socket.prependOnceListener('end', () => {
-      if (socket.remoteAddress === undefined) this.failure = new Error('The connection was reset')
+    watchReset(opts.request, opts.message, (cause) => {
+      this.failure = cause
     })
   }
 
@@ -124,12 +102,6 @@
   }
 }
 
-function readFraming ({ headers, statusCode }: http.IncomingMessage, method: string): Framing {
-  if (method === 'HEAD' || statusCode === 204 || statusCode === 304) return Framings.LENGTH
-  if (headers['transfer-encoding'] !== undefined) return /\bchunked$/i.test(headers['transfer-encoding']) ? Framings.CHUNKED : Framings.CLOSE
-  return headers['content-length'] === undefined ? Framings.CLOSE : Framings.LENGTH
-}
-
 function createBodyError (message: string, cause?: unknown): PulleystackError {
   return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', message, { cause, ran: Ran.UNKNOWN })
 }
