--- a/gateway/routed/src/InstanceRelay.ts
+++ b/gateway/routed/src/InstanceRelay.ts
@@ -95,6 +95,7 @@
         body: request.body,
         requestId: request.requestId,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        mustBeFramed: true,
         signal: request.signal,
       })
       this.noteVersion(response)
--- a/gateway/routed/src/PeerForwarder.ts
+++ b/gateway/routed/src/PeerForwarder.ts
@@ -78,6 +78,7 @@
       body: work.body,
       requestId: work.requestId,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      mustBeFramed: true,
       signal: attempt.signal,
     })
   }
--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
 import http from 'node:http'
-import type { AddressInfo } from 'node:net'
+import net, { type AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { SystemClock } from '@pulleystack/core.clock'
@@ -139,6 +139,24 @@
     await assert.rejects(async () => reader?.read())
   })
 
+  // An instance frames all its responses, so that such a body may have been broken off.
+  it('rejects a response that has neither a length nor chunks', async () => {
+    const target = net.createServer((socket) => {
+      socket.on('error', () => undefined)
+      socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\nrequest-id: q1\r\nconnection: close\r\n\r\nhalf'))
+    })
+    await new Promise<void>((resolve) => target.listen(0, '127.0.0.1', resolve))
+    targets.push({ instance: 't', address: `127.0.0.1:${(target.address() as AddressInfo).port}` })
+    const { status } = await sendRequest()
+    target.close()
+    assert.equal(status, 502)
+  })
+
+  it('relays a response that has no body', async () => {
+    await startTarget(3, (_, response) => response.writeHead(204).end())
+    assert.equal((await sendRequest()).status, 204)
+  })
+
   it('aborts the request at the other instance when its client disconnects', async () => {
     const clientAbort = new AbortController()
     let resolveClosed: (value: unknown) => void = () => undefined
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { parseAddress } from '@pulleystack/core.addresses'
+import { Framings } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { BackendAgent } from './BackendAgent.js'
@@ -21,6 +22,8 @@
   requestId: string | undefined
   /** Connection timeout in milliseconds. */
   connectTimeoutMs: number
+  /** Whether a response that only the close of its connection ends is rejected, as other instances never send one. */
+  mustBeFramed?: boolean
   /** Aborts the exchange and closes its connection. */
   signal: AbortSignal
   /** Called for every response head, also for a response that is rejected afterwards. */
@@ -56,7 +59,7 @@
       connection.stop()
       response = new ExchangeResponse({ request, message, facts: opts.protocol.readResponse(message.statusCode ?? 0, message.headers) })
       opts.onHead?.(response.facts)
-      const problem = checkHead(response.facts, opts.requestId)
+      const problem = checkHead(response, opts)
       message.once('close', release)
       if (!problem) {
         resolve(response)
@@ -95,11 +98,12 @@
   return new PulleystackError(wasConnected ? 'ATTEMPT_FAILED_UNKNOWN' : 'ATTEMPT_FAILED_NOT_RUN', message, { cause })
 }
 
-function checkHead (facts: ResponseFacts, requestId: string | undefined): PulleystackError | undefined {
+function checkHead ({ facts, framing }: ExchangeResponse, { requestId, mustBeFramed = false }: ExchangeOptions): PulleystackError | undefined {
   if (requestId !== undefined && facts.requestId !== requestId) {
     return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response belongs to another request')
   }
   if (facts.notRun) return new PulleystackError('BACKEND_REFUSED', 'The server rejected the request without running it', { ran: Ran.NO })
   if (!facts.isConfirmedByServer) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response is not signed by the server')
+  if (mustBeFramed && framing === Framings.CLOSE) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response has neither a length nor chunks')
   return undefined
 }
