--- a/routing/forward/src/EventSplitter.ts
+++ b/routing/forward/src/EventSplitter.ts
@@ -1,3 +1,6 @@
+import { PulleystackError } from '@pulleystack/core.errors'
+
+const EMPTY = Buffer.alloc(0)
 const LINE_FEED = 10
 const CARRIAGE_RETURN = 13
 /** Lines may also end with a carriage return alone. */
@@ -16,39 +19,61 @@
 /** Blank lines and comments, which belong to no event. */
 const NO_EVENT = /^(?:[\r\n]|:[^\r\n]*[\r\n])*$/
 
+/** Limit in bytes of an event that has not ended, which is kept in memory. */
+export const MAX_PENDING_BYTES = 4 << 20
+
+/** The longest end of an event, LF CR LF, may lack its last byte at the end of a chunk. */
+const MAX_SPLIT_BYTES = 2
+
 /** Splits a stream of server-sent events; an event ends with its blank line. */
 export class EventSplitter {
-  private remainder: Buffer = Buffer.alloc(0)
+  /** The bytes after the last complete event, as received. */
+  private pieces: Buffer[] = []
+  private size = 0
+  /** The last of these bytes, where the search for the end goes on. */
+  private tail: Buffer = EMPTY
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes (): number {
-    return this.remainder.length
+    return this.size
   }
 
   /** Whether the bytes so far end between two events, rather than inside one that is incomplete. */
   get isBetweenEvents (): boolean {
-    return NO_EVENT.test(this.remainder.toString('latin1'))
+    return NO_EVENT.test(Buffer.concat(this.pieces).toString('latin1'))
   }
 
-  /** Returns the events that are completed by this chunk. */
+  /** Returns the events that are completed by this chunk. Errors: ATTEMPT_FAILED_UNKNOWN when the event after them is too large. */
   push (chunk: Buffer): StreamEvent[] {
-    const bytes = this.remainder.length === 0 ? chunk : Buffer.concat([this.remainder, chunk])
+    const overlap = this.tail.length
+    const bytes = overlap === 0 ? chunk : Buffer.concat([this.tail, chunk])
     const events: StreamEvent[] = []
     let start = 0
     for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
-      events.push(createEvent(bytes.subarray(start, end)))
+      const part = bytes.subarray(start || overlap, end)
+      events.push(createEvent(this.size === 0 ? part : Buffer.concat([this.takeRemainder(), part])))
       start = end
     }
-    this.remainder = bytes.subarray(start)
+    this.append(bytes.subarray(start || overlap))
+    this.tail = bytes.subarray(Math.max(start, bytes.length - MAX_SPLIT_BYTES))
+    if (this.size > MAX_PENDING_BYTES) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `An event of the stream is larger than ${MAX_PENDING_BYTES} bytes`)
     return events
   }
 
   /** Removes and returns the bytes after the last complete event. */
   takeRemainder (): Buffer {
-    const { remainder } = this
-    this.remainder = Buffer.alloc(0)
+    const remainder = Buffer.concat(this.pieces)
+    this.pieces = []
+    this.size = 0
+    this.tail = EMPTY
     return remainder
   }
+
+  private append (piece: Buffer): void {
+    if (piece.length === 0) return
+    this.pieces.push(piece)
+    this.size += piece.length
+  }
 }
 
 function createEvent (bytes: Buffer): StreamEvent {
--- a/routing/forward/src/index.ts
+++ b/routing/forward/src/index.ts
@@ -1,6 +1,6 @@
 export { BackendAgent } from './BackendAgent.js'
 export { Connector, TcpConnector } from './Connector.js'
-export { EventSplitter } from './EventSplitter.js'
+export { EventSplitter, MAX_PENDING_BYTES } from './EventSplitter.js'
 export type { StreamEvent } from './EventSplitter.js'
 export { ExchangeResponse } from './ExchangeResponse.js'
 export { ServerProbe } from './ServerProbe.js'
--- a/routing/forward/test/EventSplitter.test.ts
+++ b/routing/forward/test/EventSplitter.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { EventSplitter } from '../src/index.js'
+import { EventSplitter, MAX_PENDING_BYTES } from '../src/index.js'
 
 describe('EventSplitter', () => {
   it('returns an event with its id once its blank line has been received', () => {
@@ -41,13 +41,36 @@
 
   it('neither loses nor adds bytes for any split into chunks', () => {
     const line = fc.constantFrom('id: 1', 'data: x', 'data: ', ': note', '')
-    fc.assert(fc.property(fc.array(line, { maxLength: 40 }), fc.array(fc.nat(200), { maxLength: 10 }), (lines, cuts) => {
-      const bytes = Buffer.from(lines.join('\n'))
+    const lineEnd = fc.constantFrom('\n', '\r\n', '\r')
+    fc.assert(fc.property(fc.array(line, { maxLength: 40 }), lineEnd, fc.array(fc.nat(200), { maxLength: 10 }), (lines, end, cuts) => {
+      const bytes = Buffer.from(lines.join(end))
       const splitter = new EventSplitter()
       const edges = [0, ...cuts.map((cut) => Math.min(cut, bytes.length)).sort((a, b) => a - b), bytes.length]
       const parts = edges.slice(1).flatMap((edge, at) => splitter.push(bytes.subarray(edges[at], edge)).map((event) => event.bytes))
+      assert.deepEqual(parts.map(String), new EventSplitter().push(bytes).map((event) => event.bytes.toString()))
       assert.equal(Buffer.concat([...parts, splitter.takeRemainder()]).toString(), bytes.toString())
-      for (const part of parts) assert.ok(part.toString().endsWith('\n\n'))
-    }), { numRuns: 200, seed: 2 })
+      for (const part of parts) assert.ok(part.toString().endsWith(end + end))
+    }), { numRuns: 600, seed: 2 })
+  })
+
+  describe('with an event that does not end', () => {
+    const piece = Buffer.alloc(16 << 10, 'a')
+
+    // The bytes were kept without bound.
+    it('rejects more bytes than the limit', () => {
+      const splitter = new EventSplitter()
+      for (let size = 0; size < MAX_PENDING_BYTES; size += piece.length) splitter.push(piece)
+      assert.throws(() => splitter.push(piece), { code: 'ATTEMPT_FAILED_UNKNOWN', message: /4194304 bytes/ })
+    })
+
+    // All bytes so far were searched again at each chunk, which blocked the event loop.
+    it('reads each chunk only once until the event ends', (context) => {
+      const searched = context.mock.method(Buffer.prototype, 'indexOf')
+      const splitter = new EventSplitter()
+      for (let size = 0; size < MAX_PENDING_BYTES; size += piece.length) splitter.push(piece)
+      const longest = Math.max(...searched.mock.calls.map((call: { this: unknown }) => (call.this as Buffer).length))
+      assert.ok(longest <= piece.length + 2, `${longest}`)
+      assert.equal(splitter.push(Buffer.from('\n\n'))[0]?.bytes.length, MAX_PENDING_BYTES + 2)
+    })
   })
 })
