--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -10,6 +10,8 @@
 export interface StreamProgress {
   /** Id of the newest event that the client has received. */
   lastEventId: string | undefined
+  /** Whether the newest event passed on had an id; without one, no attempt can continue after it. */
+  newestHasId: boolean
   events: number
   /** Monotonic times of the first and the newest event, in milliseconds; undefined before the first. */
   firstAt: number | undefined
@@ -109,6 +111,7 @@
 export function createStreamProgress (lastEventId: string | undefined): StreamProgress {
   return {
     lastEventId,
+    newestHasId: false,
     events: 0,
     firstAt: undefined,
     newestAt: undefined,
@@ -126,6 +129,7 @@
   if (progress.newestAt !== undefined) progress.gaps.add(now - progress.newestAt)
   progress.longestPauseMs = Math.max(progress.longestPauseMs, now - (progress.newestAt ?? now))
   progress.newestAt = now
+  progress.newestHasId = id !== undefined && id !== ''
   progress.lastEventId = id ?? progress.lastEventId
   progress.events++
 }
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -304,6 +304,7 @@
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
   if (progress.runs > 0 && !mayRepeat(work)) return false
   if (progress.runs >= work.route.maxAttempts) return false
+  if (progress.stream.events > 0 && !progress.stream.newestHasId) return false
   if (!reserveRetry(opts, work, progress, error)) return false
   if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
   return true
