--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -312,13 +312,17 @@
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
   if (progress.runs > 0 && !mayRepeat(work)) return false
   if (progress.runs >= work.route.maxAttempts) return false
-  const mayBelongTogether = progress.stream.events === 0 || work.origin !== undefined
-  if (!mayBelongTogether) return false
+  if (progress.stream.events > 0 && !mayResume(work, progress)) return false
   if (!reserveRetry(opts, work, progress, error)) return false
   if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
   return true
 }
 
+/** Whether another server can go on after the newest event that the client has, at the version that began the stream. */
+function mayResume (work: RoutedWork, { stream }: RunProgress): boolean {
+  return work.origin !== undefined && stream.newestHasId
+}
+
 /** Reserves a retry permit; false if the budget is exhausted. */
 function reserveRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
   const { name: service } = work.service
