--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -61,7 +61,7 @@
 export async function runRequest (opts: RunOptions, work: RoutedWork, client: ClientResponse): Promise<void> {
   const progress = createProgress(work.stream)
   for (;;) {
-    const admission = await admitAttempt(opts, work, progress)
+    const admission = await admitAttempt(opts, work, progress, client)
     if (!admission) break
     const error = isForward(admission) ? await forwardAttempt(opts, work, progress, client) : await runAttempt(opts, work, progress, admission, client)
     if (!error) return
@@ -87,7 +87,7 @@
 }
 
 /** Admits the next attempt; undefined if there can be none and a server's error response has to be relayed. */
-async function admitAttempt (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<AttemptAdmission | undefined> {
+async function admitAttempt (opts: RunOptions, work: RoutedWork, progress: RunProgress, client: ClientResponse): Promise<AttemptAdmission | undefined> {
   try {
     const admission = await chooseAdmission(opts, work, progress)
     if (!progress.error || takeRetryPermit(progress)) return admission
@@ -98,7 +98,7 @@
     throw progress.error
   } catch (thrown) {
     progress.retryPermit?.release()
-    if (progress.serverFailure) return undefined
+    if (progress.serverFailure && !client.hasBegun) return undefined
     const error = convertToError(thrown)
     throw createFinalError(progress, error)
   }
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -8,7 +8,9 @@
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { WindowBudget } from '@pulleystack/routing.retries'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
+import { createStreamProgress } from '../src/relayStream.js'
 import { runRequest, type RunOptions } from '../src/runRequest.js'
+import { StreamFlusher } from '../src/StreamFlusher.js'
 import type { BackendSlot } from '../src/BackendSlot.js'
 import type { ClientResponse } from '../src/ClientResponse.js'
 import type { RoutedWork } from '../src/RoutedWork.js'
@@ -130,4 +132,32 @@
       assert.equal(backend.outlier.isEjected(clock.readTime()), !hasSamples)
     })
   }
+
+  // The error response of an earlier server was sent after the head of a stream that had begun since, which threw.
+  it('sends no earlier error response once a stream has begun', async () => {
+    let requests = 0
+    server.removeAllListeners('request')
+    server.on('request', (_, response: http.ServerResponse) => {
+      if (requests++ === 0) response.writeHead(500).end()
+      else response.writeHead(200, { 'content-type': 'text/event-stream' }).end('id: 1\ndata: a\n\nid')
+    })
+    const slot = { ...await opts.slots.acquire(work), recordPace: () => undefined } as unknown as BackendSlot
+    const slots = [slot, slot]
+    const reserved = { acquire: () => Promise.resolve(slots.shift() ?? Promise.reject(new Error('No slot'))) }
+    const suspects = { ...opts.suspects, checkServerEnd: () => Promise.resolve(undefined) }
+    const sent: string[] = []
+    const stream = {
+      hasBegun: false,
+      beginStream: () => {
+        stream.hasBegun = true
+      },
+      write: () => sent.push('events') > 0,
+      sendBuffered: () => sent.push('error response'),
+    }
+    const route = { ...work.route, streams: true, maxAttempts: 3 }
+    const streamed = { ...work, route, excluded: new Set(), stream: createStreamProgress(undefined) } as unknown as RoutedWork
+    const options = { ...opts, slots: reserved, suspects, random: new RandomSource(1), flusher: new StreamFlusher(clock) } as unknown as RunOptions
+    await assert.rejects(runRequest(options, streamed, stream as unknown as ClientResponse), /No slot/)
+    assert.deepEqual(sent, ['events'])
+  })
 })
