--- a/routing/forward/src/EventSplitter.ts
+++ b/routing/forward/src/EventSplitter.ts
@@ -20,7 +20,7 @@
 const NO_EVENT = /^(?:[\r\n]|:[^\r\n]*[\r\n])*$/
 
 /** Limit in bytes of an event that has not ended, which is kept in memory. */
-export const MAX_PENDING_BYTES = 4 << 20
+export const MAX_PENDING_BYTES = 32 << 20
 
 /** The longest end of an event, LF CR LF, may lack its last byte at the end of a chunk. */
 const MAX_SPLIT_BYTES = 2
