--- a/routing/origins/src/OriginTable.ts
+++ b/routing/origins/src/OriginTable.ts
@@ -35,7 +35,7 @@
     return this.records.peek(id)?.origin
   }
 
-  /** Records an origin unless another one is known, and lets its time run anew; returns the one that is kept. */
+  /** Records an origin unless another one is known, and restarts its time; returns the one that is kept. */
   record (id: string, origin: StreamOrigin, isOwn: boolean): StreamOrigin {
     this.dropExpired()
     const known = this.records.peek(id)
--- a/routing/origins/src/VersionHistory.ts
+++ b/routing/origins/src/VersionHistory.ts
@@ -42,7 +42,7 @@
     return this.changeSubject
   }
 
-  /** Emits mixed services of which an entry or a peer names a version that was not seen lately. */
+  /** Emits mixed services of which an entry or a peer names a version that had not been seen for some time. */
   get news (): Observable<string> {
     return this.newsSubject
   }
