--- a/gateway/routed/src/ServerChooser.ts
+++ b/gateway/routed/src/ServerChooser.ts
@@ -2,6 +2,7 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PREFILL_TOKENS_PER_MS, chooseBackend, type Backend, type BackendChoice, type BackendFleet, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import { findPaces } from './findPaces.js'
+import { findRequiredVersion } from './findRequiredVersion.js'
 import type { PeerForwarder } from './PeerForwarder.js'
 import type { RoutedWork } from './RoutedWork.js'
 
@@ -48,7 +49,7 @@
         deniedUntil: work.deniedUntil,
         isBrittle: this.isBrittle(work),
         mayForward: this.opts.forwarder?.mayForward(work),
-        requiredVersion: work.origin?.version,
+        requiredVersion: findRequiredVersion(this.opts.fleet, work),
       },
       capacity: work.service.serving,
       policy: this.opts.policy,
--- a/gateway/routed/src/WeightsWait.ts
+++ b/gateway/routed/src/WeightsWait.ts
@@ -4,6 +4,7 @@
 import { estimateLoadMs, type ResidencyClient, type WeightsAnswer } from '@pulleystack/placement.residency'
 import type { Candidate } from '@pulleystack/routing.admission'
 import { isOfVersion, type Backend, type BackendFleet } from '@pulleystack/routing.fleet'
+import { findRequiredVersion } from './findRequiredVersion.js'
 import type { RoutedWork } from './RoutedWork.js'
 import { WeightsBound, WeightsRejections, type WeightsRejection } from './WeightsBound.js'
 
@@ -39,10 +40,14 @@
 
   constructor (private readonly opts: WeightsWaitOptions, private readonly work: RoutedWork, private readonly candidate: Candidate) {
     // A stream that may go on at one version has fewer servers to hope for, and its client can do more with an early refusal.
-    const isBounded = work.origin !== undefined || (opts.policy.weightsBound && isHeterogeneous(work.service.serving))
+    const isBounded = this.requiredVersion !== undefined || (opts.policy.weightsBound && isHeterogeneous(work.service.serving))
     if (isBounded) this.bound = new WeightsBound(work.arrivedAt, work.route.targetLatencyMs)
   }
 
+  private get requiredVersion (): string | undefined {
+    return findRequiredVersion(this.opts.fleet, this.work)
+  }
+
   /** Whether the request uses weights and no answer has arrived. */
   get isUnanswered (): boolean {
     return this.work.generation !== undefined && !this.latest
@@ -57,7 +62,7 @@
   /** Requests the weights, unless that was done a moment ago; calls `onAnswer` when the answer has been recorded. */
   request (isExtraCopy: boolean, onAnswer: () => void): void {
     const { clock, residency } = this.opts
-    const { generation, service, origin } = this.work
+    const { generation, service } = this.work
     if (!generation || clock.readTime() < this.nextRequestAt) return
     const now = clock.readTime()
     this.nextRequestAt = now + this.chooseIntervalMs()
@@ -65,7 +70,8 @@
     const { model, adapter } = generation
     const { dueAt, expiresAt, priority } = this.candidate
     const isMore = isExtraCopy || this.hasFailedAtHolders()
-    const request = { service: service.name, model, adapter, isMore, waitMs: expiresAt - now, ...origin && { softwareVersion: origin.version } }
+    const softwareVersion = this.requiredVersion
+    const request = { service: service.name, model, adapter, isMore, waitMs: expiresAt - now, ...softwareVersion !== undefined && { softwareVersion } }
     void residency.requestWeights({ ...request, requestId: this.work.requestId, dueMs: dueAt - now, priority }).then((answer) => {
       this.recordAnswer(answer, isExtraCopy)
       onAnswer()
@@ -86,13 +92,13 @@
 
   /** Why the request is not to wait any longer; undefined while it may wait. */
   judge (): WeightsVerdict | undefined {
-    const { origin, stream } = this.work
-    if (!this.latest || !this.opts.policy.waitEstimate || (stream.events > 0 && !origin)) return undefined
+    const isPinned = this.requiredVersion !== undefined
+    if (!this.latest || !this.opts.policy.waitEstimate || (this.work.stream.events > 0 && !isPinned)) return undefined
     const now = this.opts.clock.readTime()
     const { answer, at } = this.latest
     // Without an ordered load, the minimal duration of a load is a lower bound.
     const expectedMs = answer.coming ? answer.expectedMs : this.estimateEarliestMs(answer)
-    if (origin && expectedMs === Infinity) return { reason: WeightsRejections.NOT_AT_VERSION, expectedMs: undefined }
+    if (isPinned && expectedMs === Infinity) return { reason: WeightsRejections.NOT_AT_VERSION, expectedMs: undefined }
     if (at + expectedMs > this.candidate.expiresAt) return { reason: WeightsRejections.LATE, expectedMs: at + expectedMs - now }
     const reason = this.bound?.judge(now)
     return reason && { reason, expectedMs: this.estimateEarliestMs(answer) || undefined }
@@ -127,8 +133,8 @@
 
   /** Whether only servers that failed the request have the weights, at the one version that it may use: it then needs another copy there. */
   private hasFailedAtHolders (): boolean {
-    const { generation, origin, excluded } = this.work
-    if (!origin || !generation) return false
+    const { generation, excluded } = this.work
+    if (this.requiredVersion === undefined || !generation) return false
     const holders = this.listUsable().filter((backend) => backend.hasWeights(generation.model, generation.adapter))
     return holders.length > 0 && holders.every((backend) => excluded.has(backend.id))
   }
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -278,6 +278,17 @@
       assert.ok((rejection.retryAfterSeconds ?? 0) >= 4)
     })
 
+    it('asks for weights anywhere and keeps waiting while all servers have its version', async () => {
+      fleet.replaceAll(['a', 'b'].map((id) => ({ ...createEntry(id), softwareVersion: 'v1' })))
+      const versions = new Set<string | undefined>()
+      onWeightsRequest = ({ softwareVersion }) => versions.add(softwareVersion)
+      const stream = { ...createStreamProgress(undefined), events: 3 }
+      void queue.acquire(createPinned('elsewhere', { stream })).catch(() => undefined)
+      await clock.advance(10_000)
+      assert.equal(queue.size, 1)
+      assert.deepEqual([...versions], [undefined])
+    })
+
     it('is not rejected because of requests that wait for servers of any version', async () => {
       fleet.replaceAll([{ ...createEntry('a'), softwareVersion: 'v1' }, { ...createEntry('b'), softwareVersion: 'v2' }])
       const served = await queue.acquire(createWork('held'))
