--- a/gateway/routed/src/SuspectGate.ts
+++ b/gateway/routed/src/SuspectGate.ts
@@ -6,6 +6,7 @@
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { listTraits } from './listTraits.js'
 import { Suspicions, type RoutedWork } from './RoutedWork.js'
+import { UnjudgedEnds } from './UnjudgedEnds.js'
 
 /** Retry delay while an exclusive run of what is suspected is in progress. */
 const BUSY_RETRY_SECONDS = 0.5
@@ -35,7 +36,11 @@
 
 /** Detects requests that crash backend servers, and restricts or rejects them. */
 export class SuspectGate {
-  constructor (private readonly opts: SuspectGateOptions) {}
+  private readonly unjudgedEnds: UnjudgedEnds
+
+  constructor (private readonly opts: SuspectGateOptions) {
+    this.unjudgedEnds = new UnjudgedEnds(opts)
+  }
 
   /**
    * Admits one run of the request and sets on `work` how it has to be placed; rejects with `ran: no` when it may not run. Waits while another exclusive run
@@ -70,6 +75,7 @@
     const verdict = await paths.inspect(backend)
     const recordCrash = (): void => this.recordCrash(work, attempt, { wasExclusive, sentMs: lostAt - attempt.sentAt })
     if (verdict === PathVerdicts.SERVER_DOWN) recordCrash()
+    else if (verdict === PathVerdicts.UNKNOWN) this.unjudgedEnds.add({ backend, lostAt, onCrashed: recordCrash })
     return verdict
   }
 
