--- a/gateway/routed/src/relayStream.ts
+++ b/gateway/routed/src/relayStream.ts
@@ -1,11 +1,14 @@
 import { Framings, type Framing } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { EventSplitter, type ExchangeResponse } from '@pulleystack/routing.forward'
+import { EventSplitter, type ExchangeResponse, type StreamEvent } from '@pulleystack/routing.forward'
 import type { ClientResponse } from './ClientResponse.js'
 import { EventGaps } from './EventGaps.js'
 import type { StreamFlusher } from './StreamFlusher.js'
 
+/** Limit of comments and other blocks without a field between two events. */
+const MAX_IDLE_BYTES = 64 << 10
+
 /** Progress of a stream over all attempts. */
 export interface StreamProgress {
   /** Id of the newest event that the client has received. */
@@ -65,18 +68,23 @@
       opts.onBackpressure(false)
     })
   }
+  let idleBytes = 0
+  const add = (event: StreamEvent, now: number): void => {
+    pending.push(event.bytes)
+    idleBytes = event.isEmpty ? idleBytes + event.bytes.length : 0
+    if (idleBytes > MAX_IDLE_BYTES) throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The stream has more than ${MAX_IDLE_BYTES} bytes without an event`)
+    if (event.isEmpty) return
+    events++
+    recordEvent(opts.progress, event.id, now)
+  }
   try {
     await response.read((chunk) => {
       const now = opts.clock.readTime()
+      const eventsBefore = events
       const hadEvents = events > 0
-      for (const event of splitter.push(chunk)) {
-        pending.push(event.bytes)
-        if (event.isComment) continue
-        events++
-        recordEvent(opts.progress, event.id, now)
-      }
+      for (const event of splitter.push(chunk)) add(event, now)
       if (pending.length === 0) return
-      opts.onEvents()
+      if (events > eventsBefore) opts.onEvents()
       if (hadEvents) flusher.schedule(flush)
       if (hadEvents || events === 0) return
       opts.onFirstEvent()
--- a/routing/forward/src/EventSplitter.ts
+++ b/routing/forward/src/EventSplitter.ts
@@ -12,10 +12,12 @@
   bytes: Buffer
   /** Undefined when the event has no id field. */
   id: string | undefined
-  /** Consists of comments and blank lines only, such as a heartbeat. */
-  isComment: boolean
+  /** Holds no field, such as a comment sent as a heartbeat. */
+  isEmpty: boolean
 }
 
+const ANY_FIELD = /(?:^|[\r\n])(?:id|data|event|retry)(?:[:\r\n]|$)/
+
 /** Blank lines and comments, which belong to no event. */
 const NO_EVENT = /^(?:[\r\n]|:[^\r\n]*[\r\n])*$/
 
@@ -78,7 +80,7 @@
 
 function createEvent (bytes: Buffer): StreamEvent {
   const text = bytes.toString('latin1')
-  return { bytes, id: ID_FIELD.exec(text)?.[1], isComment: NO_EVENT.test(text) }
+  return { bytes, id: ID_FIELD.exec(text)?.[1], isEmpty: !ANY_FIELD.test(text) }
 }
 
 /** Index after the blank line that ends the event starting at `start`; 0 when the event is incomplete. */
