--- a/core/bodies/src/index.ts
+++ b/core/bodies/src/index.ts
@@ -1,3 +1,5 @@
+export { watchOverhead } from './watchOverhead.js'
+export type { OverheadWatch } from './watchOverhead.js'
 export { Framings, readFraming } from './readFraming.js'
 export type { Framing } from './readFraming.js'
 export { watchReset } from './watchReset.js'
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
 import type { ResponseFacts } from '@pulleystack/backend.interfaces'
-import { readFraming, watchReset, type Framing } from '@pulleystack/core.bodies'
+import { readFraming, watchReset, type Framing, type OverheadWatch } from '@pulleystack/core.bodies'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
 /** A response whose head has been received; the body can be read from it. */
@@ -9,12 +9,14 @@
   readonly framing: Framing
   private readonly request: http.ClientRequest
   private readonly message: http.IncomingMessage
+  private readonly overhead: OverheadWatch
   private failure: Error | undefined
 
-  constructor (opts: { request: http.ClientRequest, message: http.IncomingMessage, facts: ResponseFacts }) {
+  constructor (opts: { request: http.ClientRequest, message: http.IncomingMessage, facts: ResponseFacts, overhead: OverheadWatch }) {
     this.facts = opts.facts
     this.request = opts.request
     this.message = opts.message
+    this.overhead = opts.overhead
     this.framing = readFraming(opts.message, opts.request.method)
     watchReset(opts.request, opts.message, (cause) => {
       this.failure = cause
@@ -59,6 +61,7 @@
     return new Promise((resolve, reject) => {
       const fail = (cause: unknown): void => reject(cause instanceof PulleystackError ? cause : createBodyError('The response ended before it was complete', cause))
       message.on('data', (chunk: Buffer) => {
+        this.overhead.addBody(chunk.length)
         try {
           onChunk(chunk)
         } catch (thrown) {
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { parseAddress } from '@pulleystack/core.addresses'
-import { Framings } from '@pulleystack/core.bodies'
+import { Framings, watchOverhead } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { BackendAgent } from './BackendAgent.js'
@@ -40,9 +40,11 @@
     const { host, port } = parseAddress(opts.address)
     const request = http.request({ host, port, agent: opts.agent, method: opts.method, path: opts.path, headers: [...opts.headers], setHost: false })
     const connection = watchConnection(opts, request)
+    const overhead = watchOverhead(request)
     let response: ExchangeResponse | undefined
     const release = (): void => {
       connection.stop()
+      overhead.stop()
       opts.signal.removeEventListener('abort', abort)
     }
     const abort = (): void => {
@@ -57,7 +59,7 @@
     })
     request.once('response', (message) => {
       connection.stop()
-      response = new ExchangeResponse({ request, message, facts: opts.protocol.readResponse(message.statusCode ?? 0, message.headers) })
+      response = new ExchangeResponse({ request, message, facts: opts.protocol.readResponse(message.statusCode ?? 0, message.headers), overhead })
       opts.onHead?.(response.facts)
       const problem = checkHead(response, opts)
       message.once('close', release)
