--- a/gateway/routed/src/SuspectGate.ts
+++ b/gateway/routed/src/SuspectGate.ts
@@ -50,7 +50,7 @@
     const { quarantine, clock } = this.opts
     if (quarantine.size === 0 && quarantine.isLoaded) return UNRESTRICTED_RUN
     const run = await quarantine.acquire(this.ensureTraits(work), Math.max(0, work.deadline - clock.readTime()), work.signal)
-    this.updatePlacement(work)
+    this.updatePlacement(work, run)
     if (!run) throw this.createRejection(work)
     return run
   }
@@ -122,10 +122,10 @@
     return this.opts.quarantine.changes
   }
 
-  private updatePlacement (work: RoutedWork): void {
+  private updatePlacement (work: RoutedWork, run: SuspectRun | undefined): void {
     const verdict = this.readVerdict(work)
     const isAccused = verdict !== Verdicts.ALLOWED && this.opts.quarantine.isAccused(this.ensureTraits(work))
-    work.mustAvoidSuspects = verdict === Verdicts.EXCLUSIVE
+    work.mustAvoidSuspects = verdict === Verdicts.EXCLUSIVE || run?.isExclusive === true
     if (verdict === Verdicts.ALLOWED) delete work.suspicion
     else work.suspicion = isAccused ? Suspicions.UNTIL_SERVED : Suspicions.UNTIL_BEGUN
   }
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -18,6 +18,7 @@
   lease: string
   /** Milliseconds after which the lease expires. */
   forMs: number
+  mustBeExclusive: boolean
 }
 
 // A lost update isn't repeated by later ones.
@@ -247,12 +248,16 @@
 
   private async tryAcquire (request: RequestTraits, verdict: Verdict, forMs: number): Promise<SuspectRun | undefined> {
     if (verdict === Verdicts.UNDECIDED) return undefined
-    if (verdict !== Verdicts.EXCLUSIVE) return UNRESTRICTED_RUN
+    if (verdict === Verdicts.ALLOWED) return UNRESTRICTED_RUN
     const lease = `${this.opts.membership.instance}/${this.nextLease++}`
     const trait = this.table.findMainSuspect(request) ?? request.identity
     const owner = this.findOwner(trait)
-    const answer = await this.askOwner(owner, { trait, request, lease, forMs })
-    return answer?.isGranted ? this.createRun(() => this.releaseLease(owner, trait, lease)) : undefined
+    const mustBeExclusive = verdict === Verdicts.EXCLUSIVE
+    const answer = await this.askOwner(owner, { trait, request, lease, forMs, mustBeExclusive })
+    // If the owner doesn't respond, the request runs without a lease unless it needs an exclusive run.
+    if (answer === undefined) return mustBeExclusive ? undefined : UNRESTRICTED_RUN
+    if (!answer.isGranted) return undefined
+    return answer.isExclusive ? this.createRun(() => this.releaseLease(owner, trait, lease)) : UNRESTRICTED_RUN
   }
 
   private createRun (releaseLease: () => void): SuspectRun {
@@ -290,11 +295,11 @@
   }
 
   /** Decides as the owner of a trait, which may have a record of more crashes than the requesting instance. */
-  private handleLeaseRequest ({ trait, request, lease, forMs }: LeaseRequest): LeaseResponse {
+  private handleLeaseRequest ({ trait, request, lease, forMs, mustBeExclusive }: LeaseRequest): LeaseResponse {
     const verdict = this.judge(request)
-    const mayRun = verdict !== Verdicts.REJECTED && verdict !== Verdicts.UNDECIDED
-    const isGranted = mayRun && this.leases.acquire(trait, lease, forMs)
-    return { isGranted }
+    if (verdict === Verdicts.REJECTED || verdict === Verdicts.UNDECIDED) return { isGranted: false, isExclusive: false }
+    const isExclusive = mustBeExclusive || verdict === Verdicts.EXCLUSIVE
+    return { isGranted: !isExclusive || this.leases.acquire(trait, lease, forMs), isExclusive }
   }
 
   private releaseLease (owner: string, trait: string, lease: string): void {
--- a/routing/quarantine/src/RunLeases.ts
+++ b/routing/quarantine/src/RunLeases.ts
@@ -3,6 +3,8 @@
 /** The owner's response to a lease request. */
 export interface LeaseResponse {
   isGranted: boolean
+  /** Whether the run is, or would have to be, the only one. */
+  isExclusive: boolean
 }
 
 interface RunLease {
