--- a/routing/quarantine/src/Crash.ts
+++ b/routing/quarantine/src/Crash.ts
@@ -15,6 +15,18 @@
   cleared: readonly string[]
 }
 
+/** Validates an update of a peer, or of the store without cleared traits; undefined if it makes no sense. */
+export function parseCrashUpdate (value: unknown): CrashUpdate | undefined {
+  const { life, identity, wasExclusive, charges, cleared = [] } = (value ?? {}) as Partial<Record<keyof CrashUpdate, unknown>>
+  if (typeof life !== 'string' || typeof identity !== 'string' || !Array.isArray(charges) || !Array.isArray(cleared)) return undefined
+  const isText = (it: unknown): it is string => typeof it === 'string'
+  return { life, identity, wasExclusive: wasExclusive === true, charges: charges.filter(isCharge), cleared: cleared.filter(isText) }
+}
+
+function isCharge (value: unknown): value is Charge {
+  return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1])
+}
+
 /** A server's crash during one request. */
 export class Crash {
   private readonly charges = new Map<string, number>()
--- a/routing/quarantine/src/CrashArchive.ts
+++ b/routing/quarantine/src/CrashArchive.ts
@@ -1,7 +1,7 @@
 import { hashParts } from '@pulleystack/core.hashing'
-import type { ObjectStore, StoredObject } from '@pulleystack/backend.interfaces'
+import type { ObjectStore } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
-import type { Charge, Crash, CrashUpdate } from './Crash.js'
+import { parseCrashUpdate, type Charge, type Crash, type CrashUpdate } from './Crash.js'
 
 const KEY_PREFIX = 'suspects/'
 /** Interval of retries while the store is unavailable. */
@@ -30,7 +30,7 @@
   async load (signal: AbortSignal): Promise<CrashUpdate[]> {
     while (!signal.aborted) {
       const listing = await this.opts.store.listObjects(KEY_PREFIX)
-      if (listing.isOk()) return listing.value.objects.flatMap((object) => parseUpdate(object) ?? [])
+      if (listing.isOk()) return listing.value.objects.flatMap(({ value }) => parseCrashUpdate(value) ?? [])
       await this.opts.clock.wait(RETRY_MS, signal)
     }
     return []
@@ -85,14 +85,3 @@
 function buildKey (id: string): string {
   return KEY_PREFIX + hashParts([id], undefined)
 }
-
-/** Validates a stored object, since other writers may have access to the store. */
-function parseUpdate ({ value }: StoredObject): CrashUpdate | undefined {
-  const { life, identity, wasExclusive, charges } = (value ?? {}) as Partial<Record<keyof CrashUpdate, unknown>>
-  if (typeof life !== 'string' || typeof identity !== 'string' || !Array.isArray(charges)) return undefined
-  return { life, identity, wasExclusive: wasExclusive === true, charges: charges.filter(isCharge), cleared: [] }
-}
-
-function isCharge (value: unknown): value is Charge {
-  return Array.isArray(value) && typeof value[0] === 'string' && Number.isSafeInteger(value[1])
-}
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -4,7 +4,7 @@
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, filter, type Observable, type Subscription } from 'rxjs'
-import { Crash, type CrashUpdate } from './Crash.js'
+import { Crash, parseCrashUpdate, type CrashUpdate } from './Crash.js'
 import { CrashArchive } from './CrashArchive.js'
 import { CrashTable } from './CrashTable.js'
 import { listAllTraits, type RequestTraits } from './RequestTraits.js'
@@ -22,9 +22,9 @@
 }
 
 // A lost update isn't repeated by later ones.
-const UPDATES = defineChannel<CrashUpdate[]>('quarantine.news', { isOneShot: true })
-const LEASE = defineChannel<LeaseRequest, LeaseResponse>('quarantine.lease')
-const LEASE_ENDED = defineChannel<{ trait: string, lease: string }>('quarantine.lease-ended', { isOneShot: true })
+const UPDATES = defineChannel<CrashUpdate[]>('quarantine.crashes', { isOneShot: true })
+const LEASE = defineChannel<LeaseRequest, LeaseResponse>('quarantine.run')
+const LEASE_ENDED = defineChannel<{ trait: string, lease: string }>('quarantine.run-ended', { isOneShot: true })
 
 const LEASE_TIMEOUT_MS = 250
 /** Requests wait at most this long for the stored crashes; after that they run without them. */
@@ -197,7 +197,8 @@
   }
 
   private applyUpdates (updates: readonly CrashUpdate[]): void {
-    const traits = updates.flatMap((update) => this.table.apply(update))
+    const valid = updates.flatMap((update) => parseCrashUpdate(update) ?? [])
+    const traits = valid.flatMap((update) => this.table.apply(update))
     if (traits.length > 0) this.changed.next(traits)
   }
 
--- a/routing/quarantine/test/Quarantine.test.ts
+++ b/routing/quarantine/test/Quarantine.test.ts
@@ -2,7 +2,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import fc from 'fast-check'
 import { ExclusiveRunRule, Verdicts } from '../src/index.js'
-import type { CrashUpdate } from '../src/Crash.js'
+import { parseCrashUpdate, type CrashUpdate } from '../src/Crash.js'
 import { CrashTable } from '../src/CrashTable.js'
 import { QuarantineSimulation, type Scenario } from './QuarantineSimulation.js'
 
@@ -135,6 +135,17 @@
   })
 })
 
+describe('parseCrashUpdate', () => {
+  // Instances of another software version, or other writers of the store, must not end this process.
+  it('passes over what is no crash, and drops charges that make no sense', () => {
+    for (const value of [undefined, null, 'text', {}, { identity: 'r', ends: [], cleared: [] }, { life: 's', identity: 'r', charges: {} }]) {
+      assert.equal(parseCrashUpdate(value), undefined)
+    }
+    const parsed = parseCrashUpdate({ life: 's', identity: 'r', charges: [['part/a', 1], ['part/b'], 'part/c', [1, 1]], cleared: ['part/d', 2] })
+    assert.deepEqual(parsed, { life: 's', identity: 'r', wasExclusive: false, charges: [['part/a', 1]], cleared: ['part/d'] })
+  })
+})
+
 describe('CrashTable', () => {
   type Crashed = Partial<CrashUpdate> & Pick<CrashUpdate, 'life' | 'identity'>
   const createUpdate = (it: Crashed): CrashUpdate => ({ wasExclusive: false, charges: [[it.identity, 1]], cleared: [], ...it })
