--- a/gateway/routed/src/SuspectGate.ts
+++ b/gateway/routed/src/SuspectGate.ts
@@ -10,8 +10,8 @@
 
 /** Retry delay while an exclusive run of what is suspected is in progress. */
 const BUSY_RETRY_SECONDS = 0.5
-/** Retry delay of a request that is known to crash servers. */
-const REJECTED_RETRY_SECONDS = 600
+/** Retry delay of a request that is known to crash servers: what is suspected of it is tested again after a minute at the earliest. */
+const REJECTED_RETRY_SECONDS = 60
 
 const UNRESTRICTED_RUN: SuspectRun = { isExclusive: false, release: () => undefined }
 
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -205,7 +205,7 @@
       onBegun: () => suspects.recordBegun(work, run),
       onStreamEnd: () => slot.recordPace(buildEventSample(slot, work)),
     })
-    if (isSuccess(response.status)) suspects.recordServed(work)
+    if (isSuccess(response.status) && (!work.route.streams || work.stream.events > eventsBefore)) suspects.recordServed(work)
     if (serverError) return recordFailure(opts, work, slot, serverError, facts)
     const hasFailed = response.status >= MIN_SERVER_ERROR_STATUS
     opts.fleet.recordOutcome(slot.backend, hasFailed, clock.readTime())
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -167,4 +167,23 @@
     await assert.rejects(runRequest(options, streamed, stream as unknown as ClientResponse), /No slot/)
     assert.deepEqual(sent, ['events'])
   })
+
+  // A resumed stream may end without a further event, which says nothing of whether servers crash when they begin to write.
+  for (const body of ['', 'id: 2\ndata: b\n\n']) {
+    it(`${body === '' ? 'does not clear' : 'clears'} what the request shares with others when the response has ${body === '' ? 'no event' : 'an event'}`, async () => {
+      server.removeAllListeners('request')
+      server.on('request', (_, response: http.ServerResponse) => response.writeHead(200, { 'content-type': 'text/event-stream' }).end(body))
+      const slot = { ...await opts.slots.acquire(work), recordPace: () => undefined } as unknown as BackendSlot
+      let served = 0
+      const suspects = { ...opts.suspects, recordServed: () => served++ }
+      const route = { ...work.route, streams: true, targets: [{ service: 's', weight: 1 }] }
+      const resumed = { ...work, route, excluded: new Set(), stream: createStreamProgress('1') } as unknown as RoutedWork
+      const stream = { hasBegun: false, beginStream: () => undefined, write: () => true, endStream: () => undefined, onDrain: () => undefined }
+      const slots = { acquire: () => Promise.resolve(slot) }
+      const fleet = { recordReached: () => undefined, recordOutcome: () => undefined }
+      const options = { ...opts, slots, suspects, fleet, flusher: new StreamFlusher(clock), origins: { record: () => undefined } } as unknown as RunOptions
+      await runRequest(options, resumed, stream as unknown as ClientResponse)
+      assert.equal(served, body === '' ? 0 : 1)
+    })
+  }
 })
