--- a/gateway/routed/src/relayServerResponse.ts
+++ b/gateway/routed/src/relayServerResponse.ts
@@ -33,20 +33,7 @@
 export async function relayServerResponse (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<PulleystackError | undefined> {
   const { work, progress, response, client } = it
   if (work.route.streams && response.status === 200 && work.method !== 'HEAD' && isEventStream(response)) {
-    await relayStream({
-      clock: opts.clock,
-      response,
-      client,
-      progress: progress.stream,
-      flusher: opts.flusher,
-      onEvents: it.attempt.recordActivity,
-      onBackpressure: it.attempt.setPaused,
-      onFirstEvent: () => {
-        it.onFirstEvent()
-        it.onPrefilled()
-        it.onBegun()
-      },
-    })
+    await relayEvents(opts, it)
     it.onStreamEnd()
     return undefined
   }
@@ -66,6 +53,28 @@
   return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server responded with status ${response.status}`)
 }
 
+async function relayEvents (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<void> {
+  try {
+    await relayStream({
+      clock: opts.clock,
+      response: it.response,
+      client: it.client,
+      progress: it.progress.stream,
+      flusher: opts.flusher,
+      onEvents: it.attempt.recordActivity,
+      onBackpressure: it.attempt.setPaused,
+      onFirstEvent: () => {
+        it.onFirstEvent()
+        it.onPrefilled()
+        it.onBegun()
+      },
+    })
+  } catch (thrown) {
+    it.response.recordFailure()
+    throw thrown
+  }
+}
+
 /** Servers may leave the type out. */
 function isEventStream ({ headers }: ExchangeResponse): boolean {
   return /^\s*text\/event-stream\b/i.test(headers['content-type'] || 'text/event-stream')
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -7,13 +7,16 @@
 export class ExchangeResponse {
   readonly facts: ResponseFacts
   readonly framing: Framing
+  /** To be called when the response turns out to be unusable, so that its request isn't repeated on the same connection. */
+  readonly recordFailure: () => void
   private readonly request: http.ClientRequest
   private readonly message: http.IncomingMessage
   private readonly overhead: OverheadWatch
   private failure: Error | undefined
 
-  constructor (opts: { request: http.ClientRequest, message: http.IncomingMessage, facts: ResponseFacts, overhead: OverheadWatch }) {
+  constructor (opts: { request: http.ClientRequest, message: http.IncomingMessage, facts: ResponseFacts, overhead: OverheadWatch, recordFailure: () => void }) {
     this.facts = opts.facts
+    this.recordFailure = opts.recordFailure
     this.request = opts.request
     this.message = opts.message
     this.overhead = opts.overhead
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -4,7 +4,7 @@
 import { Framings, watchOverhead } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
-import type { BackendAgent } from './BackendAgent.js'
+import type { BackendAgent, BackendRequestOptions } from './BackendAgent.js'
 import { ExchangeResponse } from './ExchangeResponse.js'
 
 /** One request to one backend server. */
@@ -38,7 +38,9 @@
 export function openExchange (opts: ExchangeOptions): Promise<ExchangeResponse> {
   return new Promise((resolve, reject) => {
     const { host, port } = parseAddress(opts.address)
-    const request = http.request({ host, port, agent: opts.agent, method: opts.method, path: opts.path, headers: [...opts.headers], setHost: false })
+    const { agent, method, path, requestId } = opts
+    const options: BackendRequestOptions = { host, port, agent, method, path, headers: [...opts.headers], setHost: false, requestId }
+    const request = http.request(options)
     const connection = watchConnection(opts, request)
     const overhead = watchOverhead(request)
     let response: ExchangeResponse | undefined
@@ -59,9 +61,14 @@
     })
     request.once('response', (message) => {
       connection.stop()
-      response = new ExchangeResponse({ request, message, facts: opts.protocol.readResponse(message.statusCode ?? 0, message.headers), overhead })
+      const recordFailure = (): void => {
+        if (requestId !== undefined) agent.recordFailure(message.socket, requestId)
+      }
+      const facts = opts.protocol.readResponse(message.statusCode ?? 0, message.headers)
+      response = new ExchangeResponse({ request, message, facts, overhead, recordFailure })
       opts.onHead?.(response.facts)
       const problem = checkHead(response, opts)
+      if (problem || !isSuccess(response.status)) recordFailure()
       message.once('close', release)
       if (!problem) {
         resolve(response)
@@ -96,6 +103,10 @@
   return { wasConnected: () => isConnected, stop: () => cancel() }
 }
 
+function isSuccess (status: number): boolean {
+  return status >= 200 && status < 300
+}
+
 function createFailure (wasConnected: boolean, message: string, cause: unknown): PulleystackError {
   return new PulleystackError(wasConnected ? 'ATTEMPT_FAILED_UNKNOWN' : 'ATTEMPT_FAILED_NOT_RUN', message, { cause })
 }
