--- a/config/feed/src/StoreAvailability.ts
+++ b/config/feed/src/StoreAvailability.ts
@@ -8,11 +8,16 @@
   clock: Clock
   log: DecisionLog
   prefix: string
+  /** After a shorter outage, no object can have expired because its owner couldn't reach the store. */
+  minExpiryMs: number
   /** The replica's revision as the store numbers it within its epoch. */
   readRevision: () => number | undefined
 }
 
-/** Tracks whether the store responds to this instance or its peers, and the backoff after failed calls. */
+/**
+ * Tracks whether the store responds to this instance or its peers, the end of the last outage in which objects may have expired, and the backoff after
+ * failed calls. A call may fail although the store serves all others.
+ */
 export class StoreAvailability {
   isLost = false
   private recoveredAt = -Infinity
@@ -21,7 +26,7 @@
 
   constructor (private readonly opts: StoreAvailabilityOptions) {}
 
-  /** Milliseconds since the store became available; 0 during an outage. */
+  /** Milliseconds since the end of the last outage in which objects may have expired; 0 while calls fail. */
   get sinceRecoveryMs (): number {
     return this.isLost ? 0 : this.opts.clock.readTime() - this.recoveredAt
   }
@@ -41,20 +46,21 @@
   }
 
   /** Records that the store responded to a peer at the given time; ignored if that was before the outage. */
-  recordPeerAnswer (knownAt: number): void {
-    if (knownAt > this.lostAt) this.recordAnswer()
+  recordPeerAnswer (knownAt: number, silenceMs: number): void {
+    if (knownAt > this.lostAt) this.recordAnswer(silenceMs)
   }
 
-  recordAnswer (): void {
+  /** Records a response that came `silenceMs` after the replica was last known to match the store. */
+  recordAnswer (silenceMs: number): void {
     this.backoffMs = MIN_BACKOFF_MS
     if (!this.isLost) return
     this.isLost = false
-    this.recordRecovery()
+    if (silenceMs >= this.opts.minExpiryMs) this.recordRecovery()
     const { prefix, log, readRevision } = this.opts
     log.record(DecisionKinds.DEPENDENCY_REGAINED, { dependency: 'store', prefix, revision: readRevision() })
   }
 
-  /** Records that the store became available again or was restored from an older snapshot. */
+  /** Records the end of an outage in which objects may have expired, or a restore from an older snapshot that may lack them. */
   recordRecovery (): void {
     this.recoveredAt = this.opts.clock.readTime()
   }
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -17,6 +17,8 @@
 /** A watcher's call returns before replicas reach this age, so that an update arrives before SELF_WATCH_AGE_MS. */
 const UPDATE_DUE_AGE_MS = 900
 const MIN_WAIT_MS = 50
+/** A call that doesn't wait shows at once whether the store responds, and what a failed watch has missed. */
+const PROBE_WAIT_MS = 1
 /** Age of the replica at which an instance other than the watcher calls the store itself. */
 const SELF_WATCH_AGE_MS = 1_100
 /** Together with SELF_WATCH_AGE_MS below the 2 s within which a change must take effect. */
@@ -64,8 +66,8 @@
   constructor (private readonly opts: StoreFeedOptions) {
     this.budget = findOrCreateBudget(opts.clock, opts.network)
     this.election = new WatcherElection(opts)
-    const { clock, log, prefix } = opts
-    this.availability = new StoreAvailability({ clock, log, prefix, readRevision: () => this.readRevision() })
+    const { clock, log, prefix, minExpiryMs } = opts
+    this.availability = new StoreAvailability({ clock, log, prefix, minExpiryMs, readRevision: () => this.readRevision() })
   }
 
   /** Milliseconds since the replica was last known to match the store; infinite if it never was. */
@@ -73,7 +75,7 @@
     return this.opts.clock.readTime() - this.freshAt
   }
 
-  /** Milliseconds since the store became available; 0 during an outage. */
+  /** Milliseconds since the end of the last outage in which objects may have expired; 0 while calls fail. */
   get msSinceRecovery (): number {
     return this.availability.sinceRecoveryMs
   }
@@ -185,8 +187,7 @@
     const listing = await this.runStoreCall(store.listObjects(prefix))
     if (signal.aborted) return undefined
     if (listing.isErr()) return listing.error
-    this.election.recordAnswer()
-    this.availability.recordAnswer()
+    this.recordAnswer(calledAt)
     const update = buildRestoreUpdate(prefix, this.replica, listing.value, calledAt)
     const isAccepted = this.replace({ revision: listing.value.version, objects: listing.value.objects, knownAt: calledAt })
     this.clearAnnounced(announced)
@@ -211,12 +212,21 @@
   }
 
   private async watch (signal: AbortSignal): Promise<PulleystackError | undefined> {
+    const isWatcher = this.isWatcher()
+    const waitMs = this.computeWait(isWatcher)
+    const failure = await this.callWatch({ isWatcher, waitMs }, signal)
+    // A waiting call may be cut off although the store serves all others.
+    if (failure === undefined || signal.aborted || waitMs === PROBE_WAIT_MS) return failure
+    this.election.announceFailure()
+    return this.callWatch({ isWatcher, waitMs: PROBE_WAIT_MS }, signal)
+  }
+
+  /** Calls the store once for changes and applies them; returns why the call failed. */
+  private async callWatch ({ isWatcher, waitMs }: { isWatcher: boolean, waitMs: number }, signal: AbortSignal): Promise<PulleystackError | undefined> {
     const { clock, store, prefix } = this.opts
     const { announced } = this
     const from = this.replica.revision as number
-    const isWatcher = this.isWatcher()
     const calledAt = clock.readTime()
-    const waitMs = isWatcher ? this.computeWait() : SELF_WATCH_WAIT_MS
     const batch = await this.runStoreCall(store.waitForChanges(prefix, from, waitMs, signal))
     if (signal.aborted) return undefined
     if (batch.isErr()) {
@@ -224,8 +234,7 @@
       this.mustRelist = true
       return undefined
     }
-    this.election.recordAnswer()
-    this.availability.recordAnswer()
+    this.recordAnswer(calledAt)
     const changes = keepNewest(batch.value.changes)
     // The store delays an empty response for the whole wait, so it is current as of the end of the wait.
     const isFullWait = changes.length === 0 && clock.readTime() - calledAt >= waitMs
@@ -237,11 +246,19 @@
     return undefined
   }
 
-  private computeWait (): number {
+  private computeWait (isWatcher: boolean): number {
+    if (this.availability.isLost) return PROBE_WAIT_MS
+    if (!isWatcher) return SELF_WATCH_WAIT_MS
     const dueMs = Math.round(this.freshAt + UPDATE_DUE_AGE_MS - this.opts.clock.readTime())
     return Math.min(MAX_WATCHER_WAIT_MS, Math.max(MIN_WAIT_MS, dueMs))
   }
 
+  /** Records a response to a call that was made at the given time, before the replica is updated. */
+  private recordAnswer (calledAt: number): void {
+    this.election.recordAnswer()
+    this.availability.recordAnswer(calledAt - this.freshAt)
+  }
+
   /** Sends changes to all instances, or only a notice if the byte budget doesn't allow it. */
   private sendUpdate (update: FeedUpdate): void {
     const { network } = this.opts
@@ -263,7 +280,7 @@
       return
     }
     const knownAt = this.convertTime(from, update.knownAt)
-    this.availability.recordPeerAnswer(knownAt)
+    this.availability.recordPeerAnswer(knownAt, knownAt - this.freshAt)
     this.apply(update, knownAt)
   }
 
@@ -271,7 +288,7 @@
     const { revision } = this.replica
     if (revision === undefined || span.to < revision) return
     const knownAt = this.convertTime(from, span.knownAt)
-    this.availability.recordPeerAnswer(knownAt)
+    this.availability.recordPeerAnswer(knownAt, knownAt - this.freshAt)
     if (span.to === revision) {
       this.freshAt = Math.max(this.freshAt, knownAt)
       return
--- a/config/feed/src/StoreFeedOptions.ts
+++ b/config/feed/src/StoreFeedOptions.ts
@@ -18,6 +18,8 @@
   log: DecisionLog
   prefix: string
   instance: string
+  /** Milliseconds for which the store must be lost before objects can have expired because their owners couldn't reach it. */
+  minExpiryMs: number
   /** Live instances that may watch, including this one. */
   listCandidates: () => readonly string[]
   /** Called with all objects: initially, after a gap, if a listing is smaller than the changes, and after the store was restored. */
--- a/config/feed/test/FeedCluster.ts
+++ b/config/feed/test/FeedCluster.ts
@@ -10,6 +10,8 @@
 export const PREFIX = 'things/'
 /** Below the 2 s within which a change must take effect. */
 export const MAX_PROPAGATION_MS = 1_900
+/** An outage that is this long may expire objects. */
+export const MIN_EXPIRY_MS = 2_400
 /** Bytes that a call sends on the uplink. */
 const REQUEST_BYTES = 300
 
@@ -54,7 +56,11 @@
   }
 }
 
-type PathState = 'good' | 'silent' | 'failing'
+/** `cutting` breaks off calls that wait for changes, and answers all others. */
+type PathState = 'good' | 'silent' | 'failing' | 'cutting'
+
+/** A call that takes longer waits for changes. */
+const MAX_CALL_MS = 10
 
 /** One instance's connection to the shared store over its uplink; counts calls and can time out or fail. */
 class StorePath extends MemoryObjectStore {
@@ -70,6 +76,10 @@
   }
 
   override async waitForChanges (prefix: string, after: number, waitMs: number, signal?: AbortSignal): Promise<Result<ChangeBatch, PulleystackError>> {
+    if (this.state === 'cutting' && waitMs > MAX_CALL_MS) {
+      await this.connection.clock.wait(MAX_CALL_MS)
+      return new Err(new PulleystackError('STORE_UNAVAILABLE', 'The connection was reset'))
+    }
     return await this.check(waitMs + 700) ?? this.connection.shared.waitForChanges(prefix, after, waitMs, signal)
   }
 
@@ -78,7 +88,7 @@
     this.calls++
     const sentMs = hub.sendOnUplink(name, REQUEST_BYTES)
     if (sentMs > 0) await clock.wait(Math.min(sentMs, timeoutMs))
-    if (this.state === 'good' && sentMs < timeoutMs) return undefined
+    if ((this.state === 'good' || this.state === 'cutting') && sentMs < timeoutMs) return undefined
     if (this.state === 'silent') await clock.wait(timeoutMs)
     return new Err(new PulleystackError('STORE_UNAVAILABLE', 'no answer'))
   }
@@ -125,6 +135,7 @@
       log: new NullDecisionLog(),
       prefix: PREFIX,
       instance: name,
+      minExpiryMs: MIN_EXPIRY_MS,
       listCandidates: () => this.listNames(),
       onListing: (objects) => replaceValues(values, objects),
       onChanges: (changes) => {
--- a/config/feed/test/StalenessMonitor.test.ts
+++ b/config/feed/test/StalenessMonitor.test.ts
@@ -53,6 +53,7 @@
       log,
       prefix: PREFIX,
       instance: 'n1',
+      minExpiryMs: 2_400,
       listCandidates: () => candidates,
       onListing: () => undefined,
       onChanges: () => undefined,
--- a/config/feed/test/farBehind.test.ts
+++ b/config/feed/test/farBehind.test.ts
@@ -76,6 +76,7 @@
       log: new NullDecisionLog(),
       prefix: PREFIX,
       instance: 'n1',
+      minExpiryMs: 2_400,
       listCandidates: () => ['n1'],
       onListing: (objects) => objects.forEach(({ version }) => { latestVersion = version }),
       onChanges: (changes) => changes.forEach(({ version }) => { latestVersion = version }),
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -15,6 +15,8 @@
   /** Window in which loads from the weight store are counted, and by how much they may exceed the rate. */
   loadWindowMs: number
   loadOver: number
+  /** How long a server that stops as planned still serves after it says so or its entry is removed, in milliseconds. */
+  drainMs: number
   /** Time from the stop request to the exit of the process, in milliseconds. */
   graceMs: number
 }
@@ -36,5 +38,7 @@
   isFirstStart: boolean
   /** How long clients may cache the address list, in milliseconds. */
   directoryLifetimeMs: number
+  /** Interval at which backend servers renew their entries in the store, in milliseconds. */
+  serverHeartbeatMs: number
   bounds: EntryBounds
 }
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -170,6 +170,8 @@
     store: deps.store,
     network,
     instance: settings.instance,
+    heartbeatMs: settings.serverHeartbeatMs,
+    drainMs: settings.bounds.drainMs,
     listCandidates: () => [settings.instance, ...mesh.listServing().map((identity) => identity.instance)],
     sources: deps.sources,
     fleet,
--- a/program/entry/src/watchSources.ts
+++ b/program/entry/src/watchSources.ts
@@ -8,12 +8,19 @@
 import type { EntrySources } from './EntrySources.js'
 import { UnreadableEntries } from './UnreadableEntries.js'
 
+/** An entry expires after three missed heartbeats, two of which may fall into an outage that is this long. */
+const HEARTBEATS_TO_EXPIRY = 2
+
 export interface WatchSourcesOptions {
   clock: Clock
   random: RandomSource
   store: ObjectStore
   network: PeerNetwork
   instance: string
+  /** Milliseconds between two heartbeats of a backend server. */
+  heartbeatMs: number
+  /** How long a server that stops as planned still serves after its entry is removed, in milliseconds. */
+  drainMs: number
   /** Live instances that could watch the store, including this one. */
   listCandidates: () => readonly string[]
   sources: EntrySources
@@ -60,7 +67,7 @@
   })
   opts.signal.addEventListener('abort', () => changeSubscription.unsubscribe(), { once: true })
   const unreadable = new UnreadableEntries(opts.clock, log)
-  const directory = new BackendDirectory({ clock: opts.clock, fleet, readMsSinceRecovery: () => feed.msSinceRecovery })
+  const directory = new BackendDirectory({ clock: opts.clock, fleet, readMsSinceRecovery: () => feed.msSinceRecovery, drainMs: opts.drainMs })
   const announceRevived = shareStaleServers({ network: opts.network, directory }, opts.signal)
   const take = (object: StoredObject): void => {
     const entry = sources.readBackend(object)
@@ -92,7 +99,8 @@
 
 function startFeed (opts: WatchSourcesOptions, prefix: string, listeners: Pick<StoreFeedOptions, 'onListing' | 'onChanges'>): StoreFeed {
   const { clock, random, store, network, log, instance, listCandidates } = opts
-  const feed = new StoreFeed({ clock, random, store, network, log, prefix, instance, listCandidates, ...listeners })
+  const minExpiryMs = opts.heartbeatMs * HEARTBEATS_TO_EXPIRY
+  const feed = new StoreFeed({ clock, random, store, network, log, prefix, instance, minExpiryMs, listCandidates, ...listeners })
   feed.start(opts.signal)
   new StalenessMonitor({ clock, log, feed, prefix }).start(opts.signal)
   return feed
--- a/routing/fleet/src/BackendDirectory.ts
+++ b/routing/fleet/src/BackendDirectory.ts
@@ -5,6 +5,8 @@
 
 /** Time in which servers whose entries expired during a store outage publish them again. */
 const REPUBLISH_GRACE_MS = 2_500
+/** From the choice of a server until the request reaches it, and from a change in the store until this instance has it. */
+const DELIVERY_MARGIN_MS = 500
 /** Time after which restored entries of stopped servers have expired again. */
 const STALE_ENTRY_EXPIRY_MS = 5_000
 /** Bounds memory; far more than the servers that stop within the seconds that a snapshot lacks. */
@@ -21,14 +23,17 @@
 export interface BackendDirectoryOptions {
   clock: Clock
   fleet: BackendFleet
-  /** Milliseconds since the store became available again; 0 during an outage. */
+  /** Milliseconds since the end of the last store outage in which entries may have expired; 0 during an outage. */
   readMsSinceRecovery: () => number
+  /** How long a server that stops as planned still serves after its entry is removed, in milliseconds. */
+  drainMs: number
 }
 
 /**
  * Applies the store's entries of backend servers to the fleet. An entry that is missing shortly after a store outage may only have expired, so its
- * server stays until it has had time to publish it again; a draining server is removed at once. After the store was restored from an older snapshot, its
- * entries may add unknown servers, but don't undo a removal or a drain until the server publishes a new entry.
+ * server stays until it has had time to publish it again, but no longer than it would serve if it were stopping; a draining server is removed at
+ * once. After the store was restored from an older snapshot, its entries may add unknown servers, but don't undo a removal or a drain until the
+ * server publishes a new entry.
  */
 export class BackendDirectory {
   /** Functions that cancel the delayed removal of a missing server, by server. */
@@ -99,8 +104,8 @@
   remove (id: string): void {
     this.unconfirmedEntries.delete(id)
     if (this.pendingRemovals.has(id)) return
-    const { clock, fleet, readMsSinceRecovery } = this.opts
-    const graceMs = REPUBLISH_GRACE_MS - readMsSinceRecovery()
+    const { clock, fleet, drainMs, readMsSinceRecovery } = this.opts
+    const graceMs = Math.min(REPUBLISH_GRACE_MS - readMsSinceRecovery(), drainMs - DELIVERY_MARGIN_MS)
     if (graceMs <= 0 || fleet.find(id)?.entry.draining) {
       this.removeNow(id)
       return
--- a/routing/fleet/test/BackendDirectory.test.ts
+++ b/routing/fleet/test/BackendDirectory.test.ts
@@ -4,6 +4,8 @@
 import { BackendDirectory, BackendFleet, type BackendEntry } from '../src/index.js'
 
 const LONG_RECOVERED_MS = 60_000
+/** Longer than the time in which servers publish their entries again. */
+const DRAIN_MS = 4_000
 
 function createEntry (id: string, draining = false): BackendEntry {
   return { id, service: 's', address: '127.0.0.1:1', dataHall: 'z', slots: 1, draining, models: undefined, inMemory: [], onDisk: [] }
@@ -20,7 +22,7 @@
     clock = new ManualClock()
     fleet = new BackendFleet()
     msSinceRecovery = LONG_RECOVERED_MS
-    directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => msSinceRecovery })
+    directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => msSinceRecovery, drainMs: DRAIN_MS })
     directory.put(createEntry('r1'))
     directory.put(createEntry('r2', true))
   })
@@ -99,6 +101,32 @@
     })
   })
 
+  // Guards against requests to a server that has stopped, after an outage in which its entry could have expired.
+  describe('shortly after a store outage, with servers that stop sooner than they would publish their entries again', () => {
+    const SHORT_DRAIN_MS = 2_000
+
+    beforeEach(() => {
+      msSinceRecovery = 0
+      directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => msSinceRecovery, drainMs: SHORT_DRAIN_MS })
+      directory.put(createEntry('r1'))
+    })
+
+    it('removes a server before it would stop', async () => {
+      directory.remove('r1')
+      await clock.advance(SHORT_DRAIN_MS - 500)
+      assert.deepEqual(listIds(), ['r2'])
+    })
+
+    it('keeps a server for longer than a heartbeat', async () => {
+      directory.removeAllExcept(new Set(['r2']))
+      await clock.advance(1_300)
+      assert.deepEqual(listIds().sort(), ['r1', 'r2'])
+      directory.put(createEntry('r1'))
+      await clock.advance(10_000)
+      assert.deepEqual(listIds().sort(), ['r1', 'r2'])
+    })
+  })
+
   describe('after the store was restored from an older snapshot', () => {
     const RESTORED_VERSION = 100
     /** Time after which the entry of a stopped server has expired again. */
@@ -191,7 +219,7 @@
 
       beforeEach(() => {
         newFleet = new BackendFleet()
-        newDirectory = new BackendDirectory({ clock, fleet: newFleet, readMsSinceRecovery: () => LONG_RECOVERED_MS })
+        newDirectory = new BackendDirectory({ clock, fleet: newFleet, readMsSinceRecovery: () => LONG_RECOVERED_MS, drainMs: DRAIN_MS })
         directory.put(createEntry('r3'))
         directory.remove('r1')
         restore(createEntry('r1'), createEntry('r2'), createEntry('r3'))
--- a/routing/fleet/test/ServerReports.test.ts
+++ b/routing/fleet/test/ServerReports.test.ts
@@ -6,6 +6,8 @@
 import fc from 'fast-check'
 import { BackendDirectory, BackendFleet, ServerReports, ReportSources, chooseBackend, type Backend, type BackendEntry } from '../src/index.js'
 
+const DRAIN_MS = 2_000
+
 const SERVERS = ['a', 'b', 'c']
 const LONG_RECOVERED_MS = 60_000
 const DRAINING_STATEMENT = { serverId: undefined, leaving: true, retryAfterMs: undefined, hasLimit: false, limitPerSecond: undefined, invalidHeader: undefined }
@@ -33,7 +35,7 @@
     clock = new ManualClock()
     fleet = new BackendFleet()
     reports = new ServerReports({ clock, fleet, log: new NullDecisionLog() })
-    directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => LONG_RECOVERED_MS })
+    directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => LONG_RECOVERED_MS, drainMs: DRAIN_MS })
     directory.put(createEntry('a', 1))
   })
 
@@ -122,7 +124,7 @@
         clock = new ManualClock()
         fleet = new BackendFleet()
         reports = new ServerReports({ clock, fleet, log: new NullDecisionLog() })
-        directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => LONG_RECOVERED_MS })
+        directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => LONG_RECOVERED_MS, drainMs: DRAIN_MS })
         const incarnations = new Map<string, number>()
         const draining = new Set<string>()
         const backoffUntil = new Map<string, number>()
--- a/routing/fleet/test/restoredEntries.test.ts
+++ b/routing/fleet/test/restoredEntries.test.ts
@@ -5,6 +5,8 @@
 import fc from 'fast-check'
 import { BackendDirectory, BackendFleet, type BackendEntry } from '../src/index.js'
 
+const DRAIN_MS = 2_000
+
 const SERVERS = ['a', 'b', 'c', 'd']
 /** Entries expire after three missed heartbeats. */
 const EXPIRY_MS = 3_600
@@ -36,7 +38,7 @@
 
   constructor () {
     const { clock, fleet } = this
-    this.directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => clock.readTime() - this.restoredAt })
+    this.directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => clock.readTime() - this.restoredAt, drainMs: DRAIN_MS })
   }
 
   /** Starts a server; each incarnation has its own id. */
--- a/routing/fleet/test/shareStaleServers.test.ts
+++ b/routing/fleet/test/shareStaleServers.test.ts
@@ -4,6 +4,8 @@
 import { FakeHub } from '@pulleystack/membership.fake-network'
 import { BackendDirectory, BackendFleet, shareStaleServers, type BackendEntry } from '../src/index.js'
 
+const DRAIN_MS = 2_000
+
 const MESSAGE_DELAY_MS = 200
 const RESTORED_VERSION = 100
 
@@ -18,7 +20,7 @@
 
   const start = (instance: string) => {
     const fleet = new BackendFleet()
-    const directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => Infinity })
+    const directory = new BackendDirectory({ clock, fleet, readMsSinceRecovery: () => Infinity, drainMs: DRAIN_MS })
     const network = hub.createNode({ instance, incarnation: 1, address: '', peerAddress: '', region: '', dataHall: '', leaving: false })
     const sendToAll = shareStaleServers({ network, directory }, ended.signal)
     return { fleet, directory, sendToAll, network }
--- a/routing/forward/test/repeatedRequests.test.ts
+++ b/routing/forward/test/repeatedRequests.test.ts
@@ -12,7 +12,7 @@
   return `HTTP/1.1 ${status} Status\r\nRequest-Id: ${requestId}\r\n${headers}Content-Length: 0\r\n\r\n`
 }
 
-const REFUSAL = { status: 503, headers: 'Not-Run: 1\r\n' } as const
+const REFUSAL = { status: 503, headers: 'Refused: 1\r\n' } as const
 const FAILURE = { status: 500, headers: '' } as const
 
 /** What the server does with one request, in the order of arrival. */
@@ -48,7 +48,7 @@
       const response = await openExchange({
         agent,
         protocol: {
-          readResponse: (_, headers) => ({ requestId: String(headers['request-id']), isConfirmedByServer: true, notRun: headers['not-run'] !== undefined }),
+          readResponse: (_, headers) => ({ requestId: String(headers['request-id']), isConfirmedByServer: true, notRun: headers['refused'] !== undefined }),
         },
         clock: new SystemClock(),
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
