--- /dev/null
+++ b/core/listeners/src/index.ts
@@ -0,0 +1,2 @@
+export { listenWhenFree } from './listenWhenFree.js'
+export type { ListenOptions } from './listenWhenFree.js'
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import { listenWhenFree } from '@pulleystack/core.listeners'
 import type { Logger } from '@pulleystack/core.logging'
 import { err, type Result } from 'neverthrow'
 import { filter, map, Subject, type Observable } from 'rxjs'
@@ -68,13 +69,14 @@
     const { tls } = this.opts
     this.server = tls ? https.createServer({ ...tls, requestCert: true, rejectUnauthorized: true, minVersion: 'TLSv1.3' }) : http.createServer()
     const server = this.server
+    const { host, port, clock, logger } = this.opts
+    const recordError = (cause: Error): void => {
+      logger.error({ err: cause }, 'peer listener failed')
+    }
+    await listenWhenFree(server, { host, port, clock, onError: recordError })
     const sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     sockets.on('connection', (socket, request) => this.accept(socket, request))
-    sockets.on('error', (cause) => this.opts.logger.warn({ err: cause }, 'peer listener failed'))
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(this.opts.port, this.opts.host, resolve)
-    })
+    sockets.on('error', recordError)
     void this.sendHeartbeats()
     return (server.address() as AddressInfo).port
   }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,7 +1,9 @@
 import http from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
+import { listenWhenFree } from '@pulleystack/core.listeners'
 import { ClientConnections } from './ClientConnections.js'
+import { recordListenerErrors } from './recordListenerErrors.js'
 import type { Entry } from './startEntry.js'
 
 const MAX_HEADER_BYTES = 32 << 10
@@ -30,10 +32,7 @@
   server.on('connection', (socket) => connections.add(socket))
   server.on('clientError', (_, socket) => connections.closeMalformed(socket as Socket))
   const { host, port } = parseAddress(entry.settings.clientAddress)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
+  await listenWhenFree(server, { host, port, clock: entry.clock, onError: recordListenerErrors(entry.log, entry.settings.clientAddress) })
   entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
   void reloadLimits(entry, server)
   return { closeIdle: () => connections.closeIdle(), close: () => server.close() }
