--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -8,6 +8,8 @@
   'stopped': { cut: number, cancelled: number, ms: number }
   /** Settings were reloaded; rejected settings have no effect. */
   'reloaded': { trigger: 'signal' | 'file', accepted: boolean, code?: string, reason?: string, graceMs?: number, directoryLifetimeMs?: number }
+  /** The process waits for a settings file that it can read. */
+  'settings-awaited': { file: string, code: string, reason: string }
   /** The process waits for an address that is in use, or a listener failed later; it goes on in both cases. */
   'listener-failed': { address: string, code: string | undefined, reason: string }
   /** The store does not respond for this kind of object. `revision` is the newest known one; `code` and `reason` describe the failed call. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -7,6 +7,7 @@
   STOPPING: 'stopping',
   STOPPED: 'stopped',
   RELOADED: 'reloaded',
+  SETTINGS_AWAITED: 'settings-awaited',
   LISTENER_FAILED: 'listener-failed',
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
