--- a/config/feed/src/StalenessMonitor.ts
+++ b/config/feed/src/StalenessMonitor.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 
 /** Below the 2 s within which a change must take effect, so that a replica is logged before it breaks that bound. */
@@ -44,7 +45,7 @@
 
   /** Checks periodically until the signal aborts. */
   start (signal: AbortSignal): void {
-    void this.run(signal)
+    keepRunning({ task: 'staleness check', clock: this.opts.clock, signal, run: () => this.run(signal) })
   }
 
   private async run (signal: AbortSignal): Promise<void> {
--- a/config/feed/src/StoreFeed.ts
+++ b/config/feed/src/StoreFeed.ts
@@ -1,6 +1,7 @@
 import { readRevision, type StoreListing } from '@pulleystack/backend.interfaces'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { rankMembers } from '@pulleystack/core.hashing'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { measureSend } from '@pulleystack/membership.peers'
 import { serveSnapshots } from './serveSnapshots.js'
 import { findOrCreateBudget, type ByteBudget } from './ByteBudget.js'
@@ -119,7 +120,7 @@
     this.election.start(signal)
     serveSnapshots(clock, network, { prefix, replica: this.replica, readFreshAt: () => this.freshAt })
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-    void this.run(signal)
+    keepRunning({ task: `feed of ${prefix}`, clock, signal, run: () => this.run(signal) })
   }
 
   private async run (signal: AbortSignal): Promise<void> {
--- a/membership/mesh/src/InstanceMesh.ts
+++ b/membership/mesh/src/InstanceMesh.ts
@@ -1,6 +1,7 @@
 import { MAX_RESTORE_LOSS_MS, type ObjectStore, type StoredObject } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { hashText } from '@pulleystack/core.hashing'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { defineChannel, type PeerIdentity, type WebSocketNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, type Observable } from 'rxjs'
@@ -151,7 +152,7 @@
 
   /** Discovers instances until the signal is aborted. */
   start (signal: AbortSignal): void {
-    const { network } = this.opts
+    const { clock, network } = this.opts
     network.handleCalls(INSTANCES, () => [...this.directory.list(), this.describeSelf()])
     const events = network.peerEvents.subscribe((event) => {
       if (event.kind === 'heard') this.notePeerHeard(event.identity, event.isNewLink ?? false)
@@ -167,9 +168,9 @@
       epochChanges.unsubscribe()
       this.cancelServingTimer?.()
     }, { once: true })
-    void this.connectToSeeds(signal)
-    void this.keepLoadingInstances(signal)
-    void this.keepNeighbours(signal)
+    keepRunning({ task: 'contact to seeds', clock, signal, run: () => this.connectToSeeds(signal) })
+    keepRunning({ task: 'list of instances', clock, signal, run: () => this.keepLoadingInstances(signal) })
+    keepRunning({ task: 'choice of neighbours', clock, signal, run: () => this.keepNeighbours(signal) })
   }
 
   /** Changes the identity of this instance and sends it to its peers. */
--- a/membership/peers/src/PeerLink.ts
+++ b/membership/peers/src/PeerLink.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, ResultCodes, type ResultCodeName } from '@pulleystack/core.errors'
+import { reportTaskFailure } from '@pulleystack/core.tasks'
 import { err, ok, type Result } from 'neverthrow'
 import type { RawData, WebSocket } from 'ws'
 import type { Channel } from './Channel.js'
@@ -141,10 +142,20 @@
 
   private receive (data: RawData): void {
     const frame = decodeFrame(data as Buffer)
-    if (!frame || !this.handleFrame(frame)) this.opts.socket.terminate()
+    if (!frame || !this.tryHandleFrame(frame)) this.opts.socket.terminate()
     else this.lastReceivedAt = this.opts.clock.readTime()
   }
 
+  /** Returns false for a frame that can't be handled, so that its link is closed. */
+  private tryHandleFrame (frame: Frame): boolean {
+    try {
+      return this.handleFrame(frame)
+    } catch (error) {
+      reportTaskFailure({ task: `frame ${frame.t} of peer ${this.identity?.instance ?? 'unknown'}`, error })
+      return false
+    }
+  }
+
   private handleFrame (frame: Frame): boolean {
     if (frame.t === 'hello') return this.handleHello(frame.identity, frame.nonce)
     if (frame.t === 'proof') return this.handleProof(frame.proof)
--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -5,6 +5,7 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { listenWhenFree } from '@pulleystack/core.listeners'
 import type { Logger } from '@pulleystack/core.logging'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { err, type Result } from 'neverthrow'
 import { filter, map, Subject, type Observable } from 'rxjs'
 import { WebSocket, WebSocketServer } from 'ws'
@@ -77,7 +78,7 @@
     const sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     sockets.on('connection', (socket, request) => this.accept(socket, request))
     sockets.on('error', recordError)
-    void this.sendHeartbeats()
+    keepRunning({ task: 'peer heartbeats', clock, signal: this.stopped.signal, run: () => this.sendHeartbeats() })
     return (server.address() as AddressInfo).port
   }
 
@@ -202,7 +203,7 @@
   private startDialling (instance: string): void {
     const abort = new AbortController()
     this.neighbourTasks.set(instance, abort)
-    void this.keepLinkOpen(instance, abort.signal)
+    keepRunning({ task: `link to ${instance}`, clock: this.opts.clock, signal: abort.signal, run: () => this.keepLinkOpen(instance, abort.signal) })
   }
 
   /** Keeps the link to a neighbour open: dials, waits until the link closes and dials again, without polling. */
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -2,6 +2,7 @@
 import { readEpoch } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
+import { keepRunning } from '@pulleystack/core.tasks'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
@@ -111,7 +112,7 @@
 
   /** Starts to listen to the other instances, renew the lease and plan, until the signal aborts. */
   start (signal: AbortSignal): void {
-    const { network, holder } = this.opts
+    const { clock, network, holder } = this.opts
     this.opts.grants.start()
     network.handleCalls(WEIGHTS_REQUEST, (_, request) => holder.handleRequest(request))
     const subscriptions = [
@@ -121,8 +122,8 @@
       network.receive(WEIGHTS_CHANGE).subscribe(({ body }) => this.applyWeightsChange(body)),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-    void this.run(signal)
-    void this.keepReportingDemand(signal)
+    keepRunning({ task: 'placement', clock, signal, run: () => this.run(signal) })
+    keepRunning({ task: 'demand reports', clock, signal, run: () => this.keepReportingDemand(signal) })
   }
 
   /** Applies a change made by this instance's holder and announces it to the other instances. */
--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -149,7 +149,8 @@
     })
   }
 
-  private addGauge (name: string, help: string, read: () => number): void {
+  /** Adds a gauge that is read on each scrape; its name gets the prefix of all metrics. */
+  addGauge (name: string, help: string, read: () => number): void {
     new Gauge({
       name: `pulleystack_${name}`,
       help,
--- a/program/entry/src/TimerDelay.ts
+++ b/program/entry/src/TimerDelay.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 
 const SAMPLE_INTERVAL_MS = 500
 /** Samples of 5 s, the scrape interval of the metrics. */
@@ -17,7 +18,7 @@
 
   /** Takes samples until the signal is aborted. */
   start (signal: AbortSignal): void {
-    void this.run(signal)
+    keepRunning({ task: 'timer delay', clock: this.clock, signal, run: () => this.run(signal) })
   }
 
   private async run (signal: AbortSignal): Promise<void> {
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { listenWhenFree } from '@pulleystack/core.listeners'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { ClientConnections } from './ClientConnections.js'
 import { recordListenerErrors } from './recordListenerErrors.js'
 import type { Entry } from './startEntry.js'
@@ -34,7 +35,7 @@
   const { host, port } = parseAddress(entry.settings.clientAddress)
   await listenWhenFree(server, { host, port, clock: entry.clock, onError: recordListenerErrors(entry.log, entry.settings.clientAddress) })
   entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
-  void reloadLimits(entry, server)
+  keepRunning({ task: 'limits of clients', clock: entry.clock, signal: entry.ended.signal, run: () => reloadLimits(entry, server) })
   return { closeIdle: () => connections.closeIdle(), close: () => server.close() }
 }
 
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -4,6 +4,7 @@
 import { DEFAULT_POLICY, type Policy } from '@pulleystack/config.settings'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { RandomSource, SystemClock, type Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import type { BackendQueue, RoutedGateway } from '@pulleystack/gateway.routed'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
@@ -136,8 +137,8 @@
     updatePhase()
     queue.assignSlots()
   }
-  void waitUntilChosen(clock, mesh, ended.signal).then((isChosen) => {
-    if (isChosen) state.feeds = startServing({ ...parts, random, ended, onTable: applyTable })
+  runWhenChosen(clock, mesh, ended.signal, () => {
+    state.feeds = startServing({ ...parts, random, ended, onTable: applyTable })
   })
   log.record(DecisionKinds.STARTED, { instance: settings.instance, dataHall: settings.dataHall, address: settings.clientAddress })
   return { ...parts, gateway, queue, residency, metrics, directory: new DirectoryLog(log, mesh), readPhase: () => state.phase, isReady, setPhase, leave, ended }
@@ -181,6 +182,14 @@
   })
 }
 
+/** Calls `serve` once this instance is chosen to serve. */
+function runWhenChosen (clock: Clock, mesh: InstanceMesh, signal: AbortSignal, serve: () => void): void {
+  const run = async (): Promise<void> => {
+    if (await waitUntilChosen(clock, mesh, signal)) serve()
+  }
+  keepRunning({ task: 'wait for the role', clock, signal, run })
+}
+
 /** Resolves with true once this instance is chosen to serve, or with false if the signal is aborted first. */
 async function waitUntilChosen (clock: Clock, mesh: InstanceMesh, signal: AbortSignal): Promise<boolean> {
   while (!signal.aborted) {
--- a/routing/fleet/src/shareLimits.ts
+++ b/routing/fleet/src/shareLimits.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { ServerIncarnation } from './BackendEntry.js'
 import type { BackendFleet, IncarnationLimit } from './BackendFleet.js'
@@ -59,7 +60,7 @@
       sendAllTo(listStandby())
     }
   }
-  void runStandbyUpdates()
+  keepRunning({ task: 'limits for standby instances', clock, signal, run: runStandbyUpdates })
   const announceLater = (incarnation: ServerIncarnation, ms: number): void => {
     const cancel = clock.setTimer(ms, () => {
       timers.delete(cancel)
--- a/routing/limits/src/CountedLimits.ts
+++ b/routing/limits/src/CountedLimits.ts
@@ -1,5 +1,6 @@
 import type { RouteTable, Team } from '@pulleystack/config.routes'
 import type { Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import type { RateVerdict } from './RatePool.js'
 import { TeamLimits } from './TeamLimits.js'
@@ -36,7 +37,7 @@
       for (const [name, units] of body) this.count(name, units)
     })
     signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
-    void this.runAnnounceLoop(signal)
+    keepRunning({ task: 'announcements of usage', clock: this.opts.clock, signal, run: () => this.runAnnounceLoop(signal) })
   }
 
   override acquire (team: Team, units: number): Promise<RateVerdict> {
--- a/routing/limits/src/RatePools.ts
+++ b/routing/limits/src/RatePools.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { findOwner, hashText } from '@pulleystack/core.hashing'
+import { keepRunning } from '@pulleystack/core.tasks'
 import type { Channel, PeerNetwork } from '@pulleystack/membership.peers'
 import type { Result } from 'neverthrow'
 import { RatePool, type PooledRate, type RateBounds } from './RatePool.js'
@@ -72,7 +73,7 @@
   start (signal: AbortSignal): void {
     const subscription = this.opts.network.receive(this.opts.contributions).subscribe(({ from, body }) => this.applyContribution(from, body))
     signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
-    void this.runContributionLoop(signal)
+    keepRunning({ task: 'contributions to rate pools', clock: this.opts.clock, signal, run: () => this.runContributionLoop(signal) })
   }
 
   /** Calls the owner of a rate's pool; returns undefined when no owner responds. */
--- a/routing/paths/src/ServerPaths.ts
+++ b/routing/paths/src/ServerPaths.ts
@@ -1,4 +1,5 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { PathVerdicts, type Backend, type BackendFleet, type ContactChange, type PathVerdict } from '@pulleystack/routing.fleet'
 import type { ServerProbe } from '@pulleystack/routing.forward'
@@ -48,7 +49,7 @@
     this.opts.network.handleCalls(SIGHTING, async (_, { server }) => ({ sighting: await this.look(server) }))
     const subscription = this.opts.fleet.contacts.changes.subscribe((change) => this.recordContacts(change))
     signal.addEventListener('abort', () => subscription.unsubscribe(), { once: true })
-    void this.keepProbing(signal)
+    keepRunning({ task: 'probes of lost paths', clock: this.opts.clock, signal, run: () => this.keepProbing(signal) })
   }
 
   override check (backend: Backend): Promise<PathVerdict> {
--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -1,6 +1,7 @@
 import { MAX_RESTORE_LOSS_MS, type ObjectStore } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { findOwner } from '@pulleystack/core.hashing'
+import { keepRunning } from '@pulleystack/core.tasks'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { Subject, filter, type Observable, type Subscription } from 'rxjs'
@@ -136,8 +137,9 @@
       ...this.followEpochs(signal),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-    void this.load(signal)
-    void this.runSweepLoop(signal)
+    const { clock } = this.opts
+    keepRunning({ task: 'load of crash records', clock, signal, run: () => this.load(signal) })
+    keepRunning({ task: 'sweep of crash records', clock, signal, run: () => this.runSweepLoop(signal) })
     this.signal = signal
   }
 
--- a/routing/reservations/src/Reservations.ts
+++ b/routing/reservations/src/Reservations.ts
@@ -1,6 +1,7 @@
 import type { ModelServing } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
 import type { Clock } from '@pulleystack/core.clock'
+import { keepRunning } from '@pulleystack/core.tasks'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import { formatIncarnation, type BackendFleet, type ServerIncarnation } from '@pulleystack/routing.fleet'
 import type { LimitsMembership } from '@pulleystack/routing.limits'
@@ -72,7 +73,7 @@
       }),
     ]
     signal.addEventListener('abort', () => subscriptions.forEach((it) => it.unsubscribe()), { once: true })
-    void this.runExpiryLoop(signal)
+    keepRunning({ task: 'expiry of reservations', clock: this.opts.clock, signal, run: () => this.runExpiryLoop(signal) })
   }
 
   /**
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -12,6 +12,10 @@
   'settings-awaited': { file: string, code: string, reason: string }
   /** The process waits for an address that is in use, or a listener failed later; it goes on in both cases. */
   'listener-failed': { address: string, code: string | undefined, reason: string }
+  /** An error was handled nowhere else; a background task starts again. `failures` counts all of them since the start. Logged once a second for each reason. */
+  'task-failed': { task: string, reason: string, stack: string | undefined, failures: number }
+  /** The last line: why the process ends, and its exit code. */
+  'process-ended': { code: number, reason: string }
   /** The store does not respond for this kind of object. `revision` is the newest known one; `code` and `reason` describe the failed call. */
   'dependency-lost': { dependency: string, prefix: string, revision: number | undefined, code: string, reason: string }
   /** The store responds again, to this instance or to a peer. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -9,6 +9,8 @@
   RELOADED: 'reloaded',
   SETTINGS_AWAITED: 'settings-awaited',
   LISTENER_FAILED: 'listener-failed',
+  TASK_FAILED: 'task-failed',
+  PROCESS_ENDED: 'process-ended',
   DEPENDENCY_LOST: 'dependency-lost',
   DEPENDENCY_REGAINED: 'dependency-regained',
   STORE_RESTORED: 'store-restored',
