--- a/core/bodies/src/watchOverhead.ts
+++ b/core/bodies/src/watchOverhead.ts
@@ -1,6 +1,6 @@
 import type http from 'node:http'
+import type { Socket } from 'node:net'
 
-const CHECK_INTERVAL_MS = 100
 /** Bytes of a response that belong to no body: its head, and what frames the body. */
 const MAX_OVERHEAD_BYTES = 1 << 20
 /** Chunks of a few bytes cost far more memory and time than what they hold; beyond the limit above they must be larger on average. */
@@ -19,22 +19,24 @@
   let bodyBytes = 0
   let readBefore = 0
   let informationalCount = 0
+  let connection: Socket | undefined
+  const check = (): void => {
+    const overheadBytes = (connection?.bytesRead ?? readBefore) - readBefore - bodyBytes
+    if (overheadBytes > MAX_OVERHEAD_BYTES + bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE) request.destroy(new Error(`The server sent ${overheadBytes} bytes that belong to no body`))
+  }
   request.once('socket', (socket) => {
+    connection = socket
     readBefore = socket.bytesRead
+    socket.on('data', check)
   })
   request.on('information', () => {
     informationalCount++
     if (informationalCount > MAX_INFORMATIONAL_RESPONSES) request.destroy(new Error(`The server sent ${informationalCount} informational responses`))
   })
-  const check = (): void => {
-    const overheadBytes = (request.socket?.bytesRead ?? readBefore) - readBefore - bodyBytes
-    if (overheadBytes > MAX_OVERHEAD_BYTES + bodyBytes * MAX_OVERHEAD_PER_BODY_BYTE) request.destroy(new Error(`The server sent ${overheadBytes} bytes that belong to no body`))
-  }
-  const timer = setInterval(check, CHECK_INTERVAL_MS).unref()
   return {
     addBody: (bytes) => {
       bodyBytes += bytes
     },
-    stop: () => clearInterval(timer),
+    stop: () => connection?.removeListener('data', check),
   }
 }
