--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -6,11 +6,11 @@
 import type { InheritedLoad, WeightsChange } from './channels.js'
 import { loadAdapter } from './loadAdapter.js'
 import { hasRoom } from './memory.js'
-import { PendingLoads } from './PendingLoads.js'
 import type { PlannedLoad, PlannedServer } from './planResidency.js'
 import { ResidenceTimes } from './ResidenceTimes.js'
 import { SentOrders, ServerOrders, type OrderPermit } from './ServerOrders.js'
 import { UncertainOutcomes, settleUncertainOrder } from './settleUncertainOrder.js'
+import { UnansweredLoads } from './UnansweredLoads.js'
 
 /** Enough for an unload when no request is running. */
 const FIRST_UNLOAD_POLL_MS = 60
@@ -68,7 +68,7 @@
   private readonly orders = new Map<string, ServerOrders>()
   private readonly running = new Map<string, RunningLoad>()
   private readonly residence: ResidenceTimes
-  private readonly pending: PendingLoads
+  private readonly unanswered: UnansweredLoads
   /** Loads that failed in a row, by server. */
   private readonly failures = new Map<string, number>()
   /** Monotonic time until which a server gets no loads, by server. */
@@ -77,13 +77,14 @@
 
   constructor (private readonly opts: ServerLoadsOptions) {
     this.residence = new ResidenceTimes(opts.clock)
-    this.pending = new PendingLoads(opts.clock)
+    this.unanswered = new UnansweredLoads(opts.clock)
     opts.fleet.changes.subscribe(({ kind, backend }) => {
       if (kind !== 'removed') return this.residence.applyEntry(backend)
+      this.orders.get(backend.id)?.close()
       this.orders.delete(backend.id)
       this.running.delete(backend.id)
       this.residence.remove(backend.id)
-      this.pending.remove(backend.id)
+      this.unanswered.forgetSequence(backend.id)
       this.failures.delete(backend.id)
       this.backoffUntil.delete(backend.id)
     })
@@ -97,6 +98,7 @@
   /** Resets the order queues after the lease was acquired. Loads of an earlier holder count as in progress. */
   begin (holdOff: HoldOff, inherited: readonly InheritedLoad[]): void {
     this.holdOff = holdOff
+    for (const orders of this.orders.values()) orders.close()
     this.orders.clear()
     for (const { load, leftMs } of inherited) this.addInherited(load, leftMs)
   }
@@ -145,7 +147,9 @@
     const load = running && this.isExpected(running) ? running.load : undefined
     const now = this.opts.clock.readTime()
     const resident = (backend.entry.models ?? []).map((model) => model.name).filter((name) => !running?.load.victims.includes(name))
-    const uncertain = load ? undefined : running?.load.model ?? this.pending.find(backend.id)
+    const unanswered = this.unanswered.list(backend.id).filter(({ adapter }) => adapter === undefined).map(({ model }) => model)
+    const uncertain = running && !load ? [running.load.model] : []
+    const reserved = [...new Set([...uncertain, ...unanswered])].filter((model) => model !== load?.model && !resident.includes(model))
     return {
       id: backend.id,
       dataHall: backend.entry.dataHall,
@@ -153,7 +157,7 @@
       inMemory: backend.entry.inMemory,
       onDisk: backend.entry.onDisk,
       ...load ? { loading: load.model } : {},
-      ...uncertain !== undefined && !resident.includes(uncertain) ? { reserved: [uncertain] } : {},
+      ...reserved.length > 0 ? { reserved } : {},
       busyMs: this.estimateBusyMs(backend.id),
       limitPerSecond: backend.reported.limit.perSecond,
       recentlyLoaded: this.residence.listRecent(backend.id, keepsFound),
@@ -190,7 +194,8 @@
     const orders = this.findOrders(backend)
     try {
       const isLoaded = await orders.enqueue(() => this.carryOut(serving, running, orders))
-      this.recordOutcome(serving, load.server, isLoaded)
+      // A queue of a former entry says nothing of the present one.
+      if (this.orders.get(load.server) === orders) this.recordOutcome(serving, load.server, isLoaded)
     } finally {
       // A restarted server may have got another load under the same id.
       if (this.running.get(load.server) === running) this.running.delete(load.server)
@@ -213,9 +218,10 @@
     const [backend] = available.sort((a, b) => this.rankForAdapter(a) - this.rankForAdapter(b))
     if (!backend) return
     const orders = this.findOrders(backend)
+    const addUnanswered = (state: WeightsState, except: string): WeightsState => this.unanswered.addTo(backend.id, state, except)
     const onChange = (model: string, adapter: string, present: boolean): void => this.opts.onChange({ backend: backend.id, model, adapter, present })
     const { serving, readIdleMs, model, adapter } = it
-    await orders.enqueue(() => loadAdapter({ serving, orders, readIdleMs, onChange }, model, adapter))
+    await orders.enqueue(() => loadAdapter({ serving, orders, readIdleMs, addUnanswered, onChange }, model, adapter))
   }
 
   /** Unloads the victims, waits until the server confirms it, then loads the model. Resolves to true when the model is loaded. */
@@ -229,8 +235,7 @@
       state = await orders.waitFor((now) => !now.models.some((it) => it.name === victim), FIRST_UNLOAD_POLL_MS, UNLOAD_GRACE_MS)
       if (!state) return false
     }
-    this.pending.applyState(load.server, state)
-    if (!hasRoom(serving, this.addPending(load, state), load.model, false)) return false
+    if (!hasRoom(serving, this.unanswered.addTo(load.server, state, load.model), load.model, false)) return false
     // The wait for the victims' streams was an estimate.
     if (load.victims.length > 0) this.restartTime(running)
     const sent = await orders.send('load', load.model, undefined)
@@ -243,12 +248,6 @@
     return isLoaded
   }
 
-  /** Adds the weights of a load order that the server may still accept to those that it has. */
-  private addPending (load: PlannedLoad, state: WeightsState): WeightsState {
-    const pending = this.pending.find(load.server)
-    return pending === undefined || pending === load.model ? state : { ...state, models: [...state.models, { name: pending, adapters: [] }] }
-  }
-
   /** Lets the expected duration of a load begin now. */
   private restartTime (running: RunningLoad): void {
     if (!isFinite(running.toleranceMs)) return
@@ -258,7 +257,7 @@
 
   /** Waits for a load whose order got no answer. */
   private async settleLoad (running: RunningLoad, sequence: number, orders: ServerOrders): Promise<boolean> {
-    const { server, model, loadMs } = running.load
+    const { model, loadMs } = running.load
     running.toleranceMs = OVERDUE_UNCERTAIN_MS
     const isReached = (state: WeightsState): boolean => state.models.some((it) => it.name === model)
     const recordStart = (): void => {
@@ -266,7 +265,6 @@
       this.restartTime(running)
     }
     const outcome = await settleUncertainOrder({ clock: this.opts.clock, orders, sequence, isReached, durationMs: loadMs, onStarted: recordStart })
-    if (outcome === UncertainOutcomes.PENDING) this.pending.add(server, model, sequence)
     return outcome === UncertainOutcomes.REACHED
   }
 
@@ -295,7 +293,17 @@
     if (present) return present
     const { clock, weights, log, readPermit } = this.opts
     const notBefore = this.readHoldOff(backend.id)
-    const created = new ServerOrders({ clock, weights, log, readPermit, notBefore, backendId: backend.id, address: backend.entry.address })
+    const created = new ServerOrders({
+      clock,
+      weights,
+      log,
+      readPermit,
+      notBefore,
+      backendId: backend.id,
+      address: backend.entry.address,
+      onUnanswered: (load) => this.unanswered.add(backend.id, load),
+      onSequence: (sequence) => this.unanswered.recordSequence(backend.id, sequence),
+    })
     this.orders.set(backend.id, created)
     return created
   }
--- a/placement/residency/src/loadAdapter.ts
+++ b/placement/residency/src/loadAdapter.ts
@@ -12,6 +12,8 @@
   orders: ServerOrders
   /** Milliseconds since an adapter was last requested, by model/adapter. */
   readIdleMs: (name: string) => number
+  /** Adds what the server may still load to its state, except for the weights with the given name. */
+  addUnanswered: (state: WeightsState, except: string) => WeightsState
   /** Called when an adapter becomes available or is about to be unloaded. */
   onChange: (model: string, adapter: string, present: boolean) => void
 }
@@ -27,8 +29,9 @@
       return true
     }
     if (!state.loadingAdapters.some((pending) => isSameAdapter(pending, name))) {
-      if (!await ensureFreeSlot(opts, state)) continue
-      if (!hasRoom(opts.serving, state, model, true)) return false
+      const withSlot = await ensureFreeSlot(opts, state, name)
+      if (!withSlot) continue
+      if (!hasRoom(opts.serving, opts.addUnanswered(withSlot, name), model, true)) return false
       if (!await opts.orders.send('load', model, adapter)) continue
     }
     const reached = await opts.orders.waitFor((now) => listAdapters(now).includes(name), FIRST_POLL_DELAY_MS)
@@ -39,28 +42,38 @@
   return false
 }
 
-/** Unloads the least recently used adapters until one adapter slot is free. */
-async function ensureFreeSlot (opts: LoadAdapterOptions, state: WeightsState): Promise<boolean> {
-  const loaded = listAdapters(state)
-  let excess = loaded.length + state.loadingAdapters.length + 1 - opts.serving.adapterSlots
-  const leastRecentlyUsed = [...loaded].sort((a, b) => opts.readIdleMs(b) - opts.readIdleMs(a))
-  for (const name of leastRecentlyUsed) {
-    if (excess <= 0) return true
-    const [model, adapter] = name.split('/') as [string, string]
-    // Stop routing requests to the adapter before it is unloaded.
-    opts.onChange(model, adapter, false)
-    const outcome = await opts.orders.send('unload', model, adapter)
-    if (outcome === undefined) opts.onChange(model, adapter, true)
-    else if (outcome !== SentOrders.HOLDS && !await waitUntilUnloaded(opts, name)) return false
-    else excess--
-    if (await opts.orders.readSettled() === undefined) return false
+/**
+ * Unloads the least recently used adapters until an adapter slot is free. Returns the state in which it is: an order relies on the whole state to which its
+ * sequence number belongs. Undefined when no adapter is left to unload, or the state can't be read.
+ */
+async function ensureFreeSlot (opts: LoadAdapterOptions, initial: WeightsState, name: string): Promise<WeightsState | undefined> {
+  const tried = new Set<string>()
+  let state: WeightsState | undefined = initial
+  while (state) {
+    const reserved = opts.addUnanswered(state, name)
+    if (listAdapters(reserved).length + reserved.loadingAdapters.length < opts.serving.adapterSlots) return state
+    const [victim] = listAdapters(state).filter((it) => !tried.has(it)).sort((a, b) => opts.readIdleMs(b) - opts.readIdleMs(a))
+    if (victim === undefined) return undefined
+    tried.add(victim)
+    state = await unloadAdapter(opts, victim)
   }
-  return excess <= 0
+  return undefined
+}
+
+/** Returns the state after the unload, also after one that the server refused; undefined when the outcome is not known. */
+async function unloadAdapter (opts: LoadAdapterOptions, name: string): Promise<WeightsState | undefined> {
+  const [model, adapter] = name.split('/') as [string, string]
+  // Stop routing requests to the adapter before it is unloaded.
+  opts.onChange(model, adapter, false)
+  const outcome = await opts.orders.send('unload', model, adapter)
+  if (outcome === undefined) opts.onChange(model, adapter, true)
+  if (outcome === undefined || outcome === SentOrders.HOLDS) return opts.orders.readSettled()
+  return waitUntilUnloaded(opts, name)
 }
 
 /** A server that accepts an unload order keeps the adapter until the requests that use it have ended. */
-async function waitUntilUnloaded (opts: LoadAdapterOptions, name: string): Promise<boolean> {
-  return await opts.orders.waitFor((state) => !listAdapters(state).includes(name), FIRST_POLL_DELAY_MS) !== undefined
+async function waitUntilUnloaded (opts: LoadAdapterOptions, name: string): Promise<WeightsState | undefined> {
+  return opts.orders.waitFor((state) => !listAdapters(state).includes(name), FIRST_POLL_DELAY_MS)
 }
 
 function listAdapters (state: WeightsState): string[] {
--- a/placement/residency/src/settleUncertainOrder.ts
+++ b/placement/residency/src/settleUncertainOrder.ts
@@ -23,7 +23,7 @@
 
 export interface UncertainOrder {
   clock: Clock
-  orders: Pick<ServerOrders, 'readSettled'>
+  orders: Pick<ServerOrders, 'readSettled' | 'isClosed'>
   /** Sequence number at which the server accepts the order; once it has passed, the order is done or void. */
   sequence: number
   isReached: (state: WeightsState) => boolean
@@ -35,14 +35,14 @@
 
 /**
  * Watches a server after an order that it may not have accepted. Ends after a second if the server is idle and its sequence number unchanged,
- * and after the expected duration if its state can't be read.
+ * after the expected duration if its state can't be read, and at once when the orders are closed.
  */
 export async function settleUncertainOrder (it: UncertainOrder): Promise<UncertainOutcome> {
   const { clock } = it
   const sentAt = clock.readTime()
   let until = sentAt + it.durationMs + REPORT_GRACE_MS
   let hasStarted = false
-  while (clock.readTime() < until) {
+  while (clock.readTime() < until && !it.orders.isClosed) {
     const state = await it.orders.readSettled()
     if (state && !state.busy && it.isReached(state)) return UncertainOutcomes.REACHED
     if (state && state.sequence !== it.sequence) {
--- a/placement/residency/test/loadAdapter.test.ts
+++ b/placement/residency/test/loadAdapter.test.ts
@@ -23,6 +23,8 @@
   readonly adapters = new Set(['a1', 'a2'])
   private sequence = 0
   overcommitted = false
+  /** Called when an adapter has been unloaded. */
+  onUnloaded: (adapter: string) => void = () => undefined
   /** Monotonic time until which requests use the adapters. */
   inUseUntil = 0
 
@@ -44,6 +46,7 @@
     }
     if (this.clock.readTime() >= this.inUseUntil) {
       this.adapters.delete(adapter)
+      this.onUnloaded(adapter)
       return ok(OrderAnswers.HOLDS)
     }
     void this.clock.wait(this.inUseUntil - this.clock.readTime()).then(() => this.adapters.delete(adapter))
@@ -55,6 +58,8 @@
   let clock: ManualClock
   let server: BusyServer
 
+  let addUnanswered: (state: WeightsState) => WeightsState
+
   const load = async (adapter: string): Promise<boolean> => {
     const orders = new ServerOrders({
       clock,
@@ -65,7 +70,7 @@
       readPermit: () => ({ holder: 'h', fence: 1 }),
       notBefore: -Infinity,
     })
-    const loading = loadAdapter({ serving: SERVING, orders, readIdleMs: (name) => name === 'm/a1' ? 9 : 1, onChange: () => undefined }, 'm', adapter)
+    const loading = loadAdapter({ serving: SERVING, orders, readIdleMs: (name) => name === 'm/a1' ? 9 : 1, addUnanswered, onChange: () => undefined }, 'm', adapter)
     await clock.advance(12_000)
     return loading
   }
@@ -73,6 +78,7 @@
   beforeEach(() => {
     clock = new ManualClock()
     server = new BusyServer(clock)
+    addUnanswered = (state) => state
   })
 
   it('unloads the least recently used adapter', async () => {
@@ -87,6 +93,23 @@
     assert.equal(server.overcommitted, false)
   })
 
+  // Guards against an order that relies on the sequence number of one state and the adapters of another.
+  it('unloads another adapter when the freed slot was taken meanwhile', async () => {
+    server.onUnloaded = (adapter) => {
+      if (adapter === 'a1') server.adapters.add('a9')
+    }
+    assert.equal(await load('a3'), true)
+    assert.equal(server.overcommitted, false)
+    assert.equal(server.adapters.size, 2)
+  })
+
+  // Guards against an adapter that is loaded by an order of before, in the slot that was meant for another one.
+  it('leaves a slot to an adapter that an order without an answer may still load', async () => {
+    addUnanswered = (state) => ({ ...state, loadingAdapters: ['m/a8'] })
+    assert.equal(await load('a3'), true)
+    assert.deepEqual([...server.adapters], ['a3'])
+  })
+
   it('does not load the adapter when no slot is freed before the timeout', async () => {
     server.inUseUntil = clock.readTime() + 60_000
     assert.equal(await load('a3'), false)
