--- a/backend/http/src/HttpEngineClient.ts
+++ b/backend/http/src/HttpEngineClient.ts
@@ -75,7 +75,8 @@
 
 async function createRejectionError (address: string, response: http.IncomingMessage): Promise<PulleystackError> {
   const status = response.statusCode ?? 0
-  response.resume()
+  // A rejection names no attempt, so that a duplicate on the same connection would pass for the response to the next one.
+  response.destroy()
   // Engines send these statuses only before they start the request; with any other it may have run.
   const ran = status === 409 || status === 429 || status === 503 || status === 404 ? Ran.NO : Ran.UNKNOWN
   return new PulleystackError('BACKEND_REFUSED', `Engine ${address} responded with status ${status}`, { ran })
