--- a/tools/scripts/run-tests.mjs
+++ b/tools/scripts/run-tests.mjs
@@ -10,6 +10,7 @@
 const KNOWN_FAILURES_FILE = 'KNOWN-RED.txt'
 /** A longer list fails the run. */
 const MAX_KNOWN_FAILURES = 8
+const FIXED_SEEDS = './tools/scripts/fixedSeeds.mjs'
 const FAILED_TESTS_REPORTER = './tools/scripts/failedTestsReporter.mjs'
 
 function listTests (dir) {
@@ -41,7 +42,7 @@
   const concurrency = Math.max(2, Math.floor(os.cpus().length / 2))
   const failedFile = path.join(fs.mkdtempSync(path.join(os.tmpdir(), 'pulleystack-tests-')), 'failed.txt')
   const reporters = ['--test-reporter=spec', '--test-reporter-destination=stdout', `--test-reporter=${FAILED_TESTS_REPORTER}`, `--test-reporter-destination=${failedFile}`]
-  const { code, output } = await run(['--import', 'tsx', '--test', `--test-concurrency=${concurrency}`, ...reporters, ...files])
+  const { code, output } = await run(['--import', 'tsx', '--import', FIXED_SEEDS, '--test', `--test-concurrency=${concurrency}`, ...reporters, ...files])
   const passed = readCount(output, /^ℹ pass (\d+)$/m)
   const failed = readCount(output, /^ℹ fail (\d+)$/m)
   const ignored = readLines(failedFile).filter((name) => knownFailures.some((known) => known.test === name))
