--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -194,7 +194,7 @@
     const orders = this.findOrders(backend)
     try {
       const isLoaded = await orders.enqueue(() => this.carryOut(serving, running, orders))
-      // A queue of a former entry says nothing of the present one.
+      // The queue is replaced when the server's entry is removed.
       if (this.orders.get(load.server) === orders) this.recordOutcome(serving, load.server, isLoaded)
     } finally {
       // A restarted server may have got another load under the same id.
