--- a/routing/quarantine/src/Quarantine.ts
+++ b/routing/quarantine/src/Quarantine.ts
@@ -244,9 +244,14 @@
   private async load (signal: AbortSignal): Promise<void> {
     if (!this.archive) return
     const reading = this.archive.load(signal).then((updates) => this.applyUpdates(updates))
-    this.loading = Promise.race([reading, this.opts.clock.wait(MAX_LOAD_WAIT_MS, signal)])
-    await this.loading
-    this.loading = undefined
+    const loading = Promise.race([reading, this.opts.clock.wait(MAX_LOAD_WAIT_MS, signal)])
+    // Requests that wait for the records go on without them when they can't be read.
+    this.loading = loading.catch(() => undefined)
+    try {
+      await loading
+    } finally {
+      this.loading = undefined
+    }
   }
 
   private async tryAcquire (request: RequestTraits, verdict: Verdict, forMs: number): Promise<SuspectRun | undefined> {
