--- a/gateway/routed/src/InstanceRelay.ts
+++ b/gateway/routed/src/InstanceRelay.ts
@@ -34,6 +34,8 @@
   body: Buffer | undefined
   /** Monotonic time in milliseconds after which the client no longer waits; undefined if it set none. */
   deadline: number | undefined
+  /** Monotonic time in milliseconds at which this instance gives up. */
+  endsAt: number
   signal: AbortSignal
 }
 
@@ -82,7 +84,8 @@
 
   /** Returns the response, or the error of an instance that is known not to have run the request, so that another one can be tried. */
   private async send (target: RelayTarget, request: RelayedRequest): Promise<ExchangeResponse | PulleystackError> {
-    this.opts.log.record(DecisionKinds.REQUEST_RELAYED, { request: request.requestId, peer: target.instance })
+    const leftMs = Math.round(request.endsAt - this.opts.clock.readTime())
+    this.opts.log.record(DecisionKinds.REQUEST_RELAYED, { request: request.requestId, peer: target.instance, leftMs })
     try {
       const response = await openExchange({
         agent: this.opts.agent,
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -250,7 +250,7 @@
       const { method = 'GET', url: path = '/', rawHeaders } = request
       const clientDeadline = facts.waitMs === undefined ? undefined : arrivedAt + facts.waitMs
       const { requestId } = facts
-      await this.opts.relay?.run({ requestId, method, path, rawHeaders, body, deadline: clientDeadline, signal: aborter.signal }, client)
+      await this.opts.relay?.run({ requestId, method, path, rawHeaders, body, deadline: clientDeadline, endsAt: deadline, signal: aborter.signal }, client)
     } finally {
       cancel()
     }
--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -63,7 +63,7 @@
       const clientGone = new AbortController()
       response.once('close', () => clientGone.abort(new PulleystackError('CALLER_GONE', 'gone')))
       const { method = '', url: path = '', rawHeaders } = request
-      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), deadline: clock.readTime() + LEFT_MS, signal: clientGone.signal }
+      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), deadline: clock.readTime() + LEFT_MS, endsAt: clock.readTime() + LEFT_MS, signal: clientGone.signal }
       relay.run(work, client).catch((error: PulleystackError) => client.sendError(error, 'q1'))
     })
     await listen(front)
@@ -119,7 +119,7 @@
   it('reports a request as not run if no instance is reachable, but not once it has been sent', async () => {
     targets.push({ instance: 'gone', address: '127.0.0.1:1' })
     const client = {} as ClientResponse
-    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, deadline: undefined, signal: new AbortController().signal }
+    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, deadline: undefined, endsAt: Infinity, signal: new AbortController().signal }
     await assert.rejects(relay.run(work, client), (error: PulleystackError) => error.ran === Ran.NO)
     targets = []
     await startTarget(3, (request) => request.socket.destroy())
--- a/program/entry/src/createMetrics.ts
+++ b/program/entry/src/createMetrics.ts
@@ -6,6 +6,7 @@
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { Quarantine } from '@pulleystack/routing.quarantine'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { listPaces } from './listPaces.js'
 import { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
@@ -27,8 +28,8 @@
 
 /** Creates the metrics and samples the timer delay until the signal is aborted. */
 export function createMetrics (parts: MetricsParts): EntryMetrics {
-  const { clock, deps, fleet, mesh, network, readTable, queue, quarantine, forwarder, listReplicas, signal } = parts
-  const timerDelay = new TimerDelay(clock)
+  const { clock, log, deps, fleet, mesh, network, readTable, queue, quarantine, forwarder, listReplicas, signal } = parts
+  const timerDelay = new TimerDelay(clock, (ms) => log.record(DecisionKinds.EVENT_LOOP_DELAYED, { ms: Math.round(ms) }))
   timerDelay.start(signal)
   return new EntryMetrics({
     fleet,
--- a/program/entry/test/TimerDelay.test.ts
+++ b/program/entry/test/TimerDelay.test.ts
@@ -16,10 +16,12 @@
   let clock: LateClock
   let delay: TimerDelay
   let ended: AbortController
+  let reported: number[]
 
   beforeEach(() => {
     clock = new LateClock()
-    delay = new TimerDelay(clock)
+    reported = []
+    delay = new TimerDelay(clock, (ms) => reported.push(ms))
     ended = new AbortController()
     delay.start(ended.signal)
   })
@@ -29,6 +31,7 @@
   it('is zero while timers are on time', async () => {
     await clock.advance(3_000)
     assert.equal(delay.longestMs, 0)
+    assert.deepEqual(reported, [])
   })
 
   describe('after a late timer', () => {
@@ -43,6 +46,8 @@
       assert.equal(delay.longestMs, 300)
     })
 
+    it('is reported', () => assert.deepEqual(reported, [300, 300]))
+
     it('expires with its sample', async () => {
       await clock.advance(6_000)
       assert.equal(delay.longestMs, 0)
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -133,8 +133,10 @@
   'weights-rejected': { request: string, model: string | undefined, reason: string, waitedMs: number, expectedMs?: number }
   /** Rate limits of servers delay a request: the limits, when and by whom they were last received, and the earliest time it can be sent. */
   'limit-reached': { request: string, limits: readonly ReachedLimit[], expectedMs: number }
-  /** This instance is on standby or has no configuration yet, and relayed the request to another one. */
-  'request-relayed': { request: string | undefined, peer: string }
+  /** This instance is on standby or has no configuration yet, and relayed the request to another one. It gives up after `leftMs`. */
+  'request-relayed': { request: string | undefined, peer: string, leftMs: number }
+  /** The event loop ran a timer `ms` late, as the process lacked processor time, was suspended, or computed for that long. Logged at most twice a second. */
+  'event-loop-delayed': { ms: number }
   /** A request was sent to a `peer`, since this instance can't reach the servers that could run it; a stream goes on after event `after`. */
   'request-forwarded': { request: string | undefined, peer: string, after: string | undefined }
   /** A forwarded request was not answered by a server. `ran`: whether it may have run. */
