--- a/config/routes/src/RouteTable.ts
+++ b/config/routes/src/RouteTable.ts
@@ -62,7 +62,8 @@
   return route.targets.at(-1)?.service ?? ''
 }
 
-function stripPort (host: string): string {
+/** Removes the port of a Host header. */
+export function stripPort (host: string): string {
   const colon = host.lastIndexOf(':')
   return colon > host.lastIndexOf(']') ? host.slice(0, colon) : host
 }
--- a/gateway/routed/src/InstanceRelay.ts
+++ b/gateway/routed/src/InstanceRelay.ts
@@ -2,10 +2,12 @@
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
+import { filterEndToEndHeaders } from '@pulleystack/core.headers'
 import { openExchange, type BackendAgent, type ExchangeResponse } from '@pulleystack/routing.forward'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { ClientResponse } from './ClientResponse.js'
-import { RelayHeaders } from './relayHeaders.js'
+import { RELAY_HEADER_NAMES, RelayHeaders, buildHopHeaders } from './relayHeaders.js'
+import type { RequestBudget } from './RequestBudget.js'
 
 /** Far longer than connecting to another data hall takes. */
 const CONNECT_TIMEOUT_MS = 300
@@ -21,6 +23,8 @@
   instance: string
   /** host:port for client connections. */
   address: string
+  /** Proves to that instance that the request comes from another one; one of an older version has none. */
+  forwardKey?: string
 }
 
 /** A request to be served by another instance. */
@@ -32,15 +36,14 @@
   /** Alternating names and values as sent by the client. */
   rawHeaders: readonly string[]
   body: Buffer | undefined
-  /** Monotonic time in milliseconds after which the client no longer waits; undefined if it set none. */
-  deadline: number | undefined
-  /** Monotonic time in milliseconds at which this instance gives up. */
-  endsAt: number
+  budget: RequestBudget
   signal: AbortSignal
 }
 
 export interface InstanceRelayOptions {
   clock: Clock
+  /** Name of this instance. */
+  instance: string
   agent: BackendAgent
   protocol: RoutedProtocol
   log: DecisionLog
@@ -84,7 +87,7 @@
 
   /** Returns the response, or the error of an instance that is known not to have run the request, so that another one can be tried. */
   private async send (target: RelayTarget, request: RelayedRequest): Promise<ExchangeResponse | PulleystackError> {
-    const leftMs = Math.round(request.endsAt - this.opts.clock.readTime())
+    const leftMs = Math.round(request.budget.readLeftMs(this.opts.clock.readTime()))
     this.opts.log.record(DecisionKinds.REQUEST_RELAYED, { request: request.requestId, peer: target.instance, leftMs })
     try {
       const response = await openExchange({
@@ -94,7 +97,7 @@
         address: target.address,
         method: request.method,
         path: request.path,
-        headers: this.buildHeaders(request),
+        headers: this.buildHeaders(target, request),
         body: request.body,
         requestId: request.requestId,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -112,11 +115,13 @@
     }
   }
 
-  private buildHeaders (request: RelayedRequest): string[] {
-    const leftMs = request.deadline === undefined ? undefined : Math.max(1, Math.floor(request.deadline - this.opts.clock.readTime()))
-    const headers = this.opts.protocol.buildRelayHeaders(request.rawHeaders, leftMs)
-    if (request.body !== undefined) headers.push('Content-Length', String(request.body.length))
+  private buildHeaders ({ forwardKey }: RelayTarget, { rawHeaders, body, budget }: RelayedRequest): string[] {
+    const now = this.opts.clock.readTime()
+    const waitMs = budget.clientDeadline === undefined ? undefined : Math.max(1, Math.floor(budget.clientDeadline - now))
+    const headers = this.opts.protocol.buildRelayHeaders(filterEndToEndHeaders(rawHeaders, RELAY_HEADER_NAMES), waitMs)
+    if (body !== undefined) headers.push('Content-Length', String(body.length))
     headers.push(RelayHeaders.MIN_VERSION, String(Math.max(0, this.latestVersion)))
+    if (forwardKey !== undefined) headers.push(...buildHopHeaders({ sender: this.opts.instance, usedMs: budget.readUsedMs(now), sentAt: now }, forwardKey))
     return headers
   }
 
--- a/gateway/routed/src/PeerForwarder.ts
+++ b/gateway/routed/src/PeerForwarder.ts
@@ -4,22 +4,21 @@
 import type { ServerContacts } from '@pulleystack/routing.fleet'
 import { openExchange, type BackendAgent, type ExchangeResponse } from '@pulleystack/routing.forward'
 import type { RelayTarget } from './InstanceRelay.js'
-import { ForwardHeaders, RelayHeaders, formatOrigin } from './relayHeaders.js'
+import { ForwardHeaders, RelayHeaders, buildHopHeaders, formatOrigin } from './relayHeaders.js'
 import type { RoutedWork } from './RoutedWork.js'
 
 const CONNECT_TIMEOUT_MS = 300
 /** Instances to which one request is forwarded. */
 const MAX_PEERS = 3
 
-/** An instance that may reach servers that this one doesn't. */
-export interface ForwardTarget extends RelayTarget {
-  /** Proves to that instance that the request comes from another one; one of an older version has none, and takes no forwarded requests. */
-  forwardKey?: string
-}
+/** An instance that may reach servers that this one doesn't; one without a key takes no forwarded requests. */
+export type ForwardTarget = RelayTarget
 
 export interface PeerForwarderOptions {
   clock: Clock
   random: RandomSource
+  /** Name of this instance. */
+  instance: string
   agent: BackendAgent
   protocol: RoutedProtocol
   contacts: Pick<ServerContacts, 'isPeerCutOff'>
@@ -95,11 +94,14 @@
   }
 
   private buildHeaders (work: RoutedWork, { target, attemptsLeft, lastEventId }: ForwardedAttempt): string[] {
-    const leftMs = Math.max(1, Math.floor(work.deadline - this.opts.clock.readTime()))
+    const now = this.opts.clock.readTime()
+    const leftMs = Math.max(1, Math.floor(work.deadline - now))
     const headers = this.opts.protocol.buildRelayHeaders(work.rawHeaders, leftMs, lastEventId)
     if (work.body !== undefined) headers.push('Content-Length', String(work.body.length))
     headers.push(RelayHeaders.MIN_VERSION, String(this.opts.readConfigVersion()))
-    headers.push(ForwardHeaders.KEY, target.forwardKey ?? '', ForwardHeaders.ATTEMPTS, String(attemptsLeft))
+    const key = target.forwardKey ?? ''
+    headers.push(...buildHopHeaders({ sender: this.opts.instance, usedMs: now - work.arrivedAt, sentAt: now }, key))
+    headers.push(ForwardHeaders.KEY, key, ForwardHeaders.ATTEMPTS, String(attemptsLeft))
     if (work.stream.events > 0) headers.push(ForwardHeaders.BEGUN, '1')
     if (work.origin) headers.push(ForwardHeaders.ORIGIN, formatOrigin(work.origin))
     return headers
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -3,21 +3,24 @@
 import { chooseTarget, type Route, type RouteTable, type Team } from '@pulleystack/config.routes'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
-import { cutResponse, readBody } from '@pulleystack/gateway.http'
+import { cutResponse } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
 import type { StreamOrigin } from '@pulleystack/routing.fleet'
 import type { StreamOrigins } from '@pulleystack/routing.origins'
 import { DecisionKinds, type DecisionFacts } from '@pulleystack/timeline.decisions'
 import { ClientResponse, chooseStatus } from './ClientResponse.js'
+import { DeadlineTimer } from './DeadlineTimer.js'
 import { findTeam } from './findTeam.js'
 import type { QuotaGate, QuotaUse } from './QuotaGate.js'
 import { createStreamProgress, type StreamProgress } from './relayStream.js'
 import { estimateGeneration, type RoutedWork } from './RoutedWork.js'
 import { UnfinishedRequest, type UnfinishedFacts } from './UnfinishedRequest.js'
 import type { InstanceRelay } from './InstanceRelay.js'
-import { ForwardHeaders, RELAY_HEADER_NAMES, readForwarded, readMinVersion, type ForwardedRequest } from './relayHeaders.js'
+import { ForwardHeaders, RELAY_HEADER_NAMES, readForwarded, readHop, readMinVersion, type ForwardedRequest } from './relayHeaders.js'
+import { RequestBudget } from './RequestBudget.js'
 import { createRequestAborter, waitUnlessAborted, waitUntilSent, type RequestAborter } from './RequestAborter.js'
+import { readRequestBody } from './readRequestBody.js'
 import { runRequest, type RunOptions } from './runRequest.js'
 import { waitForReads } from './waitForReads.js'
 
@@ -27,7 +30,7 @@
 /** Time for instances that could not be asked where a stream began to be reachable again. */
 const UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
 const CLIENT_CLOSED_STATUS = 499
-/** Time limit for relaying a request; a shorter one of the client takes precedence. */
+/** Time limit for relaying a request of which no shorter one is known. */
 const RELAY_TIMEOUT_MS = 30_000
 /** The serving instance enforces the configured limit. */
 const MAX_RELAY_BODY_BYTES = 32 << 20
@@ -51,8 +54,12 @@
   origins: Pick<StreamOrigins, 'begin' | 'store' | 'record' | 'end' | 'find'>
   /** Relays requests while this instance has no recent configuration; undefined where each instance serves its own requests. */
   relay?: InstanceRelay
-  /** Key by which other instances prove that they forward a request; undefined where none does. */
+  /** Key by which other instances prove that they hand a request on; undefined where none does. */
   forwardKey?: string
+  /** Converts the monotonic time of another instance to a time of this one that is not after it; undefined while that is unknown. */
+  convertPeerTime?: (instance: string, time: number) => number | undefined
+  /** Finds the time limit of a request's route, in milliseconds, where this instance has no configuration; undefined if it is unknown. */
+  findTimeout?: (host: string, path: string) => number | undefined
   /** Undefined where team quotas are not enforced. */
   quotas?: QuotaGate | undefined
   /** Counts a request for the retry budget of the service. */
@@ -75,8 +82,7 @@
   team: Team | undefined
   facts: RoutedRequestFacts
   request: http.IncomingMessage
-  arrivedAt: number
-  deadline: number
+  budget: RequestBudget
   signal: AbortSignal
   /** Undefined unless another instance forwards it. */
   forwarded: ForwardedRequest | undefined
@@ -86,7 +92,7 @@
 interface RequestToRelay {
   facts: RoutedRequestFacts
   request: http.IncomingMessage
-  arrivedAt: number
+  budget: RequestBudget
   aborter: RequestAborter
 }
 
@@ -148,6 +154,7 @@
 
   private async answer (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     const facts = this.opts.protocol.readRequest(request.headers)
+    const budget = this.createBudget(request, facts, arrivedAt)
     const minVersion = readMinVersion(request.headers)
     const forwarded = readForwarded(request.headers, this.opts.forwardKey)
     const client = new ClientResponse({
@@ -159,6 +166,7 @@
     })
     let stream: StreamProgress | undefined
     let quotaUse: QuotaUse | undefined
+    let deadlineTimer: DeadlineTimer | undefined
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const aborter = createRequestAborter(response)
     this.aborters.add(aborter)
@@ -166,28 +174,28 @@
     try {
       const table = this.findTable(minVersion)
       if (table === undefined) {
-        await this.relay({ facts, request, arrivedAt, aborter }, client)
+        await this.relay({ facts, request, budget, aborter }, client)
         return
       }
       const route = this.findRoute(table, request)
       outcome.route = route.name
       const team = findTeam({ table, route, facts, isTableCurrent: this.opts.isTableCurrent })
-      const deadline = arrivedAt + Math.min(route.timeoutMs, facts.waitMs ?? Infinity)
-      this.checkMayBegin(deadline)
+      budget.applyLimit(route.timeoutMs)
+      this.checkMayBegin(budget.deadline)
       await waitUnlessAborted(aborter.signal, waitForReads())
       quotaUse = forwarded ? undefined : await waitUnlessAborted(aborter.signal, this.admit(facts, team))
-      const work = await this.createWork({ table, route, team, facts, request, arrivedAt, deadline, signal: aborter.signal, forwarded })
+      const work = await this.createWork({ table, route, team, facts, request, budget, signal: aborter.signal, forwarded })
       unfinished.work = work
       // Reading the body may have taken long.
-      this.checkMayBegin(deadline)
+      this.checkMayBegin(budget.deadline)
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
-      const cancelTimer = this.opts.clock.setTimer(Math.max(0, work.deadline - this.opts.clock.readTime()), () => aborter.expire())
+      deadlineTimer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
+      deadlineTimer.recordSend()
       const endDemand = forwarded ? (): void => undefined : this.noteDemand(work)
       this.requestsInProgress.set(work, aborter)
       await runRequest(this.opts, work, client).finally(() => {
         this.requestsInProgress.delete(work)
-        cancelTimer()
         endDemand()
       })
     } catch (thrown) {
@@ -198,6 +206,7 @@
       outcome.status = error.code === 'CALLER_GONE' ? CLIENT_CLOSED_STATUS : chooseStatus(error)
       client.sendError(error, facts.requestId)
     } finally {
+      deadlineTimer?.cancel()
       aborter.release()
       this.aborters.delete(aborter)
       this.recordOutcome({ outcome, facts, response, arrivedAt, stream })
@@ -240,22 +249,30 @@
   }
 
   /** Forwards a request to a serving instance and relays its response. */
-  private async relay ({ facts, request, arrivedAt, aborter }: RequestToRelay, client: ClientResponse): Promise<void> {
-    const deadline = arrivedAt + Math.min(RELAY_TIMEOUT_MS, facts.waitMs ?? Infinity)
-    this.checkMayBegin(deadline)
-    const cancel = this.opts.clock.setTimer(Math.max(0, deadline - this.opts.clock.readTime()), () => aborter.expire())
+  private async relay ({ facts, request, budget, aborter }: RequestToRelay, client: ClientResponse): Promise<void> {
+    const { method = 'GET', url: path = '/', rawHeaders } = request
+    budget.applyLimit(Math.min(RELAY_TIMEOUT_MS, this.opts.findTimeout?.(request.headers.host ?? '', path) ?? Infinity))
+    this.checkMayBegin(budget.deadline)
+    const timer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
     try {
       await waitUnlessAborted(aborter.signal, waitForReads())
       const body = await readRequestBody(request, MAX_RELAY_BODY_BYTES, aborter.signal)
-      const { method = 'GET', url: path = '/', rawHeaders } = request
-      const clientDeadline = facts.waitMs === undefined ? undefined : arrivedAt + facts.waitMs
-      const { requestId } = facts
-      await this.opts.relay?.run({ requestId, method, path, rawHeaders, body, deadline: clientDeadline, endsAt: deadline, signal: aborter.signal }, client)
+      timer.recordSend()
+      await this.opts.relay?.run({ requestId: facts.requestId, method, path, rawHeaders, body, budget, signal: aborter.signal }, client)
     } finally {
-      cancel()
+      timer.cancel()
     }
   }
 
+  /** Continues the budget of the instance that handed the request on, or starts one. */
+  private createBudget (request: http.IncomingMessage, { waitMs }: RoutedRequestFacts, arrivedAt: number): RequestBudget {
+    const hop = readHop(request.headers, this.opts.forwardKey)
+    if (!hop) return new RequestBudget({ arrivedAt, waitMs })
+    const sentAt = this.opts.convertPeerTime?.(hop.sender, hop.sentAt)
+    const hopMs = sentAt === undefined ? 0 : Math.max(0, arrivedAt - sentAt)
+    return new RequestBudget({ arrivedAt, waitMs, hop: { usedMs: hop.usedMs, hopMs } })
+  }
+
   private findRoute (table: RouteTable, request: http.IncomingMessage): Route {
     const path = (request.url ?? '/').split('?', 1)[0] as string
     const route = table.findRoute(request.headers.host ?? '', path)
@@ -265,7 +282,8 @@
   }
 
   private async createWork (arrived: ArrivedRequest): Promise<RoutedWork> {
-    const { table, team, facts, request, forwarded } = arrived
+    const { table, team, facts, request, forwarded, budget } = arrived
+    const { startedAt, clientWaitMs } = budget
     const route = forwarded ? lowerAttempts(arrived.route, forwarded.attemptsLeft) : arrived.route
     const target = chooseTarget(route, this.opts.random)
     const origin = facts.lastEventId && route.streams ? await waitUnlessAborted(arrived.signal, this.findOrigin(arrived, target)) : undefined
@@ -285,10 +303,10 @@
       path: request.url ?? '/',
       rawHeaders: filterEndToEndHeaders(request.rawHeaders, RELAY_HEADER_NAMES),
       body,
-      arrivedAt: arrived.arrivedAt,
-      deadline: arrived.deadline,
+      arrivedAt: startedAt,
+      deadline: budget.deadline,
       generation: service.serving ? estimateGeneration(facts) : undefined,
-      firstTriedAt: arrived.arrivedAt - (facts.waitMs === undefined ? 0 : this.firstTries.estimateElapsedMs(route.name, facts.waitMs)),
+      firstTriedAt: startedAt - (clientWaitMs === undefined ? 0 : this.firstTries.estimateElapsedMs(route.name, clientWaitMs)),
       excluded: new Set(),
       deniedUntil: new Map(),
       isForwarded: request.headers[ForwardHeaders.KEY] !== undefined,
@@ -348,15 +366,3 @@
 function lowerAttempts (route: Route, attempts: number): Route {
   return { ...route, maxAttempts: Math.min(route.maxAttempts, attempts) }
 }
-
-/** Reads the body, then waits for pending reads, since a close behind a large body is noticed only after the body has been consumed. */
-async function readRequestBody (request: http.IncomingMessage, limitBytes: number, signal: AbortSignal): Promise<Buffer | undefined> {
-  if (!hasBody(request)) return undefined
-  const body = await waitUnlessAborted(signal, readBody(request, limitBytes))
-  await waitUnlessAborted(signal, waitForReads())
-  return body
-}
-
-function hasBody (request: http.IncomingMessage): boolean {
-  return request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
-}
--- /dev/null
+++ b/gateway/routed/src/readRequestBody.ts
@@ -0,0 +1,16 @@
+import type http from 'node:http'
+import { readBody } from '@pulleystack/gateway.http'
+import { waitUnlessAborted } from './RequestAborter.js'
+import { waitForReads } from './waitForReads.js'
+
+/** Reads the body, then waits for pending reads, since a close behind a large body is noticed only after the body has been consumed. */
+export async function readRequestBody (request: http.IncomingMessage, limitBytes: number, signal: AbortSignal): Promise<Buffer | undefined> {
+  if (!hasBody(request)) return undefined
+  const body = await waitUnlessAborted(signal, readBody(request, limitBytes))
+  await waitUnlessAborted(signal, waitForReads())
+  return body
+}
+
+export function hasBody (request: http.IncomingMessage): boolean {
+  return request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
+}
--- a/gateway/routed/src/relayHeaders.ts
+++ b/gateway/routed/src/relayHeaders.ts
@@ -11,6 +11,18 @@
   OUTDATED: 'pulleystack-relay-outdated',
 } as const
 
+/** Headers of every request that an instance hands on, in lower case. They count only under the key, so that those of clients change nothing. */
+export const HopHeaders = {
+  /** The receiver's own key, which only other instances know. */
+  KEY: 'pulleystack-hop-key',
+  /** Name of the sending instance. */
+  SENDER: 'pulleystack-hop-sender',
+  /** Milliseconds from the arrival at the first instance until the request was sent. */
+  USED_MS: 'pulleystack-hop-used-ms',
+  /** The sender's monotonic time of sending, in milliseconds. */
+  SENT_AT: 'pulleystack-hop-sent-at',
+} as const
+
 /** Headers of a request whose servers an instance can't reach and that it forwards, in lower case. */
 export const ForwardHeaders = {
   /** The receiver's own key, which only other instances know. */
@@ -23,7 +35,29 @@
   ORIGIN: 'pulleystack-stream-origin',
 } as const
 
-export const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set([...Object.values(RelayHeaders), ...Object.values(ForwardHeaders)])
+export const RELAY_HEADER_NAMES: ReadonlySet<string> = new Set([RelayHeaders, HopHeaders, ForwardHeaders].flatMap((headers) => Object.values(headers)))
+
+/** What another instance says of a request that it hands on. */
+export interface Hop {
+  sender: string
+  /** Milliseconds from the arrival at the first instance until the request was sent. */
+  usedMs: number
+  /** The sender's monotonic time of sending, in milliseconds. */
+  sentAt: number
+}
+
+/** Reads what another instance says of a request that it hands on; undefined for any other request. */
+export function readHop (headers: IncomingHttpHeaders, ownKey: string | undefined): Hop | undefined {
+  if (ownKey === undefined || headers[HopHeaders.KEY] !== ownKey) return undefined
+  const [usedMs, sentAt] = [HopHeaders.USED_MS, HopHeaders.SENT_AT].map((name) => Number(headers[name] ?? NaN)) as [number, number]
+  const sender = headers[HopHeaders.SENDER]
+  return typeof sender === 'string' && usedMs >= 0 && Number.isFinite(usedMs) && Number.isFinite(sentAt) ? { sender, usedMs, sentAt } : undefined
+}
+
+/** Builds the headers that `readHop` reads at the instance whose key is `key`. */
+export function buildHopHeaders ({ sender, usedMs, sentAt }: Hop, key: string): string[] {
+  return [HopHeaders.KEY, key, HopHeaders.SENDER, sender, HopHeaders.USED_MS, usedMs.toFixed(1), HopHeaders.SENT_AT, sentAt.toFixed(1)]
+}
 
 /** A request that another instance forwards: it has admitted and counted the request. */
 export interface ForwardedRequest {
@@ -60,7 +94,7 @@
   }
 }
 
-/** Reads the oldest configuration version that may serve a relayed request; undefined for a request sent by a client. */
+/** Reads the oldest configuration version that may serve a request of another instance; undefined for a request sent by a client. */
 export function readMinVersion (headers: IncomingHttpHeaders): number | undefined {
   const text = headers[RelayHeaders.MIN_VERSION]
   return text === undefined ? undefined : Number(text)
--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -11,6 +11,7 @@
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { InstanceRelay, RelayHeaders, type RelayTarget } from '../src/index.js'
 import { ClientResponse } from '../src/ClientResponse.js'
+import { RequestBudget } from '../src/RequestBudget.js'
 
 const protocol = {
   readResponse: (_: number, headers: http.IncomingHttpHeaders): ResponseFacts => ({ requestId: headers['request-id'] as string | undefined, isConfirmedByServer: false, notRun: false }),
@@ -57,13 +58,14 @@
     servers = []
     targets = []
     const clock = new SystemClock()
-    relay = new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol, log: new NullDecisionLog(), listTargets: () => targets })
+    relay = new InstanceRelay({ clock, instance: 'r1', agent: new BackendAgent(clock), protocol, log: new NullDecisionLog(), listTargets: () => targets })
     front = http.createServer((request, response) => {
       const client = new ClientResponse({ response, ownHeaders: {}, mustClose: () => false })
       const clientGone = new AbortController()
       response.once('close', () => clientGone.abort(new PulleystackError('CALLER_GONE', 'gone')))
       const { method = '', url: path = '', rawHeaders } = request
-      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), deadline: clock.readTime() + LEFT_MS, endsAt: clock.readTime() + LEFT_MS, signal: clientGone.signal }
+      const budget = new RequestBudget({ arrivedAt: clock.readTime(), waitMs: LEFT_MS })
+      const work = { requestId: 'q1', method, path, rawHeaders, body: Buffer.from('asked'), budget, signal: clientGone.signal }
       relay.run(work, client).catch((error: PulleystackError) => client.sendError(error, 'q1'))
     })
     await listen(front)
@@ -119,7 +121,7 @@
   it('reports a request as not run if no instance is reachable, but not once it has been sent', async () => {
     targets.push({ instance: 'gone', address: '127.0.0.1:1' })
     const client = {} as ClientResponse
-    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, deadline: undefined, endsAt: Infinity, signal: new AbortController().signal }
+    const work = { requestId: 'q1', method: 'POST', path: '/', rawHeaders: [], body: undefined, budget: new RequestBudget({ arrivedAt: 0, waitMs: undefined }), signal: new AbortController().signal }
     await assert.rejects(relay.run(work, client), (error: PulleystackError) => error.ran === Ran.NO)
     targets = []
     await startTarget(3, (request) => request.socket.destroy())
--- a/gateway/routed/test/PeerForwarder.test.ts
+++ b/gateway/routed/test/PeerForwarder.test.ts
@@ -28,6 +28,7 @@
   const end = new AbortController()
   const forwarder = new PeerForwarder({
     clock,
+    instance: 'e1',
     random: new RandomSource(1),
     agent: new BackendAgent(clock),
     protocol,
--- a/gateway/routed/test/relayHeaders.test.ts
+++ b/gateway/routed/test/relayHeaders.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
-import { ForwardHeaders, formatOrigin, readForwarded, readOrigin } from '../src/relayHeaders.js'
+import { ForwardHeaders, HopHeaders, buildHopHeaders, formatOrigin, readForwarded, readHop, readOrigin } from '../src/relayHeaders.js'
 
 const OWN_KEY = 'own-key'
 
@@ -25,6 +25,29 @@
   })
 })
 
+describe('headers of a request that another instance hands on', () => {
+  const hop = { sender: 'e2', usedMs: 12.5, sentAt: 5_000.5 }
+  const build = (changes: Record<string, string | undefined> = {}): Record<string, string | undefined> => {
+    const headers = buildHopHeaders(hop, OWN_KEY)
+    const pairs = headers.flatMap((name, at) => at % 2 === 0 ? [[name, headers[at + 1]]] : [])
+    return { ...Object.fromEntries(pairs) as Record<string, string>, ...changes }
+  }
+
+  it('tell what it has used', () => assert.deepEqual(readHop(build(), OWN_KEY), hop))
+
+  it('are believed with the own key only', () => {
+    assert.equal(readHop(build(), 'another'), undefined)
+    assert.equal(readHop(build(), undefined), undefined)
+    assert.equal(readHop(build({ [HopHeaders.KEY]: undefined }), OWN_KEY), undefined)
+  })
+
+  it('tell nothing if one of them makes no sense', () => {
+    for (const value of ['-1', 'NaN', 'Infinity', 'x', '1, 2', undefined]) assert.equal(readHop(build({ [HopHeaders.USED_MS]: value }), OWN_KEY), undefined, value)
+    for (const value of ['NaN', '-Infinity', 'x', undefined]) assert.equal(readHop(build({ [HopHeaders.SENT_AT]: value }), OWN_KEY), undefined, value)
+    assert.equal(readHop(build({ [HopHeaders.SENDER]: undefined }), OWN_KEY), undefined)
+  })
+})
+
 describe('the origin of a stream in the headers of an instance', () => {
   const origin = { service: 'writer', version: 'v1, \u00e9\ud800\r\n' }
 
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -18,6 +18,7 @@
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
 import { listNearestFirst } from './listAddresses.js'
+import type { SharedTimeouts } from './SharedTimeouts.js'
 import { startPaths } from './startPaths.js'
 
 /** Dependencies of the gateway for routed requests. */
@@ -33,6 +34,7 @@
   origins: StreamOrigins
   relay: InstanceRelay
   forwarder: PeerForwarder
+  timeouts: Pick<SharedTimeouts, 'find'>
   limits: TeamLimits | undefined
   quarantine: Quarantine
   statements: ServerReports
@@ -44,14 +46,14 @@
 }
 
 /** Dependencies of the forwarder. */
-type ForwarderParts = Pick<GatewayParts, 'deps' | 'clock' | 'random' | 'mesh' | 'fleet' | 'readTable'>
+type ForwarderParts = Pick<GatewayParts, 'settings' | 'deps' | 'clock' | 'random' | 'mesh' | 'fleet' | 'readTable'>
 
 /** Dependencies of the team quotas. */
 type LimitsParts = Pick<GatewayParts, 'settings' | 'clock' | 'mesh' | 'network' | 'readTable' | 'policy'>
 
 /** Creates the gateway for routed requests, with a retry budget per service; paths to backend servers are probed until the signal is aborted. */
 export function createGateway (parts: GatewayParts, signal: AbortSignal): RoutedGateway {
-  const { settings, deps, clock, random, log, policy, mesh } = parts
+  const { settings, deps, clock, random, log, policy, mesh, network, timeouts } = parts
   const { limits, quarantine, queue, reservations, fleet, statements, residency, origins, metrics } = parts
   const { readTable, isTableCurrent, mayStart, mustClose } = parts
   const { protocol } = deps
@@ -68,6 +70,8 @@
     relay: parts.relay,
     forwarder: parts.forwarder,
     forwardKey: mesh.self.forwardKey,
+    convertPeerTime: (instance, time) => network.convertTime(instance, time),
+    findTimeout: (host, path) => timeouts.find(host, path) ?? readTable()?.findRoute(host, path)?.timeoutMs,
     queue,
     slots: new ReservedSlots({
       clock,
@@ -103,14 +107,23 @@
     const ranked = rankMembers(settings.instance, serving, (identity) => identity.instance)
     return listNearestFirst(ranked, settings.dataHall)
   }
-  return new InstanceRelay({ clock, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
+  return new InstanceRelay({ clock, instance: settings.instance, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
 }
 
 /** Creates the forwarder of requests to instances that reach servers which this one doesn't. */
-export function createForwarder ({ deps, clock, random, mesh, fleet, readTable }: ForwarderParts): PeerForwarder {
+export function createForwarder ({ settings, deps, clock, random, mesh, fleet, readTable }: ForwarderParts): PeerForwarder {
   const listTargets = (): ForwardTarget[] => mesh.listLinked().filter(isServing)
   const readConfigVersion = (): number => readTable()?.config.version ?? 0
-  return new PeerForwarder({ clock, random, agent: new BackendAgent(clock), protocol: deps.protocol, contacts: fleet.contacts, listTargets, readConfigVersion })
+  return new PeerForwarder({
+    clock,
+    random,
+    instance: settings.instance,
+    agent: new BackendAgent(clock),
+    protocol: deps.protocol,
+    contacts: fleet.contacts,
+    listTargets,
+    readConfigVersion,
+  })
 }
 
 /** Creates the team quotas shared by all instances; undefined if quotas are not enforced. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -20,6 +20,7 @@
 import type { EntryParts } from './EntryParts.js'
 import type { EntrySettings } from './EntrySettings.js'
 import type { EntryDependencies } from './EntrySources.js'
+import { SharedTimeouts } from './SharedTimeouts.js'
 import { startOrigins } from './startOrigins.js'
 import { startQueue } from './startQueue.js'
 import { startReservations } from './startReservations.js'
@@ -106,11 +107,12 @@
   const mayStart = (deadline: number): boolean => state.stopPlan?.mayStart(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
   const relay = createRelay(parts)
+  const timeouts = new SharedTimeouts(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
   const limits = createLimits(parts)
   const reservations = startReservations({ ...parts, metrics, onRoom: () => queue.assignSlots() }, ended.signal)
   const decisions = { ...parts, reservations, limits, forwarder, queue, relay, quarantine, statements, residency, metrics }
-  const gateway = createGateway({ ...decisions, origins, random, isTableCurrent, mayStart, mustClose }, ended.signal)
+  const gateway = createGateway({ ...decisions, origins, random, timeouts, isTableCurrent, mayStart, mustClose }, ended.signal)
   const setPhase = (phase: EntryPhase): void => {
     state.phase = phase
     mesh.announce({ leaving: phase !== EntryPhases.READY })
@@ -121,6 +123,7 @@
   }
   mesh.self.peerAddress = `${parseAddress(settings.peerAddress).host}:${await network.start()}`
   mesh.start(ended.signal)
+  timeouts.start(ended.signal)
   shareLoads({ clock, network, fleet, log, countRecipients: () => mesh.listServing().length, onChange: () => queue.assignSlots() }, ended.signal)
   residency.start(ended.signal)
   limits?.start(ended.signal)
@@ -131,6 +134,7 @@
   fleet.changes.subscribe(updatePhase)
   const applyTable = (table: RouteTable): void => {
     state.table = table
+    timeouts.announce(table)
     updatePhase()
     queue.assignSlots()
   }
