--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -182,6 +182,7 @@
       const team = findTeam({ table, route, facts, isTableCurrent: this.opts.isTableCurrent })
       budget.applyLimit(route.timeoutMs)
       this.checkMayBegin(budget.deadline)
+      deadlineTimer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
       await waitUnlessAborted(aborter.signal, waitForReads())
       quotaUse = forwarded ? undefined : await waitUnlessAborted(aborter.signal, this.admit(facts, team))
       const work = await this.createWork({ table, route, team, facts, request, budget, signal: aborter.signal, forwarded })
@@ -190,7 +191,6 @@
       this.checkMayBegin(budget.deadline)
       outcome.service = work.service.name
       if (route.streams) stream = work.stream
-      deadlineTimer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
       deadlineTimer.recordSend()
       const endDemand = forwarded ? (): void => undefined : this.noteDemand(work)
       this.requestsInProgress.set(work, aborter)
