--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -155,7 +155,7 @@
   private async answer (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     const facts = this.opts.protocol.readRequest(request.headers)
     const budget = this.createBudget(request, facts, arrivedAt)
-    const minVersion = readMinVersion(request.headers)
+    const minVersion = readMinVersion(request.headers, this.opts.forwardKey)
     const forwarded = readForwarded(request.headers, this.opts.forwardKey)
     const client = new ClientResponse({
       response,
--- a/gateway/routed/src/relayHeaders.ts
+++ b/gateway/routed/src/relayHeaders.ts
@@ -95,7 +95,8 @@
 }
 
 /** Reads the oldest configuration version that may serve a request of another instance; undefined for a request sent by a client. */
-export function readMinVersion (headers: IncomingHttpHeaders): number | undefined {
+export function readMinVersion (headers: IncomingHttpHeaders, ownKey: string | undefined): number | undefined {
   const text = headers[RelayHeaders.MIN_VERSION]
-  return text === undefined ? undefined : Number(text)
+  const isProven = ownKey !== undefined && (headers[HopHeaders.KEY] === ownKey || headers[ForwardHeaders.KEY] === ownKey)
+  return text === undefined || !isProven ? undefined : Number(text)
 }
