--- a/gateway/routed/src/InstanceRelay.ts
+++ b/gateway/routed/src/InstanceRelay.ts
@@ -6,6 +6,7 @@
 import { openExchange, type BackendAgent, type ExchangeResponse } from '@pulleystack/routing.forward'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { ClientResponse } from './ClientResponse.js'
+import type { RelayPeers, RelayTarget } from './RelayPeers.js'
 import { RELAY_HEADER_NAMES, RelayHeaders, buildHopHeaders } from './relayHeaders.js'
 import type { RequestBudget } from './RequestBudget.js'
 
@@ -15,18 +16,13 @@
 const MAX_TARGETS = 3
 /** Time for another instance to start serving, or for a link to recover. */
 const NO_TARGET_RETRY_SECONDS = 0.5
+/** A shorter wait for a response says nothing of the peer. */
+const MIN_SILENCE_MS = 250
+/** A client that leaves with no more time than this has waited to its end. */
+const MAX_LEFT_MS = 50
 /** Largest response buffered before it is forwarded. */
 const MAX_BODY_BYTES = 32 << 20
 
-/** A serving instance. */
-export interface RelayTarget {
-  instance: string
-  /** host:port for client connections. */
-  address: string
-  /** Proves to that instance that the request comes from another one; one of an older version has none. */
-  forwardKey?: string
-}
-
 /** A request to be served by another instance. */
 export interface RelayedRequest {
   requestId: string | undefined
@@ -47,8 +43,7 @@
   agent: BackendAgent
   protocol: RoutedProtocol
   log: DecisionLog
-  /** Lists serving instances with a live link, the preferred one first. */
-  listTargets: () => readonly RelayTarget[]
+  peers: RelayPeers
 }
 
 /**
@@ -62,7 +57,7 @@
 
   /** Whether a serving instance is linked now. */
   get isReady (): boolean {
-    return this.opts.listTargets().length > 0
+    return !this.opts.peers.isEmpty
   }
 
   /** Newest configuration version that has served a relayed request; later requests must not be served with an older one. */
@@ -73,21 +68,26 @@
   /** Relays the response of a serving instance; rejects with `ran: no` if none was reached or all of them have older configurations. */
   async run (request: RelayedRequest, client: ClientResponse): Promise<void> {
     let failure = createNoTargetError()
-    for (const target of this.opts.listTargets().slice(0, MAX_TARGETS)) {
-      const response = await this.send(target, request)
-      if (response instanceof PulleystackError) {
+    for (const target of this.opts.peers.list().slice(0, MAX_TARGETS)) {
+      const recordEnd = this.opts.peers.recordSent(target)
+      try {
+        const response = await this.send(target, request)
+        if (!(response instanceof PulleystackError)) {
+          await relayResponse(response, client)
+          return
+        }
         failure = response
-        continue
+      } finally {
+        recordEnd()
       }
-      await relayResponse(response, client)
-      return
     }
     throw failure
   }
 
   /** Returns the response, or the error of an instance that is known not to have run the request, so that another one can be tried. */
   private async send (target: RelayTarget, request: RelayedRequest): Promise<ExchangeResponse | PulleystackError> {
-    const leftMs = Math.round(request.budget.readLeftMs(this.opts.clock.readTime()))
+    const sentAt = this.opts.clock.readTime()
+    const leftMs = Math.round(request.budget.readLeftMs(sentAt))
     this.opts.log.record(DecisionKinds.REQUEST_RELAYED, { request: request.requestId, peer: target.instance, leftMs })
     try {
       const response = await openExchange({
@@ -104,10 +104,12 @@
         mustBeFramed: true,
         signal: request.signal,
       })
+      this.opts.peers.recordAnswer(target)
       this.noteVersion(response)
       return response
     } catch (thrown) {
       const error = convertToError(thrown)
+      this.judgeSilence(target, request, error, sentAt)
       if (request.signal.aborted) throw error
       if (error.code === 'ATTEMPT_FAILED_NOT_RUN') return createNoTargetError(error)
       if (error.code === 'BACKEND_REFUSED') return createOutdatedError(error)
@@ -115,6 +117,15 @@
     }
   }
 
+  /** Counts an exchange that ended without a response against the peer, unless the client left early. */
+  private judgeSilence (target: RelayTarget, { budget, signal }: RelayedRequest, error: PulleystackError, sentAt: number): void {
+    if (error.code === 'BACKEND_REFUSED') return
+    const now = this.opts.clock.readTime()
+    const hasLeftEarly = signal.aborted && (now - sentAt < MIN_SILENCE_MS || budget.readLeftMs(now) > MAX_LEFT_MS)
+    if (hasLeftEarly || !this.opts.peers.recordSilence(target)) return
+    this.opts.log.record(DecisionKinds.PEER_EJECTED, { peer: target.instance, silentMs: Math.round(now - sentAt) })
+  }
+
   private buildHeaders ({ forwardKey }: RelayTarget, { rawHeaders, body, budget }: RelayedRequest): string[] {
     const now = this.opts.clock.readTime()
     const waitMs = budget.clientDeadline === undefined ? undefined : Math.max(1, Math.floor(budget.clientDeadline - now))
--- a/gateway/routed/src/PeerForwarder.ts
+++ b/gateway/routed/src/PeerForwarder.ts
@@ -3,7 +3,7 @@
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import type { ServerContacts } from '@pulleystack/routing.fleet'
 import { openExchange, type BackendAgent, type ExchangeResponse } from '@pulleystack/routing.forward'
-import type { RelayTarget } from './InstanceRelay.js'
+import type { RelayTarget } from './RelayPeers.js'
 import { ForwardHeaders, RelayHeaders, buildHopHeaders, formatOrigin } from './relayHeaders.js'
 import type { RoutedWork } from './RoutedWork.js'
 
--- a/gateway/routed/test/InstanceRelay.test.ts
+++ b/gateway/routed/test/InstanceRelay.test.ts
@@ -4,12 +4,12 @@
 import net, { type AddressInfo } from 'node:net'
 import { afterEach, beforeEach, describe, it } from 'node:test'
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
-import { SystemClock } from '@pulleystack/core.clock'
+import { RandomSource, SystemClock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
-import { InstanceRelay, RelayHeaders, type RelayTarget } from '../src/index.js'
+import { InstanceRelay, RelayHeaders, RelayPeers, type RelayTarget } from '../src/index.js'
 import { ClientResponse } from '../src/ClientResponse.js'
 import { RequestBudget } from '../src/RequestBudget.js'
 
@@ -58,7 +58,8 @@
     servers = []
     targets = []
     const clock = new SystemClock()
-    relay = new InstanceRelay({ clock, instance: 'r1', agent: new BackendAgent(clock), protocol, log: new NullDecisionLog(), listTargets: () => targets })
+    const peers = new RelayPeers({ clock, random: new RandomSource(1), listTargets: () => targets })
+    relay = new InstanceRelay({ clock, instance: 'r1', agent: new BackendAgent(clock), protocol, log: new NullDecisionLog(), peers })
     front = http.createServer((request, response) => {
       const client = new ClientResponse({ response, ownHeaders: {}, mustClose: () => false })
       const clientGone = new AbortController()
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,8 +1,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
-import { InstanceRelay, PeerForwarder, QuotaGate, ReservedSlots, RoutedGateway, StreamFlusher, SuspectGate, type BackendQueue, type ForwardTarget, type RelayTarget } from '@pulleystack/gateway.routed'
-import { rankMembers } from '@pulleystack/core.hashing'
+import { InstanceRelay, PeerForwarder, QuotaGate, RelayPeers, ReservedSlots, RoutedGateway, StreamFlusher, SuspectGate, type BackendQueue, type ForwardTarget } from '@pulleystack/gateway.routed'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
@@ -17,7 +16,7 @@
 import { describeMembership, listServing } from './describeMembership.js'
 import type { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
-import { listNearestFirst } from './listAddresses.js'
+import { listForHall } from './listForHall.js'
 import type { SharedTimeouts } from './SharedTimeouts.js'
 import { startPaths } from './startPaths.js'
 
@@ -97,17 +96,10 @@
   })
 }
 
-/**
- * Creates the relay of requests to serving instances. Those in the same data hall come first, otherwise the order is fixed, so that clients see one
- * configuration.
- */
-export function createRelay ({ settings, deps, clock, log, mesh }: EntryParts & { mesh: InstanceMesh }): InstanceRelay {
-  const listTargets = (): RelayTarget[] => {
-    const serving = mesh.listLinked().filter(isServing)
-    const ranked = rankMembers(settings.instance, serving, (identity) => identity.instance)
-    return listNearestFirst(ranked, settings.dataHall)
-  }
-  return new InstanceRelay({ clock, instance: settings.instance, agent: new BackendAgent(clock), protocol: deps.protocol, log, listTargets })
+/** Creates the relay of requests to serving instances. */
+export function createRelay ({ settings, deps, clock, random, log, mesh }: EntryParts & { random: RandomSource, mesh: InstanceMesh }): InstanceRelay {
+  const peers = new RelayPeers({ clock, random, listTargets: () => listForHall(mesh.listLinked().filter(isServing), settings.dataHall) })
+  return new InstanceRelay({ clock, instance: settings.instance, agent: new BackendAgent(clock), protocol: deps.protocol, log, peers })
 }
 
 /** Creates the forwarder of requests to instances that reach servers which this one doesn't. */
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -106,7 +106,7 @@
   const isTableCurrent = (): boolean => (state.feeds?.config.ageMs ?? Infinity) <= settings.bounds.configLagMs
   const mayStart = (deadline: number): boolean => state.stopPlan?.mayStart(clock.readTime(), deadline) ?? true
   const mustClose = (): boolean => state.phase === EntryPhases.LEAVING || state.phase === EntryPhases.ENDING
-  const relay = createRelay(parts)
+  const relay = createRelay({ ...parts, random })
   const timeouts = new SharedTimeouts(parts)
   const isReady = (): boolean => state.phase === EntryPhases.READY || (state.phase === EntryPhases.STARTING && relay.isReady)
   const limits = createLimits(parts)
--- a/routing/retries/src/OutlierDetector.ts
+++ b/routing/retries/src/OutlierDetector.ts
@@ -3,11 +3,25 @@
 const MAX_EJECTION_MS = 60_000
 const PANIC_THRESHOLD = 0.5
 
-/** Ejects a backend server after consecutive failures, for longer each time. */
+export interface OutlierOptions {
+  /** Consecutive failures that eject. */
+  failures?: number
+  /** Duration of the first ejection, in milliseconds. */
+  baseEjectionMs?: number
+}
+
+/** Ejects a backend server or peer after consecutive failures, for longer each time. */
 export class OutlierDetector {
   private failures = 0
   private ejections = 0
   private ejectedUntil = 0
+  private readonly maxFailures: number
+  private readonly baseEjectionMs: number
+
+  constructor ({ failures = CONSECUTIVE_FAILURES, baseEjectionMs = BASE_EJECTION_MS }: OutlierOptions = {}) {
+    this.maxFailures = failures
+    this.baseEjectionMs = baseEjectionMs
+  }
 
   /** Counts a success; successes gradually cancel earlier ejections. */
   recordSuccess (): void {
@@ -18,10 +32,10 @@
   /** Counts a failure; returns true when it caused an ejection. */
   recordFailure (now: number, jitter: number): boolean {
     this.failures++
-    if (this.failures < CONSECUTIVE_FAILURES || this.isEjected(now)) return false
+    if (this.failures < this.maxFailures || this.isEjected(now)) return false
     this.failures = 0
     this.ejections = Math.max(0, Math.ceil(this.ejections)) + 1
-    const ms = Math.min(MAX_EJECTION_MS, BASE_EJECTION_MS * 2 ** (this.ejections - 1))
+    const ms = Math.min(MAX_EJECTION_MS, this.baseEjectionMs * 2 ** (this.ejections - 1))
     this.ejectedUntil = now + ms * (0.75 + jitter / 2)
     return true
   }
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -135,6 +135,8 @@
   'limit-reached': { request: string, limits: readonly ReachedLimit[], expectedMs: number }
   /** This instance is on standby or has no configuration yet, and relayed the request to another one. It gives up after `leftMs`. */
   'request-relayed': { request: string | undefined, peer: string, leftMs: number }
+  /** A peer let relayed requests run out of time, the last after `silentMs`; for a while, others are tried first. */
+  'peer-ejected': { peer: string, silentMs: number }
   /** The event loop ran a timer `ms` late, as the process lacked processor time, was suspended, or computed for that long. Logged at most twice a second. */
   'event-loop-delayed': { ms: number }
   /** A request was sent to a `peer`, since this instance can't reach the servers that could run it; a stream goes on after event `after`. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -54,6 +54,7 @@
   RESERVATION_OWNER_SILENT: 'reservation-owner-silent',
   WEIGHTS_REJECTED: 'weights-rejected',
   REQUEST_RELAYED: 'request-relayed',
+  PEER_EJECTED: 'peer-ejected',
   EVENT_LOOP_DELAYED: 'event-loop-delayed',
   REQUEST_FORWARDED: 'request-forwarded',
   FORWARD_FAILED: 'forward-failed',
