--- a/gateway/callers/src/CallerGateway.ts
+++ b/gateway/callers/src/CallerGateway.ts
@@ -15,7 +15,7 @@
 import { handleCompletion } from './handleCompletion.js'
 import { handleServiceCall } from './handleServiceCall.js'
 import { relayRequest } from './relayRequest.js'
-import { createCallerSignal, type RequestContext } from './RequestContext.js'
+import { computeDeadline, createCallerSignal, type RequestContext } from './RequestContext.js'
 import { findAllowedService, listAllowedModels } from './resolveTarget.js'
 
 export interface CallerGatewayOptions {
@@ -114,9 +114,10 @@
     const { self } = this.opts.view
     const isServedHere = subset.some((member) => member.instance === self.instance)
     if (!isServedHere && context.request.headers[HeaderNames.RELAYED] === undefined) {
+      const relay = { clock: this.opts.clock, sender: self.instance, body, deadline: computeDeadline(context, service.spec) }
       for (const member of subset) {
         this.opts.ring.record(EventKinds.REQUEST_RELAYED, { request: context.id, server: member.instance })
-        if (await relayRequest(context, { instance: member.instance, address: member.address }, self.instance, body)) return true
+        if (await relayRequest(context, member, relay)) return true
       }
     }
     this.checkRateLimits(context, service, Math.max(1, subset.length))
--- a/gateway/callers/src/relayRequest.ts
+++ b/gateway/callers/src/relayRequest.ts
@@ -2,6 +2,7 @@
 import { pipeline } from 'node:stream/promises'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { watchReset } from '@pulleystack/core.bodies'
+import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { HeaderNames, cutResponse } from '@pulleystack/gateway.http'
 import type { RequestContext } from './RequestContext.js'
@@ -13,33 +14,51 @@
   instance: string
 }
 
+/** A request to relay. */
+export interface CallerRelay {
+  clock: Clock
+  /** Name of this instance. */
+  sender: string
+  /** Undefined for a body that is streamed. */
+  body: Buffer | undefined
+  /** Monotonic time in milliseconds by which the caller needs the response. */
+  deadline: number
+}
+
 const agent = new http.Agent({ keepAlive: true, maxSockets: 1_000 })
 
 /**
  * Relays a request to an instance that serves its service; a header keeps that instance from relaying it again. Returns
  * false if no connection could be made and the caller may try another instance. Throws ATTEMPT_FAILED_NOT_RUN in that case
- * if the body is a stream, and ATTEMPT_FAILED_UNKNOWN if the relay fails later.
+ * if the body is a stream, ATTEMPT_FAILED_UNKNOWN if the relay fails later, and DEADLINE_UNKNOWN if the deadline passes first.
  */
-export async function relayRequest (context: RequestContext, target: RelayTarget, sender: string, body: Buffer | undefined): Promise<boolean> {
+export async function relayRequest (context: RequestContext, target: RelayTarget, relay: CallerRelay): Promise<boolean> {
+  const expired = new AbortController()
+  const cancelTimer = relay.clock.setTimer(Math.max(0, relay.deadline - relay.clock.readTime()), () => expired.abort())
   try {
-    const response = await sendToInstance(context, target, sender, body)
+    const response = await sendToInstance(context, target, relay, expired.signal)
     context.response.writeHead(response.statusCode ?? 502, dropHopByHopHeaders(response.headers))
     await pipeline(response, context.response)
     return true
   } catch (thrown) {
     if (thrown instanceof PulleystackError && thrown.ran === Ran.NO) {
       // A streamed body has been read in part and can't be sent again.
-      if (body === undefined) throw thrown
+      if (relay.body === undefined) throw thrown
       return false
     }
     if (context.response.headersSent) cutResponse(context.response)
+    if (expired.signal.aborted) throw new PulleystackError('DEADLINE_UNKNOWN', `${target.instance} did not answer before the deadline`, { cause: thrown })
     throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The connection to ${target.instance} failed while the request was relayed`, { cause: thrown })
+  } finally {
+    cancelTimer()
   }
 }
 
-function sendToInstance (context: RequestContext, target: RelayTarget, sender: string, body: Buffer | undefined): Promise<http.IncomingMessage> {
+function sendToInstance (context: RequestContext, target: RelayTarget, relay: CallerRelay, expired: AbortSignal): Promise<http.IncomingMessage> {
   const { request, url } = context
-  const headers: http.OutgoingHttpHeaders = { ...dropHopByHopHeaders(request.headers), [HeaderNames.RELAYED]: sender }
+  const { clock, sender, body, deadline } = relay
+  const leftMs = Math.max(1, Math.floor(deadline - clock.readTime()))
+  const headers: http.OutgoingHttpHeaders = { ...dropHopByHopHeaders(request.headers), [HeaderNames.RELAYED]: sender, [HeaderNames.DEADLINE]: leftMs }
   if (body) headers['content-length'] = body.length
   return new Promise((resolve, reject) => {
     const outgoing = http.request({
@@ -48,7 +67,7 @@
       path: url.pathname + url.search,
       headers,
       agent,
-      signal: context.signal,
+      signal: AbortSignal.any([context.signal, expired]),
     })
     let isConnected = false
     outgoing.on('socket', (socket) => {
@@ -62,7 +81,7 @@
       watchReset(outgoing, message, (cause) => message.destroy(cause))
       resolve(message)
     })
-    outgoing.on('error', (cause) => reject(isConnected ? cause : new PulleystackError('ATTEMPT_FAILED_NOT_RUN', `Cannot reach ${target.instance}`, { cause })))
+    outgoing.on('error', (cause) => reject(isConnected || expired.aborted ? cause : new PulleystackError('ATTEMPT_FAILED_NOT_RUN', `Cannot reach ${target.instance}`, { cause })))
     if (body) outgoing.end(body)
     else request.pipe(outgoing)
   })
--- a/gateway/callers/test/relayRequest.test.ts
+++ b/gateway/callers/test/relayRequest.test.ts
@@ -3,10 +3,13 @@
 import net, { type AddressInfo } from 'node:net'
 import { text } from 'node:stream/consumers'
 import { describe, it } from 'node:test'
+import { SystemClock } from '@pulleystack/core.clock'
 import { convertToError, type PulleystackError } from '@pulleystack/core.errors'
 import { buildCaller } from '@pulleystack/tools.testing'
 import { relayRequest, type RelayTarget } from '../src/relayRequest.js'
 
+const DEADLINE_MS = 30_000
+const clock = new SystemClock()
 const UNREACHABLE_TARGET = { instance: 'gone', address: '127.0.0.1:1' }
 
 interface RelayResult {
@@ -17,7 +20,7 @@
 }
 
 /** Relays one request to an instance. */
-async function relayTo (target: RelayTarget, isBuffered: boolean): Promise<RelayResult> {
+async function relayTo (target: RelayTarget, isBuffered: boolean, deadlineMs = DEADLINE_MS): Promise<RelayResult> {
   const deferred = createDeferred()
   const server = http.createServer((request, response) => {
     const context = {
@@ -29,7 +32,7 @@
       arrivedAt: 0,
       signal: new AbortController().signal,
     }
-    relayRequest(context, target, 'a', isBuffered ? Buffer.from('body') : undefined)
+    relayRequest(context, target, { clock, sender: 'a', body: isBuffered ? Buffer.from('body') : undefined, deadline: clock.readTime() + deadlineMs })
       .then(deferred.resolve, (thrown: unknown) => deferred.resolve(convertToError(thrown)))
       .finally(() => response.end())
   })
@@ -77,4 +80,22 @@
     assert.ok(typeof outcome !== 'boolean')
     assert.deepEqual([outcome.code, received], ['ATTEMPT_FAILED_UNKNOWN', undefined])
   })
+
+  // Guards against relayed requests that wait for a silent instance for as long as their callers stay.
+  it('ends at the deadline when the instance stays silent, and tells it the time that is left', async () => {
+    let head = ''
+    const instance = net.createServer((socket) => {
+      socket.on('error', () => undefined)
+      socket.on('data', (bytes: Buffer) => {
+        head += bytes.toString()
+      })
+    })
+    await new Promise<void>((resolve) => instance.listen(0, '127.0.0.1', resolve))
+    const { outcome } = await relayTo({ instance: 'b', address: `127.0.0.1:${(instance.address() as AddressInfo).port}` }, true, 200)
+    instance.close()
+    assert.ok(typeof outcome !== 'boolean')
+    assert.deepEqual([outcome.code, outcome.ran], ['DEADLINE_UNKNOWN', 'unknown'])
+    const toldMs = Number(/pulleystack-deadline-ms: (\d+)/.exec(head)?.[1])
+    assert.ok(toldMs > 0 && toldMs <= 200, head)
+  })
 })
