--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -30,7 +30,7 @@
 /** Time for instances that could not be asked where a stream began to be reachable again. */
 const UNKNOWN_ORIGIN_RETRY_SECONDS = 0.5
 const CLIENT_CLOSED_STATUS = 499
-/** Time limit for relaying a request of which no shorter one is known. */
+/** Time limit for relaying a request whose route has none that is known here. */
 const RELAY_TIMEOUT_MS = 30_000
 /** The serving instance enforces the configured limit. */
 const MAX_RELAY_BODY_BYTES = 32 << 20
@@ -251,7 +251,7 @@
   /** Forwards a request to a serving instance and relays its response. */
   private async relay ({ facts, request, budget, aborter }: RequestToRelay, client: ClientResponse): Promise<void> {
     const { method = 'GET', url: path = '/', rawHeaders } = request
-    budget.applyLimit(Math.min(RELAY_TIMEOUT_MS, this.opts.findTimeout?.(request.headers.host ?? '', path) ?? Infinity))
+    budget.applyLimit(this.opts.findTimeout?.(request.headers.host ?? '', path) ?? RELAY_TIMEOUT_MS)
     this.checkMayBegin(budget.deadline)
     const timer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
     try {
