--- a/config/routes/src/RouteTimeouts.ts
+++ b/config/routes/src/RouteTimeouts.ts
@@ -39,6 +39,26 @@
   return { version, hosts: hosts.map((host) => buildHostTimeouts(host, routes.filter((route) => route.host === host))) }
 }
 
+/** Reads a table that another instance has sent; undefined if it has another form, as of another release. */
+export function parseTimeoutTable (value: unknown): TimeoutTable | undefined {
+  const { version, hosts } = (value ?? {}) as Partial<Record<keyof TimeoutTable, unknown>>
+  if (typeof version !== 'number' || Number.isNaN(version) || !Array.isArray(hosts) || !hosts.every(isHostTimeouts)) return undefined
+  return { version, hosts }
+}
+
+function isHostTimeouts (value: unknown): value is HostTimeouts {
+  const { host, defaultMs, exceptions } = (value ?? {}) as Partial<Record<keyof HostTimeouts, unknown>>
+  return typeof host === 'string' && isLimit(defaultMs) && Array.isArray(exceptions) && exceptions.every(isException)
+}
+
+function isException (value: unknown): boolean {
+  return Array.isArray(value) && typeof value[0] === 'string' && isLimit(value[1])
+}
+
+function isLimit (value: unknown): boolean {
+  return typeof value === 'number' && value >= 0
+}
+
 function buildHostTimeouts (host: string, routes: readonly Route[]): HostTimeouts {
   const exceptions: Array<[string, number]> = []
   const timeouts = { host, defaultMs: findMostCommon(routes.map(({ timeoutMs }) => timeoutMs)), exceptions }
--- a/config/routes/test/RouteTimeouts.test.ts
+++ b/config/routes/test/RouteTimeouts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import { RandomSource } from '@pulleystack/core.clock'
-import { RepeatModes, RouteTable, RouteTimeouts, buildTimeoutTable, type Route } from '../src/index.js'
+import { RepeatModes, RouteTable, RouteTimeouts, buildTimeoutTable, parseTimeoutTable, type Route } from '../src/index.js'
 
 const HOST = 'a.example'
 const SEEDS = 50
@@ -50,4 +50,13 @@
       for (const prefix of prefixes) assert.equal(timeouts.find(HOST, `${prefix}x`), table.findRoute(HOST, `${prefix}x`)?.timeoutMs, `seed ${seed}, ${prefix}`)
     }
   })
+
+  it('are read from another instance only in their own form', () => {
+    const table = { version: 7, hosts: [{ host: HOST, defaultMs: 3_000, exceptions: [['/a/', 400]] }] }
+    assert.deepEqual(parseTimeoutTable(structuredClone(table)), table)
+    const [host] = table.hosts
+    const malformed = [null, 7, 'x', [], {}, { ...table, version: '7' }, { ...table, version: NaN }, { ...table, hosts: {} }, { ...table, hosts: [null] }, ...[{ host: 1 }, { defaultMs: '1' }, { defaultMs: -1 }, { defaultMs: NaN }, { exceptions: null }, { exceptions: [null] }, { exceptions: [['/a/']] }, { exceptions: [[1, 1]] }]
+      .map((change) => ({ ...table, hosts: [{ ...host, ...change }] }))]
+    for (const value of malformed) assert.equal(parseTimeoutTable(value), undefined, JSON.stringify(value))
+  })
 })
--- a/program/entry/src/SharedTimeouts.ts
+++ b/program/entry/src/SharedTimeouts.ts
@@ -1,4 +1,4 @@
-import { RouteTimeouts, buildTimeoutTable, type RouteTable, type TimeoutTable } from '@pulleystack/config.routes'
+import { RouteTimeouts, buildTimeoutTable, parseTimeoutTable, type RouteTable, type TimeoutTable } from '@pulleystack/config.routes'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import { defineChannel, type PeerNetwork } from '@pulleystack/membership.peers'
 import equal from 'fast-deep-equal'
@@ -54,8 +54,9 @@
     for (const instance of instances) this.opts.network.send(instance, TIMEOUTS, this.own)
   }
 
-  private accept (table: TimeoutTable): void {
-    if (table.version < (this.received?.table.version ?? -Infinity)) return
+  private accept (body: unknown): void {
+    const table = parseTimeoutTable(body)
+    if (!table || table.version < (this.received?.table.version ?? -Infinity)) return
     this.received = new RouteTimeouts(table)
   }
 }
