--- a/config/routes/test/RouteTimeouts.test.ts
+++ b/config/routes/test/RouteTimeouts.test.ts
@@ -55,8 +55,18 @@
     const table = { version: 7, hosts: [{ host: HOST, defaultMs: 3_000, exceptions: [['/a/', 400]] }] }
     assert.deepEqual(parseTimeoutTable(structuredClone(table)), table)
     const [host] = table.hosts
-    const malformed = [null, 7, 'x', [], {}, { ...table, version: '7' }, { ...table, version: NaN }, { ...table, hosts: {} }, { ...table, hosts: [null] }, ...[{ host: 1 }, { defaultMs: '1' }, { defaultMs: -1 }, { defaultMs: NaN }, { exceptions: null }, { exceptions: [null] }, { exceptions: [['/a/']] }, { exceptions: [[1, 1]] }]
-      .map((change) => ({ ...table, hosts: [{ ...host, ...change }] }))]
+    const changes = [
+      { host: 1 },
+      { defaultMs: '1' },
+      { defaultMs: -1 },
+      { defaultMs: NaN },
+      { exceptions: null },
+      { exceptions: [null] },
+      { exceptions: [['/a/']] },
+      { exceptions: [[1, 1]] },
+    ]
+    const tables = [{ version: '7' }, { version: NaN }, { hosts: {} }, { hosts: [null] }, ...changes.map((change) => ({ hosts: [{ ...host, ...change }] }))]
+    const malformed = [null, 7, 'x', [], {}, ...tables.map((change) => ({ ...table, ...change }))]
     for (const value of malformed) assert.equal(parseTimeoutTable(value), undefined, JSON.stringify(value))
   })
 })
