--- a/routing/origins/src/StreamOrigins.ts
+++ b/routing/origins/src/StreamOrigins.ts
@@ -30,7 +30,7 @@
 const MAX_RECORDS_WAIT_MS = 50
 /** Time in which a stream is found or refused, all waits together; the first without a store, where only other instances are asked. */
 const MAX_SEARCH_MS = 250
-const MAX_DURABLE_SEARCH_MS = 100
+const MAX_DURABLE_SEARCH_MS = 150
 /** Others get this long to answer even if the process was held up until the time was over. */
 const MIN_LOOKUP_MS = 50
 
@@ -131,7 +131,7 @@
 
   /**
    * Finds where a stream began, which may be another service than the given one. Undefined if that is unknown and the services that it could have gone to
-   * are mixed or have no known version. Resolves within 0.15 s, 0.25 s without a store; never rejects.
+   * are mixed or have no known version. Resolves within 0.2 s, 0.25 s without a store; never rejects.
    */
   async find (requestId: string | undefined, service: string, services: readonly string[] = [service]): Promise<StreamOrigin | undefined> {
     const id = isRecordId(requestId) ? requestId : undefined
