--- a/backend/interfaces/src/WeightsClient.ts
+++ b/backend/interfaces/src/WeightsClient.ts
@@ -20,6 +20,8 @@
 
 /** An order to load or unload a model or adapter on one server. */
 export interface WeightsOrder {
+  /** Names this copy of the order in logs, and is the id of the request that carries it. */
+  id: string
   action: 'load' | 'unload'
   model: string
   adapter: string | undefined
--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -69,6 +69,11 @@
     return this.isHeld && now >= this.ordersAllowedFrom && now + this.opts.orderDelayMs < this.validUntil
   }
 
+  /** Milliseconds for which orders may be sent without another renewal; not positive when none may. */
+  get orderRightMs (): number {
+    return this.validUntil - this.opts.orderDelayMs - this.opts.clock.readTime()
+  }
+
   get fence (): number {
     return this.record?.fence ?? 0
   }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -24,6 +24,7 @@
 import { LocalDemand } from './LocalDemand.js'
 import type { OutageGrants } from './OutageGrants.js'
 import type { ResidencyHolder } from './ResidencyHolder.js'
+import type { OrderPermit } from './ServerOrders.js'
 import type { UnansweredReport } from './UnansweredLoads.js'
 
 const CALL_TIMEOUT_MS = 500
@@ -68,6 +69,10 @@
   private readonly schedule: LeaseSchedule
   private lastHeartbeat: { instance: string, at: number } | undefined
   private wasHolder = false
+  /** The last holder that this instance heard of, before it acquired the lease. */
+  private formerHolder: string | undefined
+  /** Servers that got no orders at first, because of orders of an earlier holder. */
+  private heldOff: readonly string[] = []
   private stopping = false
   /** Whether this instance hands over because it reaches no server. */
   private isYielding = false
@@ -131,6 +136,12 @@
     return !this.stopping && !this.isYielding && (this.opts.lease.maySendOrders || this.isGrantedInOutage)
   }
 
+  /** Permit for an order that is sent now; undefined while none may be sent. */
+  readPermit (): OrderPermit | undefined {
+    const { instance, lease } = this.opts
+    return this.maySendOrders ? { holder: instance, fence: lease.fence, origin: lease.origin, leftMs: lease.orderRightMs } : undefined
+  }
+
   /** Whether grants let this instance continue although the lease can't be renewed during an outage of the store. */
   private get isGrantedInOutage (): boolean {
     const { lease, grants } = this.opts
@@ -335,6 +346,8 @@
     const { handover } = this
     const servers = fleet.listAll().map(({ id }) => id)
     const holdOff = buildHoldOff({ origin: lease.origin, handover, now: clock.readTime(), minHandoverGapMs, servers })
+    this.formerHolder = lease.origin === LeaseOrigins.HANDED_OVER ? handover?.from : this.lastHeartbeat?.instance
+    this.heldOff = [...holdOff.byBackend.keys()]
     holder.begin(holdOff, lease.origin === LeaseOrigins.HANDED_OVER ? handover?.loads : [])
   }
 
@@ -342,7 +355,8 @@
     const { lease, log } = this.opts
     if (this.isHolder === this.wasHolder) return
     this.wasHolder = this.isHolder
-    log.record(this.wasHolder ? DecisionKinds.LEASE_TAKEN : DecisionKinds.LEASE_LOST, { fence: lease.fence })
+    if (this.wasHolder) log.record(DecisionKinds.LEASE_TAKEN, { fence: lease.fence, origin: lease.origin, former: this.formerHolder, heldOff: this.heldOff })
+    else log.record(DecisionKinds.LEASE_LOST, { fence: lease.fence })
     if (this.wasHolder) this.hasOrdered = false
   }
 
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -1,5 +1,8 @@
-import { OrderAnswers, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
+import { randomUUID } from 'node:crypto'
+import { OrderAnswers, type OrderAnswer, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
+import type { PulleystackError } from '@pulleystack/core.errors'
+import type { LeaseOrigin } from '@pulleystack/placement.ledger'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
 import type { UnansweredLoad } from './UnansweredLoads.js'
 
@@ -27,6 +30,10 @@
 export interface OrderPermit {
   holder: string
   fence: number
+  /** How the lease was acquired. */
+  origin: LeaseOrigin
+  /** Milliseconds for which orders may be sent without another renewal; negative during an outage of the store. */
+  leftMs: number
 }
 
 export interface ServerOrdersOptions {
@@ -105,32 +112,49 @@
     if (delayMs > 0) await this.opts.clock.wait(delayMs)
     const permit = this.opts.readPermit()
     if (!permit || this.sequence === undefined || this.isClosed) return undefined
-    const { log, backendId } = this.opts
-    const order = { action, model, adapter, expectedSequence: this.sequence, ...permit }
-    log.record(DecisionKinds.ORDER_SENT, { backend: backendId, action, model, adapter, sequence: this.sequence, fence: permit.fence })
-    const outcome = await this.sendUntilAnswered(order)
+    const order = { action, model, adapter, expectedSequence: this.sequence }
+    const outcome = await this.sendUntilAnswered(order, permit)
     this.sequence = outcome === SentOrders.TAKEN ? this.sequence + 1 : undefined
-    log.record(DecisionKinds.ORDER_SETTLED, { backend: backendId, action, model, adapter, answer: outcome ?? 'refused' })
     return outcome
   }
 
   // An order without an answer may still be accepted later. Repeated with the same sequence number, it is accepted at most once.
-  private async sendUntilAnswered (order: WeightsOrder): Promise<SentOrder | undefined> {
-    const { clock, weights, backendId, address } = this.opts
-    for (let attempt = 1; ; attempt++) {
-      this.lastSentAt = clock.readTime()
-      const answer = await weights.sendOrder({ address, backendId }, order)
-      if (answer.isOk() && answer.value === OrderAnswers.TAKEN) return SentOrders.TAKEN
-      if (answer.isOk() && answer.value === OrderAnswers.HOLDS) return SentOrders.HOLDS
-      // A conflict on a repeated order most likely means that an earlier copy was accepted.
-      if (answer.isOk()) return attempt > 1 && answer.value === OrderAnswers.CONFLICT ? SentOrders.UNCERTAIN : undefined
-      this.recordUnanswered(order)
-      if (attempt >= MAX_SEND_ATTEMPTS || !this.opts.readPermit() || this.isClosed) return SentOrders.UNCERTAIN
+  private async sendUntilAnswered (content: OrderContent, firstPermit: OrderPermit): Promise<SentOrder | undefined> {
+    const beganAt = this.opts.clock.readTime()
+    let permit: OrderPermit | undefined = firstPermit
+    for (let copy = 1; ; copy++) {
+      const order = { ...content, id: randomUUID(), holder: permit.holder, fence: permit.fence }
+      const answer = await this.sendCopy(order, copy, permit)
+      permit = this.opts.readPermit()
+      const isLast = answer !== undefined || copy >= MAX_SEND_ATTEMPTS || this.isClosed
+      if (!permit || isLast) return this.settle(order, { copies: copy, ms: this.opts.clock.readTime() - beganAt, answer })
     }
   }
 
+  /** Returns the server's answer; undefined without one. */
+  private async sendCopy (order: WeightsOrder, copy: number, permit: OrderPermit): Promise<OrderAnswer | undefined> {
+    const { clock, weights, backendId, address, log } = this.opts
+    const { id, action, model, adapter, expectedSequence: sequence, fence } = order
+    const sentAt = clock.readTime()
+    this.lastSentAt = sentAt
+    const facts = { order: id, copy, backend: backendId, action, model, adapter, sequence, fence }
+    log.record(DecisionKinds.ORDER_SENT, { ...facts, origin: permit.origin, permitMs: permit.leftMs })
+    const answer = await weights.sendOrder({ address, backendId }, order)
+    if (answer.isOk()) return answer.value
+    log.record(DecisionKinds.ORDER_UNANSWERED, { order: id, backend: backendId, ms: clock.readTime() - sentAt, reason: describeCause(answer.error) })
+    this.recordUnanswered(order)
+    return undefined
+  }
+
+  private settle (order: WeightsOrder, { copies, ms, answer }: { copies: number, ms: number, answer: OrderAnswer | undefined }): SentOrder | undefined {
+    const outcome = judgeAnswer(answer, copies)
+    const { id, action, model, adapter } = order
+    this.opts.log.record(DecisionKinds.ORDER_SETTLED, { order: id, copies, ms, backend: this.opts.backendId, action, model, adapter, answer: outcome ?? 'refused' })
+    return outcome
+  }
+
   private recordUnanswered ({ action, model, adapter, expectedSequence }: WeightsOrder): void {
-    if (action === 'load' && expectedSequence !== undefined) this.opts.onUnanswered?.({ model, adapter, sequence: expectedSequence })
+    if (action === 'load') this.opts.onUnanswered?.({ model, adapter, sequence: expectedSequence })
   }
 
   /** Waits until the server is idle and its state satisfies `isReached`; undefined on timeout. */
@@ -146,3 +170,18 @@
     return undefined
   }
 }
+
+/** What an order asks for, without the sender's permit. */
+type OrderContent = Pick<WeightsOrder, 'action' | 'model' | 'adapter' | 'expectedSequence'>
+
+function judgeAnswer (answer: OrderAnswer | undefined, copies: number): SentOrder | undefined {
+  if (answer === undefined) return SentOrders.UNCERTAIN
+  if (answer === OrderAnswers.TAKEN) return SentOrders.TAKEN
+  if (answer === OrderAnswers.HOLDS) return SentOrders.HOLDS
+  // A conflict on a repeated order most likely means that an earlier copy was accepted.
+  return copies > 1 && answer === OrderAnswers.CONFLICT ? SentOrders.UNCERTAIN : undefined
+}
+
+function describeCause ({ message, cause }: PulleystackError): string {
+  return cause instanceof Error ? cause.message : message
+}
--- a/placement/residency/test/ResidencyHolder.test.ts
+++ b/placement/residency/test/ResidencyHolder.test.ts
@@ -5,7 +5,7 @@
 import { ManualClock } from '@pulleystack/core.clock'
 import { BackendFleet, type Backend } from '@pulleystack/routing.fleet'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
-import { ResidencyHolder, type WeightsAnswer } from '../src/index.js'
+import { ResidencyHolder, type OrderPermit, type WeightsAnswer } from '../src/index.js'
 import { RecordingServers, SERVING } from './RecordingServers.js'
 
 interface Setup {
@@ -29,7 +29,7 @@
   }
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
-  const readPermit = (): { holder: string, fence: number } => ({ holder: 'h', fence: 1 })
+  const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
   const log = new NullDecisionLog()
   const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy, readTable: () => table, readPermit, onChange: () => undefined })
   return { clock, servers, holder, models: models.map((model) => model.name) }
@@ -85,7 +85,7 @@
         const models = SERVING.models.map((model, at) => ({ ...model, weightsMb: sizesMb[at] as number }))
         const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
         const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models } }], limits })
-        const readPermit = (): { holder: string, fence: number } => ({ holder: 'h', fence: 1 })
+        const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
         const log = new NullDecisionLog()
         const sources = { readTable: () => table, readPermit, onChange: () => undefined }
         holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: { ...DEFAULT_POLICY, capacityPlanning: true }, ...sources })
@@ -172,7 +172,7 @@
   const createHolder = (): ResidencyHolder => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models: SMALL_FIRST } }], limits })
-    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1 }), onChange: putEntry })
+    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), onChange: putEntry })
   }
   /** Lets the other models displace the loaded one; resolves with the milliseconds until they do. */
   const measureResidence = async (holder: ResidencyHolder): Promise<number> => {
--- a/placement/residency/test/ResidencyNode.ts
+++ b/placement/residency/test/ResidencyNode.ts
@@ -98,7 +98,7 @@
       refresh()
       return table
     },
-    readPermit: () => service.maySendOrders ? { holder: name, fence: lease.fence } : undefined,
+    readPermit: () => service.readPermit(),
     onChange: (change) => service.announceWeights(change),
     onUnanswered: (reports) => service.announceUnanswered(reports),
   })
--- a/placement/residency/test/ServerLoads.test.ts
+++ b/placement/residency/test/ServerLoads.test.ts
@@ -97,7 +97,7 @@
   refresh()
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
-  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1 }), onChange: refresh })
+  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), onChange: refresh })
   holder.plan()
   await clock.advance(1_000)
   const startedAt = clock.readTime()
@@ -143,7 +143,7 @@
     }
     restart()
     const weights = new FaultyServers(clock, Faults.LOST)
-    const loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
+    const loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), onChange: () => undefined })
     const load: PlannedLoad = { server: 'r1', model: 'other', victims: [], loadMs: LOAD_MS, clearMs: 0, fromStore: true }
     let hasFirstEnded = false
     void loads.run(SERVING, load).then(() => hasFirstEnded = true)
@@ -167,7 +167,7 @@
     fleet = new BackendFleet()
     fleet.put({ id: 'r1', service: 's', address: 'r1:1', dataHall: 'z', slots: 8, draining: false, models: [], inMemory: [], onDisk: [] })
     const weights = new FaultyServers(clock, Faults.UNANSWERED)
-    loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1 }), onChange: () => undefined })
+    loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), onChange: () => undefined })
     void loads.run(SERVING, { server: 'r1', model: 'other', victims: [], loadMs: LOAD_MS, clearMs: 0, fromStore: true })
     await clock.advance(100)
   })
--- a/placement/residency/test/loadAdapter.test.ts
+++ b/placement/residency/test/loadAdapter.test.ts
@@ -67,7 +67,7 @@
       log: new NullDecisionLog(),
       backendId: 'r1',
       address: '127.0.0.1:1',
-      readPermit: () => ({ holder: 'h', fence: 1 }),
+      readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }),
       notBefore: -Infinity,
     })
     const loading = loadAdapter({ serving: SERVING, orders, readIdleMs: (name) => name === 'm/a1' ? 9 : 1, addUnanswered, onChange: () => undefined }, 'm', adapter)
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -50,7 +50,7 @@
     policy: parts.policy,
     readPace: (server) => readPace(fleet, server, clock.readTime()),
     readTable: parts.readTable,
-    readPermit: () => residency.maySendOrders ? { holder: settings.instance, fence: lease.fence } : undefined,
+    readPermit: () => residency.readPermit(),
     onChange: (change) => residency.announceWeights(change),
     onUnanswered: (reports) => residency.announceUnanswered(reports),
   })
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -90,8 +90,11 @@
   'frames-not-sent': { peer: string, frames: number, backlogBytes: number }
   /** Another instance now places models. */
   'holder-changed': { holder: string, fence: number }
-  /** This instance has acquired the lease and may soon place models. */
-  'lease-taken': { fence: number }
+  /**
+   * This instance has acquired the lease and may soon place models. `origin`: `expired`, `released` or `handed-over`; `former`: the last holder that it heard
+   * of; `heldOff`: servers that it leaves alone for a while, because of orders of an earlier holder.
+   */
+  'lease-taken': { fence: number, origin: string, former: string | undefined, heldOff: readonly string[] }
   /** This instance has lost the lease and may no longer place models. */
   'lease-lost': { fence: number }
   /** This instance hands the lease over. The next holder must avoid the servers in `ordered`, which received orders recently. */
@@ -237,10 +240,16 @@
     places: number
     copies: number
   }
-  /** An order was sent to a server, which accepts it only if its sequence number is still `sequence`. */
-  'order-sent': OrderFacts & { sequence: number, fence: number }
+  /**
+   * A copy of an order was handed to a connection to a server, which accepts it only if its sequence number is still `sequence`. An order without an answer is
+   * sent again as another copy. `origin`: how the lease was acquired; `permitMs`: how long orders may be sent without another renewal, negative for orders that
+   * other instances allowed during an outage of the store.
+   */
+  'order-sent': OrderFacts & { order: string, copy: number, sequence: number, fence: number, origin: string, permitMs: number }
+  /** A copy of an order got no answer, and was given up after `ms`. */
+  'order-unanswered': { order: string, backend: string, ms: number, reason: string }
   /** The result of an order: `taken`, `holds`, `uncertain` or `refused`. */
-  'order-settled': OrderFacts & { answer: string }
+  'order-settled': OrderFacts & { order: string, copies: number, ms: number, answer: string }
 }
 
 /** Whether another attempt is allowed. */
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -77,6 +77,7 @@
   /** Placement of models. */
   LOAD_PLANNED: 'load-planned',
   ORDER_SENT: 'order-sent',
+  ORDER_UNANSWERED: 'order-unanswered',
   ORDER_SETTLED: 'order-settled',
 } as const
 export type DecisionKind = typeof DecisionKinds[keyof typeof DecisionKinds]
