--- a/backend/interfaces/src/WeightsClient.ts
+++ b/backend/interfaces/src/WeightsClient.ts
@@ -60,6 +60,8 @@
 
 /** Reads and changes the weights of model servers. The `ran` of a `sendOrder` error tells whether the order may still be executed. */
 export abstract class WeightsClient {
+  /** Milliseconds after which an order without an answer is given up. */
+  readonly orderTimeoutMs: number = 350
   private readonly subject = new Subject<TargetStatus>()
 
   /** Emits the statuses that servers report, in successful and failed responses alike. */
--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -12,8 +12,10 @@
   /** Name of the holder; differs between process runs of an instance. */
   holder: string
   leaseMs: number
-  /** Maximum time from sending an order until it reaches its engine. */
+  /** How long before the end of the lease its holder stops sending orders, and for which a successor waits. */
   orderDelayMs: number
+  /** Milliseconds for which a new holder waits beyond `orderDelayMs`, as an order may arrive so much later than it was sent; 0 by default. */
+  orderMarginMs?: number
   createOperationId: () => string
   /** Whether the whole system starts for the first time, so that no instance can hold the lease without a stored record. */
   isFirstStart?: boolean
@@ -23,13 +25,13 @@
 export const LeaseOrigins = { EXPIRED: 'expired', RELEASED: 'released', HANDED_OVER: 'handed-over' } as const
 export type LeaseOrigin = typeof LeaseOrigins[keyof typeof LeaseOrigins]
 
-// Maximum difference in speed between the clocks of two machines, as a share.
-const MAX_CLOCK_DRIFT = 0.05
+/** Maximum difference in speed between the clocks of two machines, as a share. */
+export const MAX_CLOCK_DRIFT = 0.05
 
 /**
  * The lease of one placement shard, stored in one object with the shard's ledger and written by conditional updates
  * only. The holder counts its lease from before the write was sent; a successor counts from when it first saw that
- * write and adds the maximum order delay, so that orders of the two never overlap.
+ * write and adds the order delay and its margin, so that answered orders of the two never overlap.
  *
  * After the store was restored from an older snapshot, no instance acquires the lease until any holder missing from
  * the snapshot must have stopped. Such a holder may write its record again, with the same fence.
@@ -120,7 +122,7 @@
       this.drop()
       return false
     }
-    this.ordersAllowedFrom = this.opts.clock.readTime() + (isHandedOver ? 0 : this.opts.orderDelayMs)
+    this.ordersAllowedFrom = this.opts.clock.readTime() + (isHandedOver ? 0 : this.opts.orderDelayMs + (this.opts.orderMarginMs ?? 0))
     this.origin = isHandedOver ? LeaseOrigins.HANDED_OVER : stored?.released ? LeaseOrigins.RELEASED : LeaseOrigins.EXPIRED
     return true
   }
--- a/placement/ledger/src/index.ts
+++ b/placement/ledger/src/index.ts
@@ -10,7 +10,7 @@
   findEntries,
 } from './shardRecord.js'
 export type { EntryState, LedgerEntry, ServerLedger, ShardRecord } from './shardRecord.js'
-export { LeaseOrigins, ShardLease } from './ShardLease.js'
+export { LeaseOrigins, MAX_CLOCK_DRIFT, ShardLease } from './ShardLease.js'
 export type { LeaseOrigin, ShardLeaseOptions } from './ShardLease.js'
 export { chooseShard, listShards, readShardMap } from './shardMap.js'
 export type { ShardMap } from './shardMap.js'
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -3,7 +3,7 @@
 import type { Policy } from '@pulleystack/config.settings'
 import type { InstanceMesh } from '@pulleystack/membership.mesh'
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
-import { ShardLease } from '@pulleystack/placement.ledger'
+import { MAX_CLOCK_DRIFT, ShardLease } from '@pulleystack/placement.ledger'
 import { OutageGrants, ResidencyHolder, ResidencyService } from '@pulleystack/placement.residency'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { PaceEstimate } from '@pulleystack/routing.pace'
@@ -28,10 +28,12 @@
 export function createResidency (parts: ResidencyParts): ResidencyService {
   const { settings, deps, clock, log, fleet, network, mesh } = parts
   const processRun = `${settings.instance}@${mesh.self.incarnation}`
-  // The first order of a new holder must come at least `bounds.leaseMs` after the last order of its predecessor. The predecessor orders until
-  // (lease - delay) after a renewal and the new holder waits for (lease + 2 * delay), so a third of the bound is enough for the delay.
+  // The first order of a new holder must come at least `bounds.leaseMs` after the arrival of the last one of its predecessor. The predecessor sends
+  // orders until (lease - delay) after a renewal, which arrive before they time out; the new holder waits for (lease + 2 * delay + margin), so a third
+  // of the bound is enough for the delay. Orders without an answer are counted for each server (OrderArrivals).
   const delayMs = parts.orderDelayMs ?? settings.bounds.leaseMs / 3
   const leaseMs = settings.bounds.leaseMs * 2 / 3
+  const minHandoverGapMs = settings.bounds.leaseMs * (1 + MAX_CLOCK_DRIFT)
   const lease = new ShardLease({
     clock,
     store: deps.store,
@@ -39,6 +41,7 @@
     holder: processRun,
     leaseMs,
     orderDelayMs: delayMs,
+    orderMarginMs: delayMs * MAX_CLOCK_DRIFT + deps.weights.orderTimeoutMs,
     createOperationId: randomUUID,
     isFirstStart: settings.isFirstStart,
   })
@@ -61,7 +64,7 @@
     listOtherInstances: () => mesh.listOthers(),
     readStoreLostMs,
     readStoreSilenceMs: readStoreAgeMs,
-    minHandoverGapMs: settings.bounds.leaseMs,
+    minHandoverGapMs,
     isEnabled: policy.ordersInOutage,
   })
   const residency: ResidencyService = new ResidencyService({
@@ -73,7 +76,7 @@
     lease,
     leaseMs,
     holderName: processRun,
-    minHandoverGapMs: settings.bounds.leaseMs,
+    minHandoverGapMs,
     holder,
     grants,
     isDemandUrgent: () => parts.readTable()?.config.services.some(({ serving }) => isHeterogeneous(serving)) ?? false,
