--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -11,7 +11,8 @@
 import type { LoadPlanner, LoadPlannerInput } from './LoadPlanner.js'
 import { estimateEarliestMs, type PlannedLoad } from './planResidency.js'
 import type { WeightsAnswer, WeightsRequest } from './ResidencyClient.js'
-import { ServerLoads, type HoldOff, type ServerLoadsOptions } from './ServerLoads.js'
+import type { OrderArrival } from './OrderArrivals.js'
+import { ServerLoads, type ServerLoadsOptions } from './ServerLoads.js'
 import { SlotPlanner } from './SlotPlanner.js'
 import type { UnansweredReport } from './UnansweredLoads.js'
 import type { WaitingStake } from './WaitingStake.js'
@@ -52,19 +53,34 @@
     this.loads = new ServerLoads(opts)
   }
 
-  /** Starts to send orders. The load buckets start empty, as the recent loads of an earlier holder are not known. */
-  begin (holdOff: HoldOff, inherited: readonly InheritedLoad[] = []): void {
+  /** Starts to send orders, to no server before `notBefore`. The load buckets start empty, as the recent loads of an earlier holder are not known. */
+  begin (notBefore: number, inherited: readonly InheritedLoad[] = []): void {
     this.beganAt = this.opts.clock.readTime()
-    this.loads.begin(holdOff, inherited)
+    this.loads.begin(notBefore, inherited)
     for (const bucket of this.bucketByService.values()) bucket.drain()
     this.adapterReadyAt.clear()
   }
 
-  /** Servers that got orders within the last `withinMs`, with the milliseconds since the latest one. */
-  listOrdered (withinMs: number): [backend: string, agoMs: number][] {
+  /** Servers that orders of this instance or another holder reached within the last `withinMs` or may still reach. */
+  listOrdered (withinMs: number): OrderArrival[] {
     return this.loads.listOrdered(withinMs)
   }
 
+  /** By when the latest order to a server has arrived. */
+  describeArrival (server: string): OrderArrival {
+    return this.loads.describeArrival(server)
+  }
+
+  /** Records what another instance tells of the orders to servers. */
+  recordTold (instance: string, arrivals: readonly OrderArrival[]): void {
+    this.loads.recordTold(instance, arrivals)
+  }
+
+  /** Servers that get no orders yet, because of orders of earlier holders. */
+  listHeldOff (): string[] {
+    return this.loads.listHeldOff()
+  }
+
   /** Loads in progress, to be handed over to a successor. */
   listRunning (): InheritedLoad[] {
     return this.loads.listRunning()
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -9,6 +9,7 @@
   DEMAND_REPORT,
   HANDOVER,
   HOLDER_HEARTBEAT,
+  ORDER_ARRIVALS,
   UNANSWERED_LOADS,
   WEIGHTS_CHANGE,
   WEIGHTS_REQUEST,
@@ -16,7 +17,6 @@
   type HolderHeartbeat,
   type WeightsChange,
 } from './channels.js'
-import { buildHoldOff } from './buildHoldOff.js'
 import { chooseHolder, type HolderCandidate } from './chooseHolder.js'
 import type { WeightsAnswer, RequestedWeights, WeightsRequest } from './ResidencyClient.js'
 import { ResidencyClient } from './ResidencyClient.js'
@@ -36,6 +36,8 @@
 const URGENCY_CHECK_MS = 1_000
 /** How long an announced model change overrides the server's entry, which is updated by heartbeats. */
 const CHANGE_OVERRIDE_MS = 15_000
+/** Stands for a holder whose hand-over this instance hasn't received. */
+const UNKNOWN_INSTANCE = ''
 /** Time for orders in flight to be answered or to time out after the last one was sent. */
 const ORDERS_DRAIN_MS = 400
 /** Time for all instances to detect an outage after a holder failed to renew; orders in flight have ended by then too. */
@@ -71,8 +73,6 @@
   private wasHolder = false
   /** The last holder that this instance heard of, before it acquired the lease. */
   private formerHolder: string | undefined
-  /** Servers that got no orders at first, because of orders of an earlier holder. */
-  private heldOff: readonly string[] = []
   private stopping = false
   /** Whether this instance hands over because it reaches no server. */
   private isYielding = false
@@ -97,6 +97,7 @@
       network.receive(DEMAND_REPORT).subscribe(({ from, body }) => holder.recordDemand(from, body)),
       network.receive(HANDOVER).subscribe(({ from, body }) => this.handleHandover(from, body)),
       network.receive(HOLDER_HEARTBEAT).subscribe(({ from, body }) => this.handleHeartbeat(from, body)),
+      network.receive(ORDER_ARRIVALS).subscribe(({ from, body }) => holder.recordTold(from, body)),
       network.receive(UNANSWERED_LOADS).subscribe(({ body }) => holder.addUnanswered(body)),
       network.receive(WEIGHTS_CHANGE).subscribe(({ body }) => this.applyWeightsChange(body)),
     ]
@@ -116,6 +117,11 @@
     this.opts.network.broadcast(UNANSWERED_LOADS, reports)
   }
 
+  /** Tells the other instances that an order to a server is about to be sent, or has arrived: whoever holds the lease next leaves it alone until then. */
+  announceArrival (server: string): void {
+    this.opts.network.broadcast(ORDER_ARRIVALS, [this.opts.holder.describeArrival(server)])
+  }
+
   /** Stops sending orders, hands over the recent ones to the successor and releases the lease. */
   async stop (): Promise<void> {
     await this.waitForOutageEnd()
@@ -201,6 +207,7 @@
 
   private handleHandover (from: string, handover: Handover): void {
     this.handover = { ...handover, from, at: this.opts.clock.readTime() }
+    if (from !== this.opts.instance) this.opts.holder.recordTold(from, handover.ordered)
     // However the next holder acquires the lease, it may be this instance.
     this.opts.holder.addUnanswered(handover.unanswered ?? [])
     if (this.lastHeartbeat?.instance === from) this.lastHeartbeat = undefined
@@ -208,6 +215,7 @@
 
   private handleHeartbeat (from: string, heartbeat: HolderHeartbeat): void {
     this.opts.lease.recordHolderWrite(heartbeat.recordVersion)
+    this.opts.holder.recordTold(from, heartbeat.inTransit ?? [])
     if (this.lastHeartbeat?.instance !== from) this.opts.log.record(DecisionKinds.HOLDER_CHANGED, { holder: from, fence: heartbeat.fence })
     this.lastHeartbeat = { instance: from, at: this.opts.clock.readTime() }
     if (this.handover && heartbeat.fence > this.handover.fence) this.handover = undefined
@@ -297,8 +305,8 @@
   }
 
   private sendHeartbeat (): void {
-    const { lease, network } = this.opts
-    network.broadcast(HOLDER_HEARTBEAT, { fence: lease.fence, recordVersion: lease.recordVersion })
+    const { lease, network, holder } = this.opts
+    network.broadcast(HOLDER_HEARTBEAT, { fence: lease.fence, recordVersion: lease.recordVersion, inTransit: holder.listOrdered(0) })
   }
 
   /** Hands over when this instance can't renew, as another may reach the store and then needn't wait for the lease to expire. */
@@ -344,19 +352,20 @@
   private beginOrdering (): void {
     const { lease, holder, minHandoverGapMs, clock, fleet } = this.opts
     const { handover } = this
-    const servers = fleet.listAll().map(({ id }) => id)
-    const holdOff = buildHoldOff({ origin: lease.origin, handover, now: clock.readTime(), minHandoverGapMs, servers })
-    this.formerHolder = lease.origin === LeaseOrigins.HANDED_OVER ? handover?.from : this.lastHeartbeat?.instance
-    this.heldOff = [...holdOff.byBackend.keys()]
-    holder.begin(holdOff, lease.origin === LeaseOrigins.HANDED_OVER ? handover?.loads : [])
+    const isHandedOver = lease.origin === LeaseOrigins.HANDED_OVER
+    const isUntold = lease.origin === LeaseOrigins.RELEASED
+    this.formerHolder = isHandedOver ? handover?.from : this.lastHeartbeat?.instance
+    if (isUntold) holder.recordTold(UNKNOWN_INSTANCE, fleet.listAll().map(({ id }) => [id, 0]))
+    holder.begin(isUntold ? clock.readTime() + minHandoverGapMs : -Infinity, isHandedOver ? handover?.loads : [])
   }
 
   private reportHolderChange (): void {
-    const { lease, log } = this.opts
+    const { lease, log, holder } = this.opts
     if (this.isHolder === this.wasHolder) return
     this.wasHolder = this.isHolder
-    if (this.wasHolder) log.record(DecisionKinds.LEASE_TAKEN, { fence: lease.fence, origin: lease.origin, former: this.formerHolder, heldOff: this.heldOff })
-    else log.record(DecisionKinds.LEASE_LOST, { fence: lease.fence })
+    const { fence, origin } = lease
+    if (this.wasHolder) log.record(DecisionKinds.LEASE_TAKEN, { fence, origin, former: this.formerHolder, heldOff: holder.listHeldOff() })
+    else log.record(DecisionKinds.LEASE_LOST, { fence })
     if (this.wasHolder) this.hasOrdered = false
   }
 
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -6,7 +6,7 @@
 import type { InheritedLoad, WeightsChange } from './channels.js'
 import { loadAdapter } from './loadAdapter.js'
 import { hasRoom } from './memory.js'
-import { OrderTimes } from './OrderTimes.js'
+import { OrderArrivals, type OrderArrival } from './OrderArrivals.js'
 import type { PlannedLoad, PlannedServer } from './planResidency.js'
 import { ResidenceTimes } from './ResidenceTimes.js'
 import { SentOrders, ServerOrders, type OrderPermit } from './ServerOrders.js'
@@ -30,14 +30,6 @@
 /** Ranks servers with pending orders behind idle ones when an adapter is placed. */
 const BUSY_PENALTY = 1_000
 
-/** Monotonic times before which servers get no orders, because of orders from an earlier holder. */
-export interface HoldOff {
-  notBefore: number
-  byBackend: ReadonlyMap<string, number>
-  /** Monotonic times of the latest orders of earlier holders, by server; for the next successor. */
-  orderedAt?: ReadonlyMap<string, number>
-}
-
 /** A request to load an adapter. */
 export interface AdapterRequest {
   serving: ModelServing
@@ -57,6 +49,10 @@
   /** Undefined while this instance may not send orders. */
   readPermit: () => OrderPermit | undefined
   onChange: (change: WeightsChange) => void
+  /** Minimum milliseconds between the orders of two lease holders to one server. */
+  minHandoverGapMs: number
+  /** Called before an order is sent, and once it has arrived. */
+  onArrivalChange?: (server: string) => void
   /** Called for a load order that got no answer. */
   onUnanswered?: (reports: UnansweredReport[]) => void
 }
@@ -78,13 +74,16 @@
   private readonly failures = new Map<string, number>()
   /** Monotonic time until which a server gets no loads, by server. */
   private readonly backoffUntil = new Map<string, number>()
-  private readonly orderTimes: OrderTimes
-  private holdOff: HoldOff = { notBefore: -Infinity, byBackend: new Map() }
+  private readonly arrivals: OrderArrivals
+  /** Monotonic time at which the lease was acquired. */
+  private beganAt = -Infinity
+  /** Monotonic time before which no server gets orders. */
+  private notBefore = -Infinity
 
   constructor (private readonly opts: ServerLoadsOptions) {
     this.residence = new ResidenceTimes(opts.clock)
     this.unanswered = new UnansweredLoads(opts.clock)
-    this.orderTimes = new OrderTimes(opts.clock)
+    this.arrivals = new OrderArrivals(opts.clock)
     opts.fleet.changes.subscribe(({ kind, backend }) => {
       if (kind !== 'removed') return this.residence.applyEntry(backend)
       this.closeOrders(backend.id)
@@ -101,11 +100,11 @@
     return this.running.size
   }
 
-  /** Resets the order queues after the lease was acquired. Loads of an earlier holder count as in progress. */
-  begin (holdOff: HoldOff, inherited: readonly InheritedLoad[]): void {
-    this.holdOff = holdOff
+  /** Resets the order queues after the lease was acquired. No server gets orders before `notBefore`. Loads of an earlier holder count as in progress. */
+  begin (notBefore: number, inherited: readonly InheritedLoad[]): void {
+    this.beganAt = this.opts.clock.readTime()
+    this.notBefore = notBefore
     for (const backend of this.orders.keys()) this.closeOrders(backend)
-    for (const [backend, at] of holdOff.orderedAt ?? []) this.orderTimes.record(backend, at)
     for (const { load, leftMs } of inherited) this.addInherited(load, leftMs)
   }
 
@@ -133,17 +132,31 @@
     })
   }
 
-  /** Servers that got orders of this instance or an earlier holder within the last `withinMs`, with the milliseconds since the latest one. */
-  listOrdered (withinMs: number): [backend: string, agoMs: number][] {
-    for (const [backend, { newestOrderAt }] of this.orders) this.orderTimes.record(backend, newestOrderAt)
-    return this.orderTimes.list(withinMs)
+  /** Servers that orders of this instance or another holder reached within the last `withinMs` or may still reach. */
+  listOrdered (withinMs: number): OrderArrival[] {
+    return this.arrivals.list(withinMs)
+  }
+
+  /** By when the latest order to a server has arrived. */
+  describeArrival (server: string): OrderArrival {
+    return this.arrivals.describe(server)
+  }
+
+  /** Records what another instance tells of the orders to servers. */
+  recordTold (instance: string, arrivals: readonly OrderArrival[]): void {
+    this.arrivals.recordTold(instance, arrivals)
+  }
+
+  /** Servers that get no orders yet, because of orders of earlier holders. */
+  listHeldOff (): string[] {
+    const now = this.opts.clock.readTime()
+    return this.opts.fleet.listAll().map(({ id }) => id).filter((id) => this.readNotBefore(id) > now)
   }
 
   private closeOrders (backend: string): void {
     const orders = this.orders.get(backend)
     if (!orders) return
     orders.close()
-    this.orderTimes.record(backend, orders.newestOrderAt)
     this.orders.delete(backend)
   }
 
@@ -184,7 +197,7 @@
       busyMs: this.estimateBusyMs(backend.id),
       limitPerSecond: backend.reported.limit.perSecond,
       recentlyLoaded: this.residence.listRecent(backend.id, keepsFound),
-      holdOffMs: Math.max(backend.reported.backoff.readRemainingMs(now), this.readHoldOff(backend.id) - now),
+      holdOffMs: Math.max(backend.reported.backoff.readRemainingMs(now), this.readNotBefore(backend.id) - now),
       running: backend.readLoad().running,
     }
   }
@@ -315,13 +328,14 @@
     const present = this.orders.get(backend.id)
     if (present) return present
     const { clock, weights, log, readPermit } = this.opts
-    const notBefore = this.readHoldOff(backend.id)
     const created = new ServerOrders({
       clock,
       weights,
       log,
       readPermit,
-      notBefore,
+      arrivals: this.arrivals,
+      readNotBefore: () => this.readNotBefore(backend.id),
+      onArrivalChange: () => this.opts.onArrivalChange?.(backend.id),
       backendId: backend.id,
       address: backend.entry.address,
       onUnanswered: (load) => {
@@ -334,7 +348,8 @@
     return created
   }
 
-  private readHoldOff (backend: string): number {
-    return this.holdOff.byBackend.get(backend) ?? this.holdOff.notBefore
+  /** Monotonic time before which the server gets no orders, because of those of earlier holders and of earlier leases of this instance. */
+  private readNotBefore (server: string): number {
+    return Math.max(this.notBefore, this.arrivals.readOthers(server) + this.opts.minHandoverGapMs, this.arrivals.readOwnSentBefore(server, this.beganAt))
   }
 }
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -4,6 +4,7 @@
 import type { PulleystackError } from '@pulleystack/core.errors'
 import type { LeaseOrigin } from '@pulleystack/placement.ledger'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import type { OrderArrivals } from './OrderArrivals.js'
 import type { UnansweredLoad } from './UnansweredLoads.js'
 
 /** A state report read sooner after an order may not show its effect. */
@@ -44,8 +45,11 @@
   address: string
   /** Undefined while this instance may not send orders. */
   readPermit: () => OrderPermit | undefined
-  /** Monotonic time before which no order is sent, because of an earlier holder's recent orders. */
-  notBefore: number
+  /** Monotonic time before which no order is sent, because of an earlier holder's orders. */
+  readNotBefore: () => number
+  arrivals: OrderArrivals
+  /** Called before a copy of an order is sent, and once it has arrived. */
+  onArrivalChange?: () => void
   /** Called for each load order that got no answer, with the sequence number that it expects. */
   onUnanswered?: (load: UnansweredLoad) => void
   /** Called with the sequence number of each report. */
@@ -65,11 +69,6 @@
 
   constructor (private readonly opts: ServerOrdersOptions) {}
 
-  /** Monotonic time at which the latest order was sent. */
-  get newestOrderAt (): number {
-    return this.lastSentAt
-  }
-
   /** Whether a task is running or queued. */
   get isBusy (): boolean {
     return this.pending > 0
@@ -108,8 +107,7 @@
 
   /** Sends an order with the last known sequence number; undefined when it was rejected, or no permit or sequence number is available. */
   async send (action: WeightsOrder['action'], model: string, adapter: string | undefined): Promise<SentOrder | undefined> {
-    const delayMs = this.opts.notBefore - this.opts.clock.readTime()
-    if (delayMs > 0) await this.opts.clock.wait(delayMs)
+    await this.waitForFormerOrders()
     const permit = this.opts.readPermit()
     if (!permit || this.sequence === undefined || this.isClosed) return undefined
     const order = { action, model, adapter, expectedSequence: this.sequence }
@@ -119,28 +117,49 @@
   }
 
   // An order without an answer may still be accepted later. Repeated with the same sequence number, it is accepted at most once.
+  /** Another holder may tell of its orders during the wait. */
+  private async waitForFormerOrders (): Promise<void> {
+    const { clock, readNotBefore } = this.opts
+    while (!this.isClosed) {
+      const delayMs = readNotBefore() - clock.readTime()
+      if (delayMs <= 0) return
+      await clock.wait(delayMs)
+    }
+  }
+
   private async sendUntilAnswered (content: OrderContent, firstPermit: OrderPermit): Promise<SentOrder | undefined> {
     const beganAt = this.opts.clock.readTime()
     let permit: OrderPermit | undefined = firstPermit
     for (let copy = 1; ; copy++) {
       const order = { ...content, id: randomUUID(), holder: permit.holder, fence: permit.fence }
       const answer = await this.sendCopy(order, copy, permit)
-      permit = this.opts.readPermit()
+      permit = this.readCopyPermit()
       const isLast = answer !== undefined || copy >= MAX_SEND_ATTEMPTS || this.isClosed
       if (!permit || isLast) return this.settle(order, { copies: copy, ms: this.opts.clock.readTime() - beganAt, answer })
     }
   }
 
+  /** Permit for a repeated order, which doesn't wait for those of other holders. */
+  private readCopyPermit (): OrderPermit | undefined {
+    return this.opts.readNotBefore() > this.opts.clock.readTime() ? undefined : this.opts.readPermit()
+  }
+
   /** Returns the server's answer; undefined without one. */
   private async sendCopy (order: WeightsOrder, copy: number, permit: OrderPermit): Promise<OrderAnswer | undefined> {
-    const { clock, weights, backendId, address, log } = this.opts
+    const { clock, weights, backendId, address, log, arrivals, onArrivalChange } = this.opts
     const { id, action, model, adapter, expectedSequence: sequence, fence } = order
     const sentAt = clock.readTime()
     this.lastSentAt = sentAt
     const facts = { order: id, copy, backend: backendId, action, model, adapter, sequence, fence }
     log.record(DecisionKinds.ORDER_SENT, { ...facts, origin: permit.origin, permitMs: permit.leftMs })
+    const inTransit = arrivals.begin(backendId)
+    onArrivalChange?.()
     const answer = await weights.sendOrder({ address, backendId }, order)
-    if (answer.isOk()) return answer.value
+    if (answer.isOk()) {
+      arrivals.settle(inTransit)
+      onArrivalChange?.()
+      return answer.value
+    }
     log.record(DecisionKinds.ORDER_UNANSWERED, { order: id, backend: backendId, ms: clock.readTime() - sentAt, reason: describeCause(answer.error) })
     this.recordUnanswered(order)
     return undefined
--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -1,6 +1,7 @@
 import { defineChannel } from '@pulleystack/membership.peers'
 import type { PlannedLoad } from './planResidency.js'
 import type { DemandCount } from './DemandTracker.js'
+import type { OrderArrival } from './OrderArrivals.js'
 import type { UnansweredReport } from './UnansweredLoads.js'
 import type { WeightsAnswer, WeightsRequest } from './ResidencyClient.js'
 
@@ -8,6 +9,8 @@
 export interface HolderHeartbeat {
   fence: number
   recordVersion: number
+  /** Servers that orders may still reach; undefined from an earlier release. */
+  inTransit?: OrderArrival[]
 }
 export const HOLDER_HEARTBEAT = defineChannel<HolderHeartbeat>('residency.holder')
 
@@ -24,8 +27,8 @@
   holder: string
   /** The holder's fence; the same holder with another fence has acquired the lease again. */
   fence: number
-  /** Servers that recently got orders, with the milliseconds since the latest order. */
-  ordered: [backend: string, agoMs: number][]
+  /** Servers that orders reached recently or may still reach. */
+  ordered: OrderArrival[]
   /** Loads in progress. */
   loads: InheritedLoad[]
   /** Load orders that servers may still carry out; undefined from an earlier release. */
@@ -36,6 +39,8 @@
 export const HANDOVER = defineChannel<Handover>('residency.handover', { isOneShot: true })
 /** Load orders of the lease holder that servers may still carry out; sent at once, as it may be killed. */
 export const UNANSWERED_LOADS = defineChannel<UnansweredReport[]>('residency.unanswered', { isOneShot: true })
+/** Servers that the lease holder is about to send orders to, and those that its orders have reached; sent before each order, as the holder may be killed. */
+export const ORDER_ARRIVALS = defineChannel<OrderArrival[]>('residency.arrivals', { isOneShot: true })
 /** Requests weights from the lease holder. */
 export const WEIGHTS_REQUEST = defineChannel<WeightsRequest, WeightsAnswer>('residency.need')
 /** Demand at one instance over an interval. */
--- a/placement/residency/test/ResidencyHolder.test.ts
+++ b/placement/residency/test/ResidencyHolder.test.ts
@@ -31,7 +31,8 @@
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
   const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
   const log = new NullDecisionLog()
-  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy, readTable: () => table, readPermit, onChange: () => undefined })
+  const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
+  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy, ...sources })
   return { clock, servers, holder, models: models.map((model) => model.name) }
 }
 
@@ -87,7 +88,7 @@
         const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models } }], limits })
         const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
         const log = new NullDecisionLog()
-        const sources = { readTable: () => table, readPermit, onChange: () => undefined }
+        const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
         holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: { ...DEFAULT_POLICY, capacityPlanning: true }, ...sources })
         holder.plan()
         await clock.advance(1_000)
@@ -128,7 +129,7 @@
       // Guards against streams that are refused as often as their clients come until a new holder has made a plan that may unload models (LOST).
       it('leaves it undecided for a stream whether its model will be loaded until demand is known', async () => {
         putServer('old', 'v1', 'a', 'b', 'c')
-        holder.begin({ notBefore: -Infinity, byBackend: new Map() })
+        holder.begin(-Infinity)
         const answers: WeightsAnswer[] = []
         for (let at = 0; at < 6; at++) {
           answers.push(holder.handleRequest({ ...REQUEST, softwareVersion: 'v1' }))
@@ -172,7 +173,7 @@
   const createHolder = (): ResidencyHolder => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models: SMALL_FIRST } }], limits })
-    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), onChange: putEntry })
+    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), minHandoverGapMs: 0, onChange: putEntry })
   }
   /** Lets the other models displace the loaded one; resolves with the milliseconds until they do. */
   const measureResidence = async (holder: ResidencyHolder): Promise<number> => {
--- a/placement/residency/test/ResidencyNode.ts
+++ b/placement/residency/test/ResidencyNode.ts
@@ -99,6 +99,8 @@
       return table
     },
     readPermit: () => service.readPermit(),
+    minHandoverGapMs: TURN_MS,
+    onArrivalChange: (server) => service.announceArrival(server),
     onChange: (change) => service.announceWeights(change),
     onUnanswered: (reports) => service.announceUnanswered(reports),
   })
--- a/placement/residency/test/ResidencyService.test.ts
+++ b/placement/residency/test/ResidencyService.test.ts
@@ -98,7 +98,7 @@
       first.store.isUnresponsive = true
       for (const { fleet } of nodes) fleet.remove('r1')
       servers.stateById.set('r1', { models: new Set(), sequence: 0 })
-      for (let round = 0; round < 40; round++) {
+      for (let round = 0; round < 60; round++) {
         for (const node of nodes) if (node !== first) void requestModel(node, 'abc'[round % 3] as string)
         await clock.advance(300)
         assert.equal(servers.overcommitted, false, `${[...servers.stateById.get('r1')?.models ?? []].join()} at ${round * 300} ms`)
--- a/placement/residency/test/loadAdapter.test.ts
+++ b/placement/residency/test/loadAdapter.test.ts
@@ -7,7 +7,7 @@
 import type { PulleystackError } from '@pulleystack/core.errors'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { loadAdapter } from '../src/loadAdapter.js'
-import { ServerOrders } from '../src/index.js'
+import { OrderArrivals, ServerOrders } from '../src/index.js'
 
 const SERVING: ModelServing = {
   batchSlots: 8,
@@ -68,7 +68,8 @@
       backendId: 'r1',
       address: '127.0.0.1:1',
       readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }),
-      notBefore: -Infinity,
+      readNotBefore: () => -Infinity,
+      arrivals: new OrderArrivals(clock),
     })
     const loading = loadAdapter({ serving: SERVING, orders, readIdleMs: (name) => name === 'm/a1' ? 9 : 1, addUnanswered, onChange: () => undefined }, 'm', adapter)
     await clock.advance(12_000)
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -54,6 +54,8 @@
     readPace: (server) => readPace(fleet, server, clock.readTime()),
     readTable: parts.readTable,
     readPermit: () => residency.readPermit(),
+    minHandoverGapMs,
+    onArrivalChange: (server) => residency.announceArrival(server),
     onChange: (change) => residency.announceWeights(change),
     onUnanswered: (reports) => residency.announceUnanswered(reports),
   })
