--- a/backend/interfaces/src/WeightsClient.ts
+++ b/backend/interfaces/src/WeightsClient.ts
@@ -74,5 +74,6 @@
   }
 
   abstract readState (target: WeightsTarget): Promise<Result<WeightsState, PulleystackError>>
-  abstract sendOrder (target: WeightsTarget, order: WeightsOrder): Promise<Result<OrderAnswer, PulleystackError>>
+  /** `mayWrite` is asked right before the order is written to an established connection. */
+  abstract sendOrder (target: WeightsTarget, order: WeightsOrder, mayWrite?: () => boolean): Promise<Result<OrderAnswer, PulleystackError>>
 }
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from 'node:crypto'
 import { OrderAnswers, type OrderAnswer, type WeightsClient, type WeightsOrder, type WeightsState } from '@pulleystack/backend.interfaces'
 import type { Clock } from '@pulleystack/core.clock'
-import type { PulleystackError } from '@pulleystack/core.errors'
+import { Ran, type PulleystackError } from '@pulleystack/core.errors'
 import type { LeaseOrigin } from '@pulleystack/placement.ledger'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
-import type { OrderArrivals } from './OrderArrivals.js'
+import type { OrderArrivals, OrderInTransit } from './OrderArrivals.js'
 import type { UnansweredLoad } from './UnansweredLoads.js'
 
 /** A state report read sooner after an order may not show its effect. */
@@ -116,7 +116,6 @@
     return outcome
   }
 
-  // An order without an answer may still be accepted later. Repeated with the same sequence number, it is accepted at most once.
   /** Another holder may tell of its orders during the wait. */
   private async waitForFormerOrders (): Promise<void> {
     const { clock, readNotBefore } = this.opts
@@ -127,42 +126,55 @@
     }
   }
 
+  // An order without an answer may still be accepted later. Repeated with the same sequence number, it is accepted at most once.
   private async sendUntilAnswered (content: OrderContent, firstPermit: OrderPermit): Promise<SentOrder | undefined> {
     const beganAt = this.opts.clock.readTime()
     let permit: OrderPermit | undefined = firstPermit
-    for (let copy = 1; ; copy++) {
+    for (let copies = 1; ; copies++) {
       const order = { ...content, id: randomUUID(), holder: permit.holder, fence: permit.fence }
-      const answer = await this.sendCopy(order, copy, permit)
+      const answer = await this.sendCopy(order, copies, permit)
       permit = this.readCopyPermit()
-      const isLast = answer !== undefined || copy >= MAX_SEND_ATTEMPTS || this.isClosed
-      if (!permit || isLast) return this.settle(order, { copies: copy, ms: this.opts.clock.readTime() - beganAt, answer })
+      const isLast = answer !== undefined || copies >= MAX_SEND_ATTEMPTS || this.isClosed
+      if (!permit || isLast) return this.settle(order, { copies, ms: this.opts.clock.readTime() - beganAt, answer })
     }
   }
 
-  /** Permit for a repeated order, which doesn't wait for those of other holders. */
+  /** Permit for a copy of an order that was decided on before; it doesn't wait for orders of other holders. */
   private readCopyPermit (): OrderPermit | undefined {
-    return this.opts.readNotBefore() > this.opts.clock.readTime() ? undefined : this.opts.readPermit()
+    const isHeldOff = this.opts.readNotBefore() > this.opts.clock.readTime()
+    return isHeldOff || this.isClosed ? undefined : this.opts.readPermit()
   }
 
   /** Returns the server's answer; undefined without one. */
   private async sendCopy (order: WeightsOrder, copy: number, permit: OrderPermit): Promise<OrderAnswer | undefined> {
-    const { clock, weights, backendId, address, log, arrivals, onArrivalChange } = this.opts
+    const { clock, weights, backendId, address, log, arrivals } = this.opts
     const { id, action, model, adapter, expectedSequence: sequence, fence } = order
-    const sentAt = clock.readTime()
-    this.lastSentAt = sentAt
+    this.lastSentAt = clock.readTime()
     const facts = { order: id, copy, backend: backendId, action, model, adapter, sequence, fence }
     log.record(DecisionKinds.ORDER_SENT, { ...facts, origin: permit.origin, permitMs: permit.leftMs })
     const inTransit = arrivals.begin(backendId)
-    onArrivalChange?.()
-    const answer = await weights.sendOrder({ address, backendId }, order)
-    if (answer.isOk()) {
-      arrivals.settle(inTransit)
-      onArrivalChange?.()
-      return answer.value
+    this.opts.onArrivalChange?.()
+    const answer = await weights.sendOrder({ address, backendId }, order, () => this.readCopyPermit()?.fence === fence)
+    if (answer.isErr()) {
+      this.handleUnanswered(order, inTransit, answer.error)
+      return undefined
     }
-    log.record(DecisionKinds.ORDER_UNANSWERED, { order: id, backend: backendId, ms: clock.readTime() - sentAt, reason: describeCause(answer.error) })
-    this.recordUnanswered(order)
-    return undefined
+    arrivals.settle(inTransit)
+    this.opts.onArrivalChange?.()
+    return answer.value
+  }
+
+  private handleUnanswered (order: WeightsOrder, inTransit: OrderInTransit, error: PulleystackError): void {
+    const { clock, log, backendId, arrivals } = this.opts
+    const written = error.ran !== Ran.NO
+    const ms = clock.readTime() - inTransit.sentAt
+    log.record(DecisionKinds.ORDER_UNANSWERED, { order: order.id, backend: backendId, ms, written, reason: describeCause(error) })
+    if (written) {
+      this.recordUnanswered(order)
+      return
+    }
+    arrivals.cancel(inTransit)
+    this.opts.onArrivalChange?.()
   }
 
   private settle (order: WeightsOrder, { copies, ms, answer }: { copies: number, ms: number, answer: OrderAnswer | undefined }): SentOrder | undefined {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -246,8 +246,8 @@
    * other instances allowed during an outage of the store.
    */
   'order-sent': OrderFacts & { order: string, copy: number, sequence: number, fence: number, origin: string, permitMs: number }
-  /** A copy of an order got no answer, and was given up after `ms`. */
-  'order-unanswered': { order: string, backend: string, ms: number, reason: string }
+  /** A copy of an order got no answer, and was given up after `ms`. It may still arrive if it was `written` to a connection. */
+  'order-unanswered': { order: string, backend: string, ms: number, written: boolean, reason: string }
   /** The result of an order: `taken`, `holds`, `uncertain` or `refused`. */
   'order-settled': OrderFacts & { order: string, copies: number, ms: number, answer: string }
 }
