--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -133,12 +133,18 @@
     for (let copies = 1; ; copies++) {
       const order = { ...content, id: randomUUID(), holder: permit.holder, fence: permit.fence }
       const answer = await this.sendCopy(order, copies, permit)
+      const mayRepeat = answer === undefined && copies < MAX_SEND_ATTEMPTS && await this.isStillAcceptable(content)
       permit = this.readCopyPermit()
-      const isLast = answer !== undefined || copies >= MAX_SEND_ATTEMPTS || this.isClosed
-      if (!permit || isLast) return this.settle(order, { copies, ms: this.opts.clock.readTime() - beganAt, answer })
+      if (!permit || !mayRepeat) return this.settle(order, { copies, ms: this.opts.clock.readTime() - beganAt, answer })
     }
   }
 
+  /** Whether the server answers and has not accepted a copy. A silent one would get all copies at once when it reads again. */
+  private async isStillAcceptable ({ expectedSequence }: OrderContent): Promise<boolean> {
+    const state = await this.readSettled()
+    return state?.sequence === expectedSequence
+  }
+
   /** Permit for a copy of an order that was decided on before; it doesn't wait for orders of other holders. */
   private readCopyPermit (): OrderPermit | undefined {
     const isHeldOff = this.opts.readNotBefore() > this.opts.clock.readTime()
