--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -218,11 +218,12 @@
     const name = `${nameGroup(request)}|${nameWeights(model, adapter)}`
     const readyAt = this.adapterReadyAt.get(name)
     if (readyAt !== undefined) return Math.max(0, readyAt - now)
-    this.adapterReadyAt.set(name, now + EXPECTED_ADAPTER_LOAD_MS)
+    const expectedMs = Math.min(...servers.map((server) => this.loads.readHoldOffMs(server))) + EXPECTED_ADAPTER_LOAD_MS
+    this.adapterReadyAt.set(name, now + expectedMs)
     const demand = this.findDemand(request.service)
     const loading = this.loads.ensureAdapter({ serving, servers, model, adapter, readIdleMs: (it) => demand.read(it).idleMs })
     void loading.finally(() => this.adapterReadyAt.delete(name))
-    return EXPECTED_ADAPTER_LOAD_MS
+    return expectedMs
   }
 
   private listWithModel (request: WeightsRequest): Backend[] {
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -321,7 +321,7 @@
   }
 
   private rankForAdapter (backend: Backend): number {
-    return (this.findOrders(backend).isBusy ? BUSY_PENALTY : 0) + backend.readLoad().running
+    return (this.findOrders(backend).isBusy ? BUSY_PENALTY : 0) + backend.readLoad().running + this.readHoldOffMs(backend)
   }
 
   private findOrders (backend: Backend): ServerOrders {
@@ -348,6 +348,11 @@
     return created
   }
 
+  /** Milliseconds until a server gets orders, as far as those of earlier holders are concerned. */
+  readHoldOffMs ({ id }: Backend): number {
+    return Math.max(0, this.readNotBefore(id) - this.opts.clock.readTime())
+  }
+
   /** Monotonic time before which the server gets no orders, because of those of earlier holders and of earlier leases of this instance. */
   private readNotBefore (server: string): number {
     return Math.max(this.notBefore, this.arrivals.readOthers(server) + this.opts.minHandoverGapMs, this.arrivals.readOwnSentBefore(server, this.beganAt))
--- a/placement/residency/test/ResidencyHolder.test.ts
+++ b/placement/residency/test/ResidencyHolder.test.ts
@@ -215,3 +215,48 @@
     assert.ok(residenceMs >= 5_000 && residenceMs < 19_000, `unloaded after ${residenceMs} ms`)
   })
 })
+
+describe('ResidencyHolder while an order of an earlier holder may reach a server', () => {
+  const IN_TRANSIT_MS = 8_000
+  let clock: ManualClock
+  let servers: RecordingServers
+  let holder: ResidencyHolder
+
+  const requestAdapter = (): WeightsAnswer => holder.handleRequest({ service: 's', model: 'a', adapter: 'a1', isMore: false, waitMs: 3_000 })
+
+  const createHolder = (ids: readonly string[]): void => {
+    const fleet = new BackendFleet()
+    for (const id of ids) {
+      servers.add(id, 'a')
+      const models = [{ name: 'a', adapters: [] }]
+      fleet.put({ id, service: 's', address: `${id}:1`, dataHall: 'z', slots: 8, draining: false, models, inMemory: [], onDisk: [] })
+    }
+    const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+    const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
+    const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
+    const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
+    holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, ...sources })
+    holder.recordTold('former', [['r1', -IN_TRANSIT_MS]])
+    holder.begin(-Infinity)
+  }
+
+  beforeEach(() => {
+    clock = new ManualClock()
+    servers = new RecordingServers(clock)
+  })
+
+  // Guards against requests that wait for an adapter which the server can't be ordered to load in time.
+  it('tells how long an adapter will take that no other server can load', () => {
+    createHolder(['r1'])
+    const answer = requestAdapter()
+    assert.ok(answer.coming && answer.expectedMs >= IN_TRANSIT_MS, JSON.stringify(answer))
+  })
+
+  it('loads an adapter on another server that has the model', async () => {
+    createHolder(['r1', 'r2'])
+    const answer = requestAdapter()
+    assert.ok(answer.coming && answer.expectedMs < 1_000, JSON.stringify(answer))
+    await clock.advance(1_000)
+    assert.deepEqual(servers.received.map(({ server }) => server), ['r2'])
+  })
+})
