--- a/placement/residency/test/ResidencyNode.ts
+++ b/placement/residency/test/ResidencyNode.ts
@@ -1,7 +1,7 @@
 import { err } from 'neverthrow'
 import { RouteTable } from '@pulleystack/config.routes'
 import { DEFAULT_POLICY } from '@pulleystack/config.settings'
-import { ManualClock } from '@pulleystack/core.clock'
+import { ManualClock, type Clock } from '@pulleystack/core.clock'
 import { PulleystackError } from '@pulleystack/core.errors'
 import { MemoryObjectStore } from '@pulleystack/emulator.stand-ins'
 import type { FakeHub } from '@pulleystack/membership.fake-network'
@@ -9,6 +9,7 @@
 import { BackendFleet } from '@pulleystack/routing.fleet'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { OutageGrants, ResidencyHolder, ResidencyService } from '../src/index.js'
+import type { WeightsClient } from '@pulleystack/backend.interfaces'
 import { SERVING, type RecordingServers } from './RecordingServers.js'
 
 export const TURN_MS = 3_000
@@ -47,8 +48,8 @@
 }
 
 interface NodeParts {
-  clock: ManualClock
-  servers: RecordingServers
+  clock: Clock
+  servers: WeightsClient & Pick<RecordingServers, 'stateById'>
   shared: MemoryObjectStore
   hub: FakeHub
   /** Live instances. */
@@ -58,11 +59,14 @@
   readCapacity: (instance: string) => number
   /** Milliseconds after which an instance detects that the store is lost. */
   readDetectionMs: () => number
+  /** Number of the instance's process run; 1 by default. */
+  run?: number
 }
 
 /** Creates an instance that is not started. */
 export function createNode (name: string, it: NodeParts): Node {
   const { clock, servers } = it
+  const holderName = `${name}@${it.run ?? 1}`
   const fleet = new BackendFleet()
   const refresh = (): void => {
     for (const [id, server] of servers.stateById) {
@@ -73,8 +77,8 @@
   refresh()
   const store = new FailingStore(it.shared)
   let operations = 0
-  const createOperation = (): string => `${name}-${operations++}`
-  const lease = new ShardLease({ clock, store, shard: 'x', holder: `${name}@1`, leaseMs: LEASE_MS, orderDelayMs: DELAY_MS, createOperationId: createOperation })
+  const createOperation = (): string => `${holderName}-${operations++}`
+  const lease = new ShardLease({ clock, store, shard: 'x', holder: holderName, leaseMs: LEASE_MS, orderDelayMs: DELAY_MS, createOperationId: createOperation })
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
   const log = new NullDecisionLog()
@@ -110,7 +114,7 @@
     instance: name,
     lease,
     leaseMs: LEASE_MS,
-    holderName: `${name}@1`,
+    holderName,
     minHandoverGapMs: TURN_MS,
     holder,
     grants,
