--- a/placement/residency/src/OutageGrants.ts
+++ b/placement/residency/src/OutageGrants.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@pulleystack/core.clock'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
-import { OUTAGE_GRANT, type OutageGrantAnswer } from './channels.js'
+import { OUTAGE_GRANT, type OutageGrantAnswer, type OutageGrantRequest } from './channels.js'
 
 /** Time without the store before an instance reports an outage; one lost response is not an outage. */
 const MIN_OUTAGE_MS = 400
@@ -15,6 +15,10 @@
   listOtherInstances: () => readonly string[]
   /** Milliseconds since this instance lost the store; 0 while it reaches the store directly or through a peer. */
   readStoreLostMs: () => number
+  /** Fence of this instance's lease. */
+  readFence: () => number
+  /** Highest fence of a holder that this instance knows of, itself included. */
+  readNewestFence: () => number
   /** Milliseconds since the store last responded. */
   readStoreSilenceMs: () => number
   /** Minimum milliseconds between the orders of two lease holders to one server. */
@@ -38,7 +42,7 @@
 
   /** Starts to answer grant requests. */
   start (): void {
-    this.opts.network.handleCalls(OUTAGE_GRANT, (_, { lostMs }) => this.answerHolder(lostMs))
+    this.opts.network.handleCalls(OUTAGE_GRANT, (_, request) => this.answerHolder(request))
   }
 
   /** Whether this instance reaches the store neither directly nor through a peer. */
@@ -73,7 +77,7 @@
     const requestedAt = clock.readTime()
     const lostMs = this.opts.readStoreLostMs()
     for (const instance of listOtherInstances()) {
-      void network.call(instance, OUTAGE_GRANT, { lostMs }, this.grantMs).then((answer) => {
+      void network.call(instance, OUTAGE_GRANT, { lostMs, fence: this.opts.readFence() }, this.grantMs).then((answer) => {
         if (answer.isErr()) return
         if (answer.value.granted) this.grantRequestedAt.set(instance, requestedAt)
         else this.grantRequestedAt.delete(instance)
@@ -82,8 +86,10 @@
     }
   }
 
-  private answerHolder (lostMs: number): OutageGrantAnswer {
-    return { granted: this.tryGrant(), reachesStore: this.opts.readStoreSilenceMs() < lostMs - DETECTION_SKEW_MS }
+  private answerHolder ({ lostMs, fence }: OutageGrantRequest): OutageGrantAnswer {
+    // A former holder that was suspended or cut off doesn't know of its successor.
+    const isNewest = fence === undefined || fence >= this.opts.readNewestFence()
+    return { granted: isNewest && this.tryGrant(), reachesStore: this.opts.readStoreSilenceMs() < lostMs - DETECTION_SKEW_MS }
   }
 
   private tryGrant (): boolean {
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -73,6 +73,8 @@
   private wasHolder = false
   /** The last holder that this instance heard of, before it acquired the lease. */
   private formerHolder: string | undefined
+  /** Highest fence of another holder that this instance has heard of. */
+  private heardFence = 0
   private stopping = false
   /** Whether this instance hands over because it reaches no server. */
   private isYielding = false
@@ -215,12 +217,27 @@
 
   private handleHeartbeat (from: string, heartbeat: HolderHeartbeat): void {
     this.opts.lease.recordHolderWrite(heartbeat.recordVersion)
+    this.recordFence(heartbeat.fence)
     this.opts.holder.recordTold(from, heartbeat.inTransit ?? [])
     if (this.lastHeartbeat?.instance !== from) this.opts.log.record(DecisionKinds.HOLDER_CHANGED, { holder: from, fence: heartbeat.fence })
     this.lastHeartbeat = { instance: from, at: this.opts.clock.readTime() }
     if (this.handover && heartbeat.fence > this.handover.fence) this.handover = undefined
   }
 
+  /** Ends a lease that another instance has acquired since, as during a suspension of this one. */
+  private recordFence (fence: number): void {
+    const { lease } = this.opts
+    this.heardFence = Math.max(this.heardFence, fence)
+    if (!lease.hasRecord || lease.fence >= fence) return
+    this.hasOrdered = false
+    lease.abandon()
+  }
+
+  /** Highest fence of a holder that this instance knows of. */
+  get newestFence (): number {
+    return Math.max(this.heardFence, this.opts.lease.fence)
+  }
+
   private applyWeightsChange (change: WeightsChange): void {
     const { model, adapter, present } = change
     const backend = this.opts.fleet.find(change.backend)
--- a/placement/residency/src/channels.ts
+++ b/placement/residency/src/channels.ts
@@ -73,5 +73,12 @@
   reachesStore: boolean
 }
 
-/** The holder, which lost the store `lostMs` ago, asks another instance not to acquire the lease. */
-export const OUTAGE_GRANT = defineChannel<{ lostMs: number }, OutageGrantAnswer>('residency.hold-on')
+/** Request of the lease holder, which lost the store `lostMs` ago. */
+export interface OutageGrantRequest {
+  lostMs: number
+  /** Fence of its lease; undefined from an earlier release. */
+  fence?: number
+}
+
+/** The holder asks another instance not to acquire the lease. */
+export const OUTAGE_GRANT = defineChannel<OutageGrantRequest, OutageGrantAnswer>('residency.hold-on')
--- a/placement/residency/test/OutageGrants.test.ts
+++ b/placement/residency/test/OutageGrants.test.ts
@@ -11,6 +11,8 @@
   grants: OutageGrants
   /** Monotonic time at which the store was lost; undefined while it responds. */
   storeLostSince: number | undefined
+  fence: number
+  newestFence: number
 }
 
 describe('OutageGrants', () => {
@@ -20,7 +22,7 @@
   let other: Node
 
   const createNode = (name: string, listOtherInstances: () => string[]): Node => {
-    const node: Node = { grants: undefined as unknown as OutageGrants, storeLostSince: undefined }
+    const node: Node = { grants: undefined as unknown as OutageGrants, storeLostSince: undefined, fence: 1, newestFence: 1 }
     const readLostMs = (): number => node.storeLostSince === undefined ? 0 : clock.readTime() - node.storeLostSince
     node.grants = new OutageGrants({
       clock,
@@ -28,6 +30,8 @@
       listOtherInstances,
       readStoreLostMs: readLostMs,
       readStoreSilenceMs: readLostMs,
+      readFence: () => node.fence,
+      readNewestFence: () => node.newestFence,
       minHandoverGapMs: TURN_MS,
       isEnabled: true,
     })
@@ -50,6 +54,17 @@
     other = createNode('other', () => ['holder'])
   })
 
+  // Guards against two holders that continue with the grants of each other, after one of them was suspended (ONE).
+  it('does not let a holder continue that has a successor', async () => {
+    other.newestFence = 2
+    await loseStore(holder, other)
+    await requestGrants()
+    assert.equal(holder.grants.isGrantedByAll, false)
+    holder.fence = 2
+    await requestGrants()
+    assert.equal(holder.grants.isGrantedByAll, true)
+  })
+
   it('lets the holder continue for a fifth of minHandoverGapMs unless the grant is renewed', async () => {
     await loseStore(holder, other)
     assert.equal(holder.grants.isGrantedByAll, false)
--- a/placement/residency/test/ResidencyNode.ts
+++ b/placement/residency/test/ResidencyNode.ts
@@ -89,6 +89,8 @@
     listOtherInstances: () => it.listAll().filter((other) => other !== name),
     readStoreLostMs: () => store.unavailableSince === undefined ? 0 : Math.max(0, clock.readTime() - store.unavailableSince - it.readDetectionMs()),
     readStoreSilenceMs: () => store.unavailableSince === undefined ? 0 : clock.readTime() - store.unavailableSince,
+    readFence: () => lease.fence,
+    readNewestFence: () => service.newestFence,
     minHandoverGapMs: TURN_MS,
     isEnabled: true,
   })
--- a/placement/residency/test/lease/histories.ts
+++ b/placement/residency/test/lease/histories.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * Histories in which two instances hold on through an outage of the store, with the grants of each other (ONE). With models wanted every 200 ms, each is
- * told of the other's orders before it sends its own; with longer intervals they order in turns.
+ * Histories in which two instances held on through an outage of the store, with the grants of each other (ONE). With models wanted every 200 ms, each is
+ * told of the other's orders before it sends its own; with longer intervals they ordered in turns.
  */
 export const TWO_GRANTED_HISTORIES: Readonly<Record<string, History>> = {
   'a holder that was suspended until its successor ordered, and wakes during an outage of the store': [['suspend', 5_500], ['storeDown', 500], ['resume', 3_000]],
--- a/placement/residency/test/lease/leaseHistories.test.ts
+++ b/placement/residency/test/lease/leaseHistories.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test'
 import { RandomSource } from '@pulleystack/core.clock'
 import { createHistory, describeExploration, exploreHistories, listHistories, type Exploration } from './exploreHistories.js'
-import { LATE_ORDER_HISTORIES } from './histories.js'
+import { LATE_ORDER_HISTORIES, TWO_GRANTED_HISTORIES } from './histories.js'
 import { DEMAND_INTERVAL_MS } from './LeaseWorld.js'
 import { MAX_SILENCE_MS, playHistory, type History } from './playHistory.js'
 import { STEPS, type StepName } from './steps.js'
@@ -50,7 +50,7 @@
   })
 
   // Guards against orders that arrive after their sender has lost the lease, between those of its successor (ONE).
-  for (const [name, history] of Object.entries(LATE_ORDER_HISTORIES)) {
+  for (const [name, history] of Object.entries({ ...LATE_ORDER_HISTORIES, ...TWO_GRANTED_HISTORIES })) {
     it(`are kept apart after ${name}`, async () => {
       for (const demandIntervalMs of [DEMAND_INTERVAL_MS, RARE_DEMAND_MS]) {
         const { faults, isMemoryExceeded, isLive, turns } = await playHistory(history, { demandIntervalMs })
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -64,6 +64,8 @@
     clock,
     network,
     listOtherInstances: () => mesh.listOthers(),
+    readFence: () => lease.fence,
+    readNewestFence: () => residency.newestFence,
     readStoreLostMs,
     readStoreSilenceMs: readStoreAgeMs,
     minHandoverGapMs,
