Test that a retry is counted once, and only while the budget covers it

What callers would see if an allowed retry were never taken from its permit: each paid retry would lower the service's budget for good, so that after some retries callers get the first error of any server. Servers would get retries that waited for a slot and that their requests earn no longer.

Cause of the mutation's going unnoticed: the one test looks at the budget three seconds after the send, where a reservation that is never given back counts like an attempt.

Change: two tests, no product code: no later window counts the retry; one whose requests have become older than a window while it waited for a slot is not sent (one request at the server, BACKEND_REFUSED to the caller).

--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -20,12 +20,15 @@
 /** Wait for the slot of the second attempt; nearly a whole budget window. */
 const SLOT_WAIT_MS = 9_000
 const AFTER_SEND_MS = 3_000
+/** Requests of one client that earn a retry. */
+const REQUESTS_PER_RETRY = 5
 
 /** Creates a server that rejects the first request and serves the others. */
-function createServer (): http.Server {
+function createServer (onRequest: () => void): http.Server {
   let count = 0
   return http.createServer((request, response) => {
     const isRejected = count++ === 0
+    onRequest()
     request.resume()
     response.writeHead(isRejected ? 503 : 200, isRejected ? { unused: '1' } : {}).end('body')
   })
@@ -48,15 +51,20 @@
   const client = { hasBegun: false, sendBuffered: () => undefined } as unknown as ClientResponse
   let clock: ManualClock
   let server: http.Server
+  let received: number
   let agent: BackendAgent
   let budget: WindowBudget
   let opts: RunOptions
   let secondAcquire: Promise<void>
   let grantSecondSlot: () => void
 
+  const createBudget = (fixedAllowance: number): WindowBudget =>
+    new WindowBudget({ clock, ratio: 1 / REQUESTS_PER_RETRY, fixedAllowance, windowMs: WINDOW_MS, countInstances: () => 1 })
+
   beforeEach(async () => {
     clock = new ManualClock()
-    server = createServer()
+    received = 0
+    server = createServer(() => received++)
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     const backend = new Backend({ id: 'b', service: 's', address, dataHall: 'z', slots: 1, draining: false, models: undefined, inMemory: [], onDisk: [] })
@@ -74,7 +82,7 @@
         grantSecondSlot = () => resolve(slot)
       })
     }
-    budget = new WindowBudget({ clock, ratio: 0.2, fixedAllowance: EXTRA_RETRIES, windowMs: WINDOW_MS, countInstances: () => 1 })
+    budget = createBudget(EXTRA_RETRIES)
     agent = new BackendAgent(clock)
     opts = {
       clock,
@@ -116,6 +124,28 @@
     assert.equal(budget.left, EXTRA_RETRIES - 1)
   })
 
+  // Otherwise each retry would lower the budget for good, and callers would soon get the first error of any server.
+  it('counts it in no later window', async () => {
+    const done = runRequest(opts, work, client)
+    await secondAcquire
+    grantSecondSlot()
+    await done
+    await clock.advance(2 * WINDOW_MS)
+    assert.equal(budget.left, EXTRA_RETRIES)
+  })
+
+  // Otherwise servers would get the retries that earlier requests earned when few requests come any more.
+  it('does not send it once the requests that earned it are older than a window', async () => {
+    budget = createBudget(0)
+    for (let at = 0; at < REQUESTS_PER_RETRY; at++) budget.recordRequest()
+    const refused = assert.rejects(runRequest(opts, work, client), { code: 'BACKEND_REFUSED' })
+    await secondAcquire
+    await clock.advance(2 * WINDOW_MS)
+    grantSecondSlot()
+    await refused
+    assert.equal(received, 1)
+  })
+
   // A server in a slow spell, or with a long prompt ahead, would be ejected for seconds after five silent requests in a row, and its load move elsewhere.
   for (const hasSamples of [true, false]) {
     it(`${hasSamples ? 'never ejects' : 'ejects'} a silent server that ${hasSamples ? 'begins' : 'begins no'} streams of others`, async () => {
