--- a/routing/origins/src/OriginTable.ts
+++ b/routing/origins/src/OriginTable.ts
@@ -23,7 +23,8 @@
   private readonly records: LRUCache<string, OriginRecord>
 
   constructor (private readonly clock: Clock, maxRecords = MAX_RECORDS) {
-    this.records = new LRUCache({ max: maxRecords, dispose: (_, __, reason) => this.noteDropped(reason) })
+    // `maxSize` instead of `max`: with `max` the cache preallocates its full capacity, which holds up the start of the process.
+    this.records = new LRUCache({ maxSize: maxRecords, sizeCalculation: () => 1, dispose: (_, __, reason) => this.noteDropped(reason) })
   }
 
   /** Whether records were dropped for want of room within the retention time. */
