--- a/routing/origins/src/DurableOrigins.ts
+++ b/routing/origins/src/DurableOrigins.ts
@@ -13,9 +13,10 @@
 import { SuspensionWatch } from './SuspensionWatch.js'
 import { VersionArchive } from './VersionArchive.js'
 import type { VersionHistory } from './VersionHistory.js'
+import { MAX_RECORD_BYTES } from './VersionRecord.js'
 
-/** Twice as much as the streams of an instance take with the longest ids, and more than a record of versions. */
-const MAX_OBJECT_BYTES = 1 << 20
+/** Twice as much as the streams of an instance take with the longest ids. */
+const MAX_ARCHIVE_BYTES = 1 << 20
 
 export interface DurableOptions {
   store: ObjectStore
@@ -45,12 +46,13 @@
 
   constructor (private readonly parts: DurableParts) {
     const { clock, log, versions } = parts
-    const store = new LimitedStore(parts.store, MAX_OBJECT_BYTES)
+    const store = new LimitedStore(parts.store, MAX_ARCHIVE_BYTES)
+    const records = new LimitedStore(parts.store, MAX_RECORD_BYTES)
     const losses = this.losses = new PeerLosses(clock)
     this.suspensions = new SuspensionWatch(clock)
     const isLinkedToAll = (): boolean => this.isLinkedToAll
     const witness = this.witness = new BaseWitness({ ...parts, losses, isLinkedToAll })
-    this.recorded = new RecordedVersions({ ...parts, witness, losses, isLinkedToAll, archive: new VersionArchive(store, log) })
+    this.recorded = new RecordedVersions({ ...parts, witness, losses, isLinkedToAll, archive: new VersionArchive(records, log) })
     this.archive = new OriginArchive({ ...parts, store, isMixed: (services) => versions.isMixed(...services) || !this.recorded.hasAllVersions(services) })
     this.removal = new ArchiveRemoval({ ...parts, store, mayHaveObjects: () => this.archive.hasObject || versions.listMixed().length > 0 })
   }
--- a/routing/origins/src/VersionRecord.ts
+++ b/routing/origins/src/VersionRecord.ts
@@ -3,7 +3,9 @@
 import { isName } from './StreamOrigin.js'
 
 export const VERSIONS_PREFIX = 'service-versions/'
-const MAX_RECORDED_VERSIONS = 64
+export const MAX_RECORDED_VERSIONS = 64
+/** More than the longest record takes: twice as many names as versions, each character escaped. */
+export const MAX_RECORD_BYTES = 1 << 18
 
 /** The software versions at which streams of a service may have begun. */
 export interface VersionRecord {
