--- a/placement/residency/test/lease/histories.ts
+++ b/placement/residency/test/lease/histories.ts
@@ -13,6 +13,8 @@
   'an order that takes 11.9 s and two planned stops': [['lateOrder12', 400], ['stop', 5_000], ['stop', 1_500]],
   'an order that takes 11.9 s, a kill and a planned stop': [['lateOrder12', 400], ['kill', 6_500], ['stop', 1_500]],
   'an order that takes 8 s, of which only the hand-over tells': [['losePeersOut', 10], ['lateOrder8', 300], ['healPeers', 3], ['stop', 3_000]],
+  'a suspension that ends after its successor has ordered, with an order that is still to be repeated': [['loseOrder', 300], ['suspend', 20_000], ['resume', 1_000]],
+  'an expired lease of a holder whose messages were lost': [['losePeersOut', 3_000], ['cutStore', 8_000]],
   'an order that takes 11.9 s as the store is restored, and a kill': [['restoreStore', 400], ['lateOrder12', 400], ['kill', 3_000]],
 }
 
