--- a/placement/residency/test/lease/OrderPath.ts
+++ b/placement/residency/test/lease/OrderPath.ts
@@ -26,7 +26,7 @@
   servers: RecordingServers
 }
 
-/** The path of one simulated process to the servers. What it has written is delivered even after the process is killed. */
+/** The path of one simulated process to the servers. It writes at once, without another look at the permit; what is written outlives the process. */
 export class OrderPath extends WeightsClient {
   fault: OrderFault | undefined
   isCut = false
