--- a/program/cli/src/commands/summarizeLoad.ts
+++ b/program/cli/src/commands/summarizeLoad.ts
@@ -1,9 +1,9 @@
-import { createReadStream } from 'node:fs'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { LoadSummaryBuilder, formatLoadJsonLines, formatLoadTables, readLoadLog } from '@pulleystack/timeline.load-summary'
+import { LoadSummaryBuilder, formatLoadJsonLines, formatLoadTables } from '@pulleystack/timeline.load-summary'
 import type { Command } from 'cac'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
 import { parsePause } from '../parsePause.js'
+import { readLogFile } from '../readLogFile.js'
 
 export interface SummarizeLoadOptions {
   /** Longest pause allowed within a stream, in milliseconds. */
@@ -24,16 +24,8 @@
 export async function handler (context: CommandContext, logs: readonly string[], opts: SummarizeLoadOptions): Promise<ExitCode> {
   if (logs.length === 0) throw new PulleystackError('USAGE', 'Specify at least one log file', { hint: 'pulleystack summarize-load [--pause MS] LOG...' })
   const builder = new LoadSummaryBuilder({ allowedPauseMs: parsePause(opts.pause) })
-  for (const log of logs) await readLog(log, builder)
+  for (const log of logs) await readLogFile(log, builder)
   const summary = builder.build()
   context.write(opts.json === true ? formatLoadJsonLines(summary) : formatLoadTables(summary))
   return ExitCodes.OK
 }
-
-async function readLog (file: string, builder: LoadSummaryBuilder): Promise<void> {
-  try {
-    await readLoadLog(createReadStream(file, { encoding: 'utf8' }), builder)
-  } catch (cause) {
-    throw new PulleystackError('USAGE', `Cannot read log ${file}`, { cause })
-  }
-}
--- a/timeline/load-summary/src/FailureTally.ts
+++ b/timeline/load-summary/src/FailureTally.ts
@@ -1,7 +1,6 @@
-import type { LogLine } from '@pulleystack/timeline.story'
+import { readNumber, readText, type LogLine } from '@pulleystack/timeline.story'
 import { computePercentile } from './computePercentile.js'
 import type { FailureFigures } from './LoadSummary.js'
-import { readNumber, readText } from './readFields.js'
 
 /** Words with digits are ids, durations and addresses; a row for each would not show how often a reason occurs. */
 const VARIABLE_WORD = /[\w.:-]*\d[\w.:-]*/g
--- a/timeline/load-summary/src/PlacementTally.ts
+++ b/timeline/load-summary/src/PlacementTally.ts
@@ -1,7 +1,6 @@
-import type { LogLine } from '@pulleystack/timeline.story'
+import { readNumber, readText, type LogLine } from '@pulleystack/timeline.story'
 import { computePercentile } from './computePercentile.js'
 import type { LoadFigures, OrderFigures } from './LoadSummary.js'
-import { readNumber, readText } from './readFields.js'
 import { TallyMap } from './TallyMap.js'
 
 /** Collects planned loads and the answers to orders. */
--- a/timeline/load-summary/src/RequestTracker.ts
+++ b/timeline/load-summary/src/RequestTracker.ts
@@ -1,5 +1,4 @@
-import type { LogLine } from '@pulleystack/timeline.story'
-import { readNumber, readText } from './readFields.js'
+import { readNumber, readText, type LogLine } from '@pulleystack/timeline.story'
 
 /** The last attempt of a request. */
 export interface SentAttempt {
--- a/timeline/load-summary/test/loadSummary.test.ts
+++ b/timeline/load-summary/test/loadSummary.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { describe, it } from 'node:test'
 import fc from 'fast-check'
-import { LoadSummaryBuilder, computePercentile, formatLoadJsonLines, formatLoadTables, parseLogLine, readLoadLog, type LoadSummary } from '../src/index.js'
+import { parseLogLine, readLogChunks } from '@pulleystack/timeline.story'
+import { LoadSummaryBuilder, computePercentile, formatLoadJsonLines, formatLoadTables, type LoadSummary } from '../src/index.js'
 
 interface WrittenLine {
   /** Simulated time in seconds. */
@@ -34,7 +35,7 @@
 
 async function summarize (log: readonly string[], opts: { allowedPauseMs?: number, chunkSize?: number } = {}): Promise<LoadSummary> {
   const builder = new LoadSummaryBuilder(opts)
-  await readLoadLog(cutText(log.join('\n'), opts.chunkSize ?? 1_000), builder)
+  await readLogChunks(cutText(log.join('\n'), opts.chunkSize ?? 1_000), builder)
   return builder.build()
 }
 
@@ -66,7 +67,7 @@
   })
 })
 
-describe('readLoadLog', () => {
+describe('readLogChunks', () => {
   it('measures with the simulated time of the prefix, since the wall clock of a simulated machine may be stepped', async () => {
     const steppedEnd = send(1.25, 'q1', 'r1', IDLE).replace('1970-01-01T00:16:41', '1970-01-01T00:16:11')
     const { waits } = await summarize([wait(1, 'q1', 'full'), steppedEnd])
--- a/timeline/story/src/index.ts
+++ b/timeline/story/src/index.ts
@@ -1,2 +1,6 @@
 export { buildRequestTrace, readLogLines, renderRequestTrace } from './buildRequestTrace.js'
 export type { LogLine, RequestTrace, TraceLine } from './buildRequestTrace.js'
+export { parseLogLine } from './parseLogLine.js'
+export { readNumber, readText } from './readFields.js'
+export { readLogChunks } from './readLogChunks.js'
+export type { LogReader } from './readLogChunks.js'
--- a/timeline/load-summary/src/parseLogLine.ts
+++ b/timeline/story/src/parseLogLine.ts
@@ -1,4 +1,4 @@
-import { readLogLines, type LogLine } from '@pulleystack/timeline.story'
+import { readLogLines, type LogLine } from './buildRequestTrace.js'
 
 /** Simulated time in seconds and name of a machine, as a replayed trace writes them before each line. */
 const SIMULATED_PREFIX = /^\s*(\d+(?:\.\d+)?)\s+\S+\s+\{/
--- a/timeline/load-summary/src/readFields.ts
+++ b/timeline/story/src/readFields.ts
@@ -1,4 +1,4 @@
-import type { LogLine } from '@pulleystack/timeline.story'
+import type { LogLine } from './buildRequestTrace.js'
 
 /** Returns a field of a log line if it is a finite number. */
 export function readNumber ({ fields }: LogLine, name: string): number | undefined {
