--- a/timeline/load-summary/test/loadSummary.test.ts
+++ b/timeline/load-summary/test/loadSummary.test.ts
@@ -74,6 +74,11 @@
     assert.equal(waits[0]?.ms50, 250)
   })
 
+  // Simulated days begin before zero, where the processes start.
+  it('reads a simulated time before zero, which was taken for no time', () => {
+    assert.equal(parseLogLine(wait(-9.125, 'q1', 'full'))?.at, -9_125)
+  })
+
   it('measures with the wall-clock time of lines without a prefix, or with one of another kind', () => {
     const json = wait(3, 'q1', 'full').replace(/^[^{]*/, '')
     for (const text of [json, `entry-1: ${json}`]) assert.equal(parseLogLine(text)?.at, 1_003_000)
