--- a/program/cli/src/commands/explainRequest.ts
+++ b/program/cli/src/commands/explainRequest.ts
@@ -3,7 +3,7 @@
 import { buildRequestTrace, readLogLines, renderRequestTrace, type LogLine } from '@pulleystack/timeline.story'
 import type { Command } from 'cac'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
-import { parsePause } from '../parsePause.js'
+import { parseMilliseconds } from '../parseMilliseconds.js'
 
 export interface ExplainRequestOptions {
   logs?: string | string[]
@@ -25,7 +25,7 @@
   const [id, ...positional] = args
   const files = [...positional, ...[opts.logs ?? []].flat().map(String)]
   if (id === undefined || files.length === 0) throw new PulleystackError('USAGE', 'Specify a request id and at least one log file', { hint: 'pulleystack explain-request ID FILE...' })
-  const allowedPauseMs = parsePause(opts.pause)
+  const allowedPauseMs = parseMilliseconds(opts.pause, '--pause')
   const lines = (await Promise.all(files.map(readLog))).flat()
   const story = buildRequestTrace(lines, id, allowedPauseMs)
   if (!story) throw new PulleystackError('OBJECT_UNKNOWN', `Request ${id} does not occur in these logs`, { hint: 'Include the logs of all instances.' })
--- a/program/cli/src/commands/index.ts
+++ b/program/cli/src/commands/index.ts
@@ -5,6 +5,7 @@
 import * as demo from './demo.js'
 import * as describe from './describe.js'
 import * as explain from './explain.js'
+import * as explainOrders from './explainOrders.js'
 import * as explainRequest from './explainRequest.js'
 import * as get from './get.js'
 import * as label from './label.js'
@@ -27,6 +28,7 @@
   status,
   explain,
   explainRequest,
+  explainOrders,
   summarizeLoad,
   timeline,
   settings,
--- a/program/cli/src/commands/summarizeLoad.ts
+++ b/program/cli/src/commands/summarizeLoad.ts
@@ -2,7 +2,7 @@
 import { LoadSummaryBuilder, formatLoadJsonLines, formatLoadTables } from '@pulleystack/timeline.load-summary'
 import type { Command } from 'cac'
 import { ExitCodes, type CommandContext, type ExitCode } from '../Command.js'
-import { parsePause } from '../parsePause.js'
+import { parseMilliseconds } from '../parseMilliseconds.js'
 import { readLogFile } from '../readLogFile.js'
 
 export interface SummarizeLoadOptions {
@@ -23,7 +23,7 @@
 
 export async function handler (context: CommandContext, logs: readonly string[], opts: SummarizeLoadOptions): Promise<ExitCode> {
   if (logs.length === 0) throw new PulleystackError('USAGE', 'Specify at least one log file', { hint: 'pulleystack summarize-load [--pause MS] LOG...' })
-  const builder = new LoadSummaryBuilder({ allowedPauseMs: parsePause(opts.pause) })
+  const builder = new LoadSummaryBuilder({ allowedPauseMs: parseMilliseconds(opts.pause, '--pause') })
   for (const log of logs) await readLogFile(log, builder)
   const summary = builder.build()
   context.write(opts.json === true ? formatLoadJsonLines(summary) : formatLoadTables(summary))
--- /dev/null
+++ b/timeline/orders/src/index.ts
@@ -0,0 +1,5 @@
+export { ConflictKinds, findConflicts } from './findConflicts.js'
+export type { ConflictBounds, ConflictKind, OrderConflict } from './findConflicts.js'
+export { OrderCollector } from './OrderCollector.js'
+export type { HolderLine, OrderCopy, OrderHistory, ServerHistory, SettledOrder, UnansweredCopy } from './OrderHistory.js'
+export { renderOrderHistory } from './renderOrderHistory.js'
