--- a/program/entry/src/createMetrics.ts
+++ b/program/entry/src/createMetrics.ts
@@ -6,7 +6,8 @@
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { BackendFleet } from '@pulleystack/routing.fleet'
 import type { Quarantine } from '@pulleystack/routing.quarantine'
-import { DecisionKinds } from '@pulleystack/timeline.decisions'
+import { DecisionKinds, type WatchedDecisionLog } from '@pulleystack/timeline.decisions'
+import { addOrderMetrics } from './addOrderMetrics.js'
 import { listPaces } from './listPaces.js'
 import { EntryMetrics } from './EntryMetrics.js'
 import type { EntryParts } from './EntryParts.js'
@@ -14,6 +15,7 @@
 
 /** Sources of an entry instance's metrics. */
 export interface MetricsParts extends EntryParts {
+  log: WatchedDecisionLog
   fleet: BackendFleet
   policy: Policy
   mesh: InstanceMesh
@@ -28,10 +30,10 @@
 
 /** Creates the metrics and samples the timer delay until the signal is aborted. */
 export function createMetrics (parts: MetricsParts): EntryMetrics {
-  const { clock, log, deps, fleet, mesh, network, readTable, queue, quarantine, forwarder, listReplicas, signal } = parts
+  const { settings, clock, log, deps, fleet, mesh, network, readTable, queue, quarantine, forwarder, listReplicas, signal } = parts
   const timerDelay = new TimerDelay(clock, (ms) => log.record(DecisionKinds.EVENT_LOOP_DELAYED, { ms: Math.round(ms) }))
   timerDelay.start(signal)
-  return new EntryMetrics({
+  const metrics = new EntryMetrics({
     fleet,
     mesh,
     network,
@@ -45,4 +47,6 @@
     readTime: () => clock.readTime(),
     listPaces: () => listPaces(parts),
   })
+  addOrderMetrics(metrics.registry, { clock, log, defaultHoldOffMs: settings.bounds.leaseMs })
+  return metrics
 }
--- a/program/entry/src/startEntry.ts
+++ b/program/entry/src/startEntry.ts
@@ -10,7 +10,7 @@
 import type { WebSocketNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
 import { BackendFleet, shareLoads } from '@pulleystack/routing.fleet'
-import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { DecisionKinds, WatchedDecisionLog, type DecisionLog } from '@pulleystack/timeline.decisions'
 import { createForwarder, createGateway, createLimits, createQuarantine, createRelay } from './createGateway.js'
 import { createMesh } from './createMesh.js'
 import { createMetrics } from './createMetrics.js'
@@ -73,18 +73,21 @@
   orderDelayMs?: number
 }
 
+interface EntryState {
+  table: RouteTable | undefined
+  phase: EntryPhase
+  stopPlan: StopPlan | undefined
+  feeds: SourceFeeds | undefined
+}
+
 /** Starts an entry instance without the listener for clients. */
 export async function startEntry (settings: EntrySettings, deps: EntryDependencies, opts: StartOptions): Promise<Entry> {
-  const { log, policy = DEFAULT_POLICY, clock = new SystemClock(), random = new RandomSource() } = opts
+  const { policy = DEFAULT_POLICY, clock = new SystemClock(), random = new RandomSource() } = opts
+  const log = new WatchedDecisionLog(opts.log)
   const ended = new AbortController()
   // All tasks of the instance listen to this signal.
   setMaxListeners(0, ended.signal)
-  const state: { table: RouteTable | undefined, phase: EntryPhase, stopPlan: StopPlan | undefined, feeds: SourceFeeds | undefined } = {
-    table: undefined,
-    phase: EntryPhases.STARTING,
-    stopPlan: undefined,
-    feeds: undefined,
-  }
+  const state: EntryState = { table: undefined, phase: EntryPhases.STARTING, stopPlan: undefined, feeds: undefined }
   const fleet = new BackendFleet()
   const readTable = (): RouteTable | undefined => state.table
   recordStoreRestores(deps.store, log, ended.signal)
--- a/timeline/decisions/src/index.ts
+++ b/timeline/decisions/src/index.ts
@@ -3,3 +3,4 @@
 export type { DecisionKind } from './DecisionLog.js'
 export { JsonDecisionLog } from './JsonDecisionLog.js'
 export type { JsonDecisionLogOptions } from './JsonDecisionLog.js'
+export { WatchedDecisionLog } from './WatchedDecisionLog.js'
