--- a/program/cli/test/explainOrders.test.ts
+++ b/program/cli/test/explainOrders.test.ts
@@ -43,6 +43,6 @@
   })
 
   it('rejects a call without logs, with a log that is not there and with a bound that is no time', async () => {
-    for (const args of [[], ['missing.log'], ['--gap', 'soon', ...logs], ['--travel', '-1', ...logs]]) assert.equal((await run(...args))[0], 2)
+    for (const args of [[], ['missing.log'], ['--gap', 'soon', ...logs], ['--travel=-1', ...logs]]) assert.equal((await run(...args))[0], 2)
   })
 })
--- a/timeline/orders/src/renderOrderHistory.ts
+++ b/timeline/orders/src/renderOrderHistory.ts
@@ -85,13 +85,17 @@
     [ConflictKinds.TOO_CLOSE]: `${roundMs(copy.sentAt - latest.sentAt)} ms after ${order}, ${gapMs} ms are the least`,
     [ConflictKinds.LOWER_FENCE]: `fence ${copy.fence} after ${order}`,
     [ConflictKinds.SHARED_FENCE]: `fence ${copy.fence} is also that of ${order}`,
-    [ConflictKinds.LATE_ARRIVAL]: `${order} got no answer and may arrive until ${roundMs(latest.sentAt + travelMs - startAt)}${describeFurther(earlier.length - 1)}`,
+    [ConflictKinds.LATE_ARRIVAL]: `${order} got no answer and may arrive until ${roundMs(latest.sentAt + travelMs - startAt)}${describeFate(copy, earlier)}`,
   }
   return `${' '.repeat(OFFSET_WIDTH)}    ! ${kind}: ${reasons[kind]}`
 }
 
-function describeFurther (count: number): string {
-  return count === 0 ? '' : `, and ${count} before it`
+/** A server takes an order only if it names the sequence number that the server has; `copy` names the one that its sender had just read. */
+function describeFate (copy: OrderCopy, earlier: readonly OrderCopy[]): string {
+  const further = earlier.length === 1 ? '' : `, ${earlier.length - 1} more before it`
+  const numbers = earlier.map(({ sequence }) => sequence)
+  const isPast = copy.sequence !== undefined && numbers.every((number) => number !== undefined && number < (copy.sequence as number))
+  return further + (isPast ? '; the server is past their sequence numbers and would refuse them' : '')
 }
 
 function describeConclusion ({ servers }: OrderHistory, checked: readonly CheckedServer[], startAt: number): string {
--- a/timeline/orders/test/OrderCollector.test.ts
+++ b/timeline/orders/test/OrderCollector.test.ts
@@ -117,6 +117,13 @@
 conclusion: 2 holders sent 2 orders to 1 servers; too close: 1, first at 3500 to s1; lower fence: 0; shared fence: 0; late arrival: 1, first at 3500 to s1`)
   })
 
+  it('tells when the server is past the sequence numbers of all orders that may still arrive', () => {
+    const lose = (at: number, order: string, sequence: number): Row[] => [sent(at, 'e1', 1, order, { sequence }), unanswered(at + 350, 'e1', order)]
+    const show = (sequence: number): string => renderOrderHistory(collect([...lose(0, 'o1', 2), ...lose(400, 'o2', 3), sent(9_000, 'e2', 2, 'o3', { sequence })]), BOUNDS)
+    assert.match(show(3), /may arrive until 12400, 1 more before it$/m)
+    assert.match(show(4), /may arrive until 12400, 1 more before it; the server is past their sequence numbers and would refuse them$/m)
+  })
+
   it('counts from the first line where times are of the wall clock, and tells of missing lines', () => {
     const startAt = Date.parse('2026-12-05T10:00:00Z')
     const text = renderOrderHistory(collect([sent(startAt, 'e1', 1, 'o1'), [startAt, 'e1', 'lines-dropped', { dropped: 7 }]]), BOUNDS)
