--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -12,7 +12,7 @@
 import { estimateEarliestMs, type PlannedLoad } from './planResidency.js'
 import type { WeightsAnswer, WeightsRequest } from './ResidencyClient.js'
 import type { OrderArrival } from './OrderArrivals.js'
-import { ServerLoads, type ServerLoadsOptions } from './ServerLoads.js'
+import { ServerLoads, type HeldOffServer, type ServerLoadsOptions } from './ServerLoads.js'
 import { SlotPlanner } from './SlotPlanner.js'
 import type { UnansweredReport } from './UnansweredLoads.js'
 import type { WaitingStake } from './WaitingStake.js'
@@ -81,8 +81,8 @@
     this.loads.recordTold(instance, arrivals)
   }
 
-  /** Servers that get no orders yet, because of orders of earlier holders. */
-  listHeldOff (): string[] {
+  /** Servers that get no orders yet, because of orders of earlier holders, and for how many milliseconds. */
+  listHeldOff (): HeldOffServer[] {
     return this.loads.listHeldOff()
   }
 
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -57,6 +57,9 @@
   onUnanswered?: (reports: UnansweredReport[]) => void
 }
 
+/** A server that gets no orders yet, with the milliseconds until it does. */
+export type HeldOffServer = [server: string, ms: number]
+
 interface RunningLoad {
   load: PlannedLoad
   startedAt: number
@@ -147,10 +150,9 @@
     this.arrivals.recordTold(instance, arrivals)
   }
 
-  /** Servers that get no orders yet, because of orders of earlier holders. */
-  listHeldOff (): string[] {
-    const now = this.opts.clock.readTime()
-    return this.opts.fleet.listAll().map(({ id }) => id).filter((id) => this.readNotBefore(id) > now)
+  /** Servers that get no orders yet, because of orders of earlier holders, and for how many milliseconds. */
+  listHeldOff (): HeldOffServer[] {
+    return this.opts.fleet.listAll().map((backend): HeldOffServer => [backend.id, this.readHoldOffMs(backend)]).filter(([, ms]) => ms > 0)
   }
 
   private closeOrders (backend: string): void {
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -92,9 +92,9 @@
   'holder-changed': { holder: string, fence: number }
   /**
    * This instance has acquired the lease and may soon place models. `origin`: `expired`, `released` or `handed-over`; `former`: the last holder that it heard
-   * of; `heldOff`: servers that it leaves alone for a while, because of orders of an earlier holder.
+   * of; `heldOff`: servers that it leaves alone, because of orders of an earlier holder, and for how long.
    */
-  'lease-taken': { fence: number, origin: string, former: string | undefined, heldOff: readonly string[] }
+  'lease-taken': { fence: number, origin: string, former: string | undefined, heldOff: readonly (readonly [server: string, ms: number])[] }
   /** This instance has lost the lease and may no longer place models. */
   'lease-lost': { fence: number }
   /** This instance hands the lease over. The next holder must avoid the servers in `ordered`, which received orders recently. */
