--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -3,7 +3,7 @@
 import { buildVersion, readEpoch, type ObjectStore } from '@pulleystack/backend.interfaces'
 import { err, ok, type Result } from 'neverthrow'
 import { computeFirstFence, computeNextFence } from './fences.js'
-import { createShardRecord, type ShardRecord } from './shardRecord.js'
+import { createShardRecord, type ShardRecord, type StoredOrder } from './shardRecord.js'
 
 export interface ShardLeaseOptions {
   clock: Clock
@@ -23,11 +23,11 @@
   isFirstStart?: boolean
 }
 
-/** Orders that may still reach servers, with the negative milliseconds until then. */
+/** Orders that may still reach servers. */
 export interface OrdersInTransit {
-  list: () => [server: string, agoMs: number][]
-  /** Records those that a former holder had stored. */
-  recordFormer: (orders: readonly [server: string, agoMs: number][]) => void
+  list: () => StoredOrder[]
+  /** Records those that were stored by a former holder. */
+  recordFormer: (orders: readonly StoredOrder[]) => void
 }
 
 /** How the lease became available to its holder. */
@@ -57,6 +57,8 @@
   private observed: { version: number, since: number } | undefined
   /** Monotonic time until which a holder whose record was lost by the store may send orders. */
   private lostHolderUntil = -Infinity
+  /** Whether the latest attempt to acquire the lease found it released; its write may take effect after it was given up. */
+  private takesReleased = false
 
   constructor (private readonly opts: ShardLeaseOptions) {
     opts.store.epochs.changes.subscribe(({ previous }) => {
@@ -120,11 +122,13 @@
     this.version = read.value?.version ?? 0
     const isHandedOver = stored !== undefined && stored.holder === handedOver?.holder && stored.fence === handedOver.fence
     const isFree = stored === undefined || isHandedOver || this.isFree(stored)
+    const isReleased = stored !== undefined && this.isReleased(stored)
     if (!isFree || this.mayHaveLostHolder) return false
     const next: ShardRecord = { ...stored ?? createShardRecord(this.opts.shard), holder: this.opts.holder, leaseMs: this.opts.leaseMs, released: false }
     next.fence = computeNextFence(next.fence, this.version === 0 ? buildVersion(this.epoch, 0) : this.version)
     this.record = undefined
-    this.opts.ordersInTransit?.recordFormer(stored?.inTransit ?? [])
+    this.recordFormerOrders(stored)
+    this.takesReleased = isReleased
     const written = await this.write(next)
     if (written.isErr()) return false
     // The store may have begun another epoch during the write.
@@ -133,7 +137,7 @@
       return false
     }
     this.ordersAllowedFrom = this.opts.clock.readTime() + (isHandedOver ? 0 : this.opts.orderDelayMs + (this.opts.orderMarginMs ?? 0))
-    this.origin = isHandedOver ? LeaseOrigins.HANDED_OVER : stored?.released ? LeaseOrigins.RELEASED : LeaseOrigins.EXPIRED
+    this.origin = isHandedOver ? LeaseOrigins.HANDED_OVER : isReleased ? LeaseOrigins.RELEASED : LeaseOrigins.EXPIRED
     return true
   }
 
@@ -212,6 +216,7 @@
 
   private drop (): void {
     this.dropCount++
+    this.takesReleased = false
     this.record = undefined
     this.validUntil = -Infinity
     this.ordersAllowedFrom = Infinity
@@ -222,6 +227,10 @@
     return `placement/shard/${this.opts.shard}`
   }
 
+  private isReleased ({ released, holder }: ShardRecord): boolean {
+    return released || (this.takesReleased && holder === this.opts.holder)
+  }
+
   private isFree (stored: ShardRecord): boolean {
     // A record with a fence of an earlier epoch may be a delayed write that replaced the current holder's record.
     const isFromThisEpoch = stored.fence >= computeFirstFence(readEpoch(this.version))
@@ -231,6 +240,13 @@
     return now - this.observed.since > this.computeExpiryMs(stored.leaseMs)
   }
 
+  /** Counts the stored orders from when this version was first seen. */
+  private recordFormerOrders (stored: ShardRecord | undefined): void {
+    const seenMs = this.observed?.version === this.version ? this.opts.clock.readTime() - this.observed.since : 0
+    const orders = Array.isArray(stored?.inTransit) ? stored.inTransit : []
+    this.opts.ordersInTransit?.recordFormer(orders.map(([server, agoMs, holder]) => [server, agoMs + seenMs, holder]))
+  }
+
   private async write (next: ShardRecord): Promise<Result<void, PulleystackError>> {
     const sentAt = this.opts.clock.readTime()
     const { dropCount } = this
--- a/placement/ledger/src/index.ts
+++ b/placement/ledger/src/index.ts
@@ -9,7 +9,7 @@
   setEntryState,
   findEntries,
 } from './shardRecord.js'
-export type { EntryState, LedgerEntry, ServerLedger, ShardRecord } from './shardRecord.js'
+export type { EntryState, LedgerEntry, ServerLedger, ShardRecord, StoredOrder } from './shardRecord.js'
 export { LeaseOrigins, MAX_CLOCK_DRIFT, ShardLease } from './ShardLease.js'
 export type { LeaseOrigin, OrdersInTransit, ShardLeaseOptions } from './ShardLease.js'
 export { chooseShard, listShards, readShardMap } from './shardMap.js'
--- a/placement/ledger/src/shardRecord.ts
+++ b/placement/ledger/src/shardRecord.ts
@@ -31,6 +31,9 @@
   entries: LedgerEntry[]
 }
 
+/** Server that an order of a holder may reach, with the negative milliseconds until then. */
+export type StoredOrder = [server: string, agoMs: number, holder: string]
+
 /** The stored object of one placement shard; holds lease and ledger, so that they change together. */
 export interface ShardRecord {
   shard: string
@@ -45,8 +48,8 @@
   /** Id of the newest write; shows whether a write whose response was lost took effect. */
   operation: string
   servers: Record<string, ServerLedger>
-  /** Servers that orders might still reach when the record was written, with the negative milliseconds until then. */
-  inTransit?: [server: string, agoMs: number][]
+  /** Orders that might still reach servers when the record was written. */
+  inTransit?: StoredOrder[]
 }
 
 export function createShardRecord (shard: string): ShardRecord {
--- a/placement/residency/test/lease/LeaseWorld.ts
+++ b/placement/residency/test/lease/LeaseWorld.ts
@@ -89,6 +89,8 @@
       run,
     })
     store.onEpoch = (epoch) => node.store.epochs.record(epoch)
+    // Instances know the epoch of the store before they look for the lease.
+    node.store.epochs.record(0)
     this.processes.set(instance, { node, gate, orders, store, run, unreachableSince: undefined })
     this.paths.push(orders)
     node.service.start(node.ended.signal)
