--- a/placement/residency/src/ResidencyHolder.ts
+++ b/placement/residency/src/ResidencyHolder.ts
@@ -71,7 +71,7 @@
     return this.loads.listOrdered(0)
   }
 
-  /** By when the latest order to a server has arrived. */
+  /** By when the latest order of this process to a server has arrived. */
   describeArrival (server: string): OrderArrival {
     return this.loads.describeArrival(server)
   }
--- a/placement/residency/src/ResidencyService.ts
+++ b/placement/residency/src/ResidencyService.ts
@@ -204,14 +204,14 @@
       loads: holder.listRunning(),
       unanswered: holder.listUnanswered(),
     }
-    this.opts.log.record(DecisionKinds.LEASE_HANDED_OVER, { fence: handover.fence, ordered: handover.ordered.map(([backend]) => backend) })
+    this.opts.log.record(DecisionKinds.LEASE_HANDED_OVER, { fence: handover.fence, ordered: [...new Set(handover.ordered.map(([backend]) => backend))] })
     this.opts.network.broadcast(HANDOVER, handover)
     this.handleHandover(this.opts.instance, handover)
   }
 
   private handleHandover (from: string, handover: Handover): void {
     this.handover = { ...handover, from, at: this.opts.clock.readTime() }
-    if (from !== this.opts.instance) this.opts.holder.recordTold(from, parseArrivals(handover.ordered))
+    if (from !== this.opts.instance) this.opts.holder.recordTold(from, parseArrivals(handover.ordered, from))
     // However the next holder acquires the lease, it may be this instance.
     this.opts.holder.addUnanswered(handover.unanswered ?? [])
     if (this.lastHeartbeat?.instance === from) this.lastHeartbeat = undefined
@@ -220,7 +220,7 @@
   private handleHeartbeat (from: string, heartbeat: HolderHeartbeat): void {
     this.opts.lease.recordHolderWrite(heartbeat.recordVersion)
     this.recordFence(heartbeat.fence)
-    this.opts.holder.recordTold(from, parseArrivals(heartbeat.inTransit))
+    this.opts.holder.recordTold(from, parseArrivals(heartbeat.inTransit, from))
     if (this.lastHeartbeat?.instance !== from) this.opts.log.record(DecisionKinds.HOLDER_CHANGED, { holder: from, fence: heartbeat.fence })
     this.lastHeartbeat = { instance: from, at: this.opts.clock.readTime() }
     if (this.handover && heartbeat.fence > this.handover.fence) this.handover = undefined
@@ -374,7 +374,7 @@
     const isHandedOver = lease.origin === LeaseOrigins.HANDED_OVER
     const isUntold = lease.origin === LeaseOrigins.RELEASED
     this.formerHolder = isHandedOver ? handover?.from : this.lastHeartbeat?.instance
-    if (isUntold) holder.recordTold(UNKNOWN_INSTANCE, fleet.listAll().map(({ id }) => [id, 0]))
+    if (isUntold) holder.recordTold(UNKNOWN_INSTANCE, fleet.listAll().map(({ id }) => [id, 0, UNKNOWN_INSTANCE]))
     holder.begin(isUntold ? clock.readTime() + minHandoverGapMs : -Infinity, isHandedOver ? handover?.loads : [])
   }
 
--- a/placement/residency/src/ServerLoads.ts
+++ b/placement/residency/src/ServerLoads.ts
@@ -49,6 +49,8 @@
   /** Undefined while this instance may not send orders. */
   readPermit: () => OrderPermit | undefined
   onChange: (change: WeightsChange) => void
+  /** Name of this process in the lease. */
+  holderName: string
   /** Minimum milliseconds between the orders of two lease holders to one server. */
   minHandoverGapMs: number
   /** Called before an order is sent, and once it has arrived. */
@@ -86,7 +88,7 @@
   constructor (private readonly opts: ServerLoadsOptions) {
     this.residence = new ResidenceTimes(opts.clock)
     this.unanswered = new UnansweredLoads(opts.clock)
-    this.arrivals = new OrderArrivals(opts.clock)
+    this.arrivals = new OrderArrivals(opts.clock, opts.holderName)
     opts.fleet.changes.subscribe(({ kind, backend }) => {
       if (kind !== 'removed') return this.residence.applyEntry(backend)
       this.closeOrders(backend.id)
@@ -140,14 +142,16 @@
     return this.arrivals.list(withinMs)
   }
 
-  /** By when the latest order to a server has arrived. */
+  /** By when the latest order of this process to a server has arrived. */
   describeArrival (server: string): OrderArrival {
-    return this.arrivals.describe(server)
+    return this.arrivals.describeOwn(server)
   }
 
   /** Records what another instance tells of the orders to servers. */
   recordTold (instance: string, arrivals: readonly OrderArrival[]): void {
-    this.arrivals.recordTold(instance, arrivals)
+    const isOwn = ([, , holder]: OrderArrival): boolean => parseHolder(holder) === instance
+    this.arrivals.recordOwn(arrivals.filter(isOwn))
+    this.arrivals.recordTold(arrivals.filter((arrival) => !isOwn(arrival)))
   }
 
   /** Servers that get no orders yet, because of orders of earlier holders, and for how many milliseconds. */
@@ -265,6 +269,8 @@
   /** Unloads the victims, waits until the server confirms it, then loads the model. Resolves to true when the model is loaded. */
   private async carryOut (serving: ModelServing, running: RunningLoad, orders: ServerOrders): Promise<boolean> {
     const { load } = running
+    // The victims' unload is announced before its order is sent, and must not wait then.
+    await orders.waitForFormerOrders()
     let state = await orders.readSettled()
     if (!state || state.busy || state.models.some((it) => it.name === load.model)) return false
     for (const victim of load.victims) {
@@ -360,3 +366,9 @@
     return Math.max(this.notBefore, this.arrivals.readOthers(server) + this.opts.minHandoverGapMs, this.arrivals.readOwnSentBefore(server, this.beganAt))
   }
 }
+
+/** Instance of a process that holds the lease; its name in the lease ends with its incarnation. */
+function parseHolder (holder: string): string {
+  const at = holder.lastIndexOf('@')
+  return at < 0 ? holder : holder.slice(0, at)
+}
--- a/placement/residency/src/ServerOrders.ts
+++ b/placement/residency/src/ServerOrders.ts
@@ -116,8 +116,8 @@
     return outcome
   }
 
-  /** Another holder may tell of its orders during the wait. */
-  private async waitForFormerOrders (): Promise<void> {
+  /** Resolves once the server may be ordered as far as other holders' orders are concerned; more may be told of during the wait. */
+  async waitForFormerOrders (): Promise<void> {
     const { clock, readNotBefore } = this.opts
     while (!this.isClosed) {
       const delayMs = readNotBefore() - clock.readTime()
--- a/placement/residency/src/loadAdapter.ts
+++ b/placement/residency/src/loadAdapter.ts
@@ -22,6 +22,8 @@
 export async function loadAdapter (opts: LoadAdapterOptions, model: string, adapter: string): Promise<boolean> {
   const name = nameWeights(model, adapter)
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    // An adapter's unload is announced before its order is sent, and must not wait then.
+    await opts.orders.waitForFormerOrders()
     const state = await opts.orders.readSettled()
     if (!state?.models.some((it) => it.name === model)) return false
     if (listAdapters(state).includes(name)) {
--- a/placement/residency/test/OrderArrivals.test.ts
+++ b/placement/residency/test/OrderArrivals.test.ts
@@ -1,9 +1,7 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
 import { ManualClock } from '@pulleystack/core.clock'
-import { OrderArrivals } from '../src/OrderArrivals.js'
-
-const MAX_TRANSIT_MS = 12_000
+import { MAX_TRANSIT_MS, OrderArrivals, parseArrivals } from '../src/OrderArrivals.js'
 
 // Guards against a successor that orders at a server which an order of a former holder may still reach (ONE).
 describe('arrivals of orders at servers', () => {
@@ -12,14 +10,14 @@
 
   beforeEach(() => {
     clock = new ManualClock()
-    arrivals = new OrderArrivals(clock)
+    arrivals = new OrderArrivals(clock, 'e0@1')
   })
 
   describe('of this instance', () => {
     it('lie ahead by the longest transit while an order has no answer', async () => {
       arrivals.begin('s1')
       await clock.advance(2_000)
-      assert.deepEqual(arrivals.list(0), [['s1', 2_000 - MAX_TRANSIT_MS]])
+      assert.deepEqual(arrivals.list(0), [['s1', 2_000 - MAX_TRANSIT_MS, 'e0@1']])
     })
 
     it('are known once the server has answered', async () => {
@@ -27,14 +25,14 @@
       await clock.advance(300)
       arrivals.settle(order)
       await clock.advance(200)
-      assert.deepEqual(arrivals.describe('s1'), ['s1', 200])
+      assert.deepEqual(arrivals.describeOwn('s1'), ['s1', 200, 'e0@1'])
     })
 
     it('lie ahead while an earlier copy has no answer', async () => {
       arrivals.begin('s1')
       await clock.advance(300)
       arrivals.settle(arrivals.begin('s1'))
-      assert.deepEqual(arrivals.describe('s1'), ['s1', 300 - MAX_TRANSIT_MS])
+      assert.deepEqual(arrivals.describeOwn('s1'), ['s1', 300 - MAX_TRANSIT_MS, 'e0@1'])
     })
 
     it('do not count if nothing was sent', () => {
@@ -53,27 +51,39 @@
     })
   })
 
-  describe('of other instances', () => {
-    it('are replaced by what the same instance tells later', () => {
-      arrivals.recordTold('e1', [['s1', -MAX_TRANSIT_MS]])
-      arrivals.recordTold('e1', [['s1', 0]])
+  describe('of other holders', () => {
+    it('are replaced by what the holder tells later', () => {
+      arrivals.recordOwn([['s1', -MAX_TRANSIT_MS, 'e1@1']])
+      arrivals.recordOwn([['s1', 0, 'e1@1']])
       assert.equal(arrivals.readOthers('s1'), clock.readTime())
     })
 
-    it('count as the latest that any instance has told', () => {
-      arrivals.recordTold('e1', [['s1', -5_000]])
-      arrivals.recordTold('e2', [['s1', 0]])
+    it('count as the latest that any instance knows of', () => {
+      arrivals.recordOwn([['s1', -5_000, 'e1@1']])
+      arrivals.recordTold([['s1', 0, 'e1@1'], ['s1', 100, 'e2@1']])
       assert.equal(arrivals.readOthers('s1'), clock.readTime() + 5_000)
     })
 
     it('are bounded, whatever an instance tells', () => {
-      arrivals.recordTold('e1', [['s1', -Infinity]])
+      arrivals.recordTold([['s1', -Infinity, 'e1@1']])
       assert.equal(arrivals.readOthers('s1'), clock.readTime() + MAX_TRANSIT_MS)
     })
 
     it('are told on to the next holder', () => {
-      arrivals.recordTold('e1', [['s1', -5_000], ['s2', 4_000]])
-      assert.deepEqual(arrivals.list(3_000), [['s1', -5_000]])
+      arrivals.recordTold([['s1', -5_000, 'e1@1'], ['s2', 4_000, 'e1@1']])
+      assert.deepEqual(arrivals.list(3_000), [['s1', -5_000, 'e1@1']])
+    })
+
+    // Guards against a holder that leaves a server alone because of an order of its own that a peer tells of.
+    it('do not include those of this process, which others may tell of, but those of its former runs', () => {
+      arrivals.recordTold([['s1', -5_000, 'e0@1'], ['s2', -5_000, 'e0@0']])
+      assert.equal(arrivals.readOthers('s1'), -Infinity)
+      assert.equal(arrivals.readOthers('s2'), clock.readTime() + 5_000)
+    })
+
+    it('are read item by item, also from earlier releases', () => {
+      assert.deepEqual(parseArrivals([['s1', 5], ['s2', NaN], 'x', ['s3', 1, 'e2@1']], 'e1'), [['s1', 5, 'e1'], ['s3', 1, 'e2@1']])
+      assert.deepEqual(parseArrivals(undefined, 'e1'), [])
     })
   })
 })
--- a/placement/residency/test/ResidencyHolder.test.ts
+++ b/placement/residency/test/ResidencyHolder.test.ts
@@ -31,7 +31,7 @@
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving }], limits })
   const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
   const log = new NullDecisionLog()
-  const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
+  const sources = { readTable: () => table, readPermit, holderName: 'h@1', minHandoverGapMs: 0, onChange: () => undefined }
   const holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy, ...sources })
   return { clock, servers, holder, models: models.map((model) => model.name) }
 }
@@ -88,7 +88,7 @@
         const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models } }], limits })
         const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
         const log = new NullDecisionLog()
-        const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
+        const sources = { readTable: () => table, readPermit, holderName: 'h@1', minHandoverGapMs: 0, onChange: () => undefined }
         holder = new ResidencyHolder({ clock, fleet, weights: servers, log, policy: { ...DEFAULT_POLICY, capacityPlanning: true }, ...sources })
         holder.plan()
         await clock.advance(1_000)
@@ -173,7 +173,7 @@
   const createHolder = (): ResidencyHolder => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: { ...SERVING, models: SMALL_FIRST } }], limits })
-    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), minHandoverGapMs: 0, onChange: putEntry })
+    return new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), holderName: 'h@1', minHandoverGapMs: 0, onChange: putEntry })
   }
   /** Lets the other models displace the loaded one; resolves with the milliseconds until they do. */
   const measureResidence = async (holder: ResidencyHolder): Promise<number> => {
@@ -234,9 +234,9 @@
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
     const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
     const readPermit = (): OrderPermit => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 })
-    const sources = { readTable: () => table, readPermit, minHandoverGapMs: 0, onChange: () => undefined }
+    const sources = { readTable: () => table, readPermit, holderName: 'h@1', minHandoverGapMs: 0, onChange: () => undefined }
     holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, ...sources })
-    holder.recordTold('former', [['r1', -IN_TRANSIT_MS]])
+    holder.recordTold('former', [['r1', -IN_TRANSIT_MS, 'former@1']])
     holder.begin(-Infinity)
   }
 
--- a/placement/residency/test/ResidencyNode.ts
+++ b/placement/residency/test/ResidencyNode.ts
@@ -114,6 +114,7 @@
       return table
     },
     readPermit: () => service.readPermit(),
+    holderName,
     minHandoverGapMs: TURN_MS,
     onArrivalChange: (server) => service.announceArrival(server),
     onChange: (change) => service.announceWeights(change),
--- a/placement/residency/test/ServerLoads.test.ts
+++ b/placement/residency/test/ServerLoads.test.ts
@@ -8,7 +8,7 @@
 import { PulleystackError } from '@pulleystack/core.errors'
 import { BackendFleet } from '@pulleystack/routing.fleet'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
-import { ResidencyHolder, ServerLoads, type PlannedLoad } from '../src/index.js'
+import { MAX_TRANSIT_MS, ResidencyHolder, ServerLoads, type PlannedLoad } from '../src/index.js'
 import { SERVING as SMALL_SERVING } from './RecordingServers.js'
 
 const LOAD_MS = 4_000
@@ -97,7 +97,7 @@
   refresh()
   const limits = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
   const table = new RouteTable({ version: 1, routes: [], services: [{ name: 's', maxConnections: 10, serving: SERVING }], limits })
-  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), minHandoverGapMs: 0, onChange: refresh })
+  const holder = new ResidencyHolder({ clock, fleet, weights: servers, log: new NullDecisionLog(), policy: DEFAULT_POLICY, readTable: () => table, readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), holderName: 'h@1', minHandoverGapMs: 0, onChange: refresh })
   holder.plan()
   await clock.advance(1_000)
   const startedAt = clock.readTime()
@@ -143,7 +143,7 @@
     }
     restart()
     const weights = new FaultyServers(clock, Faults.LOST)
-    const loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), minHandoverGapMs: 0, onChange: () => undefined })
+    const loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), holderName: 'h@1', minHandoverGapMs: 0, onChange: () => undefined })
     const load: PlannedLoad = { server: 'r1', model: 'other', victims: [], loadMs: LOAD_MS, clearMs: 0, fromStore: true }
     let hasFirstEnded = false
     void loads.run(SERVING, load).then(() => hasFirstEnded = true)
@@ -157,7 +157,6 @@
 
 describe('The latest orders to servers, as told to a successor', () => {
   const SECOND_MS = 1_000
-  const MAX_TRANSIT_MS = 12 * SECOND_MS
   let clock: ManualClock
   let fleet: BackendFleet
   let loads: ServerLoads
@@ -168,7 +167,7 @@
     fleet = new BackendFleet()
     fleet.put({ id: 'r1', service: 's', address: 'r1:1', dataHall: 'z', slots: 8, draining: false, models: [], inMemory: [], onDisk: [] })
     const weights = new FaultyServers(clock, Faults.UNANSWERED)
-    loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), minHandoverGapMs: 0, onChange: () => undefined })
+    loads = new ServerLoads({ clock, fleet, weights, log: new NullDecisionLog(), readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }), holderName: 'h@1', minHandoverGapMs: 0, onChange: () => undefined })
     void loads.run(SERVING, { server: 'r1', model: 'other', victims: [], loadMs: LOAD_MS, clearMs: 0, fromStore: true })
     await clock.advance(100)
   })
@@ -181,7 +180,7 @@
 
   // Guards against a successor that isn't told of an order of before the lease was taken again or from another holder, as with two hand-overs in a row.
   it('outlast the lease, and list those of earlier holders', async () => {
-    loads.recordTold('other', [['r2', 0]])
+    loads.recordTold('other', [['r2', 0, 'other@1']])
     loads.begin(-Infinity, [])
     assert.deepEqual(listOrdered().sort(), ['r1', 'r2'])
     await clock.advance(3 * SECOND_MS + 2 * ORDER_TIMEOUT_MS)
--- a/placement/residency/test/ServerOrders.test.ts
+++ b/placement/residency/test/ServerOrders.test.ts
@@ -52,7 +52,7 @@
   beforeEach(() => {
     clock = new ManualClock()
     server = new LossyServer(clock)
-    arrivals = new OrderArrivals(clock)
+    arrivals = new OrderArrivals(clock, 'h@1')
     permit = PERMIT
     outcome = undefined
   })
@@ -86,7 +86,7 @@
     // Guards against a copy that is sent beside the order of another holder (ONE).
     it('are not repeated while an order of another holder may arrive', async () => {
       await send()
-      arrivals.recordTold('other', [['s1', -3_000]])
+      arrivals.recordTold([['s1', -3_000, 'other@1']])
       await clock.advance(5_000)
       assert.equal(server.sent, 1)
     })
@@ -95,9 +95,9 @@
   // Guards against an order that is sent although another holder has told of its own during the wait (ONE).
   it('wait for an order of another holder of which they learn while they wait for an earlier one', async () => {
     server.lost = 0
-    arrivals.recordTold('other', [['s1', -1_000]])
+    arrivals.recordTold([['s1', -1_000, 'other@1']])
     await send()
-    arrivals.recordTold('other', [['s1', -3_000]])
+    arrivals.recordTold([['s1', -3_000, 'other@1']])
     await clock.advance(2_500)
     assert.equal(server.sent, 0)
     await clock.advance(1_000)
--- a/placement/residency/test/lease/histories.ts
+++ b/placement/residency/test/lease/histories.ts
@@ -31,3 +31,9 @@
   'a holder that was cut off until its successor ordered, and meets its peers during an outage of the store':
     [['cutStore', 3], ['cutPeers', 7_000], ['storeDown', 600], ['healPeers', 3_000]],
 }
+
+/** Histories that still show orders of two holders; no test plays them. The holder's messages are lost, and it ends before it writes its record again. */
+export const OPEN_HISTORIES: Readonly<Record<string, History>> = {
+  'lost messages to peers, and a kill': [['losePeersOut', 200], ['lateOrder8', 20], ['kill', 50]],
+  'a cut from the peers for 35 ms, and a kill': [['lateOrder12', 121], ['cutPeers', 49], ['lateOrder12', 47], ['heal', 35], ['kill', 310]],
+}
--- a/placement/residency/test/loadAdapter.test.ts
+++ b/placement/residency/test/loadAdapter.test.ts
@@ -69,7 +69,7 @@
       address: '127.0.0.1:1',
       readPermit: () => ({ holder: 'h', fence: 1, origin: 'expired', leftMs: 1_000 }),
       readNotBefore: () => -Infinity,
-      arrivals: new OrderArrivals(clock),
+      arrivals: new OrderArrivals(clock, 'h@1'),
     })
     const loading = loadAdapter({ serving: SERVING, orders, readIdleMs: (name) => name === 'm/a1' ? 9 : 1, addUnanswered, onChange: () => undefined }, 'm', adapter)
     await clock.advance(12_000)
--- a/program/entry/src/createResidency.ts
+++ b/program/entry/src/createResidency.ts
@@ -46,7 +46,7 @@
     orderMarginMs: delayMs * MAX_CLOCK_DRIFT + deps.weights.orderTimeoutMs,
     createOperationId: randomUUID,
     isFirstStart: settings.isFirstStart,
-    ordersInTransit: { list: () => holder.listInTransit(), recordFormer: (orders) => holder.recordTold(STORED_RECORD, parseArrivals(orders)) },
+    ordersInTransit: { list: () => holder.listInTransit(), recordFormer: (orders) => holder.recordTold(STORED_RECORD, parseArrivals(orders, STORED_RECORD)) },
   })
   const holder: ResidencyHolder = new ResidencyHolder({
     clock,
@@ -57,6 +57,7 @@
     readPace: (server) => readPace(fleet, server, clock.readTime()),
     readTable: parts.readTable,
     readPermit: () => residency.readPermit(),
+    holderName: processRun,
     minHandoverGapMs,
     onArrivalChange: (server) => residency.announceArrival(server),
     onChange: (change) => residency.announceWeights(change),
