--- a/placement/ledger/src/ShardLease.ts
+++ b/placement/ledger/src/ShardLease.ts
@@ -243,7 +243,7 @@
   /** Counts the stored orders from when this version was first seen. */
   private recordFormerOrders (stored: ShardRecord | undefined): void {
     const seenMs = this.observed?.version === this.version ? this.opts.clock.readTime() - this.observed.since : 0
-    const orders = Array.isArray(stored?.inTransit) ? stored.inTransit : []
+    const orders = Array.isArray(stored?.inTransit) ? stored.inTransit.filter(isStoredOrder) : []
     this.opts.ordersInTransit?.recordFormer(orders.map(([server, agoMs, holder]) => [server, agoMs + seenMs, holder]))
   }
 
@@ -288,3 +288,7 @@
 function createLostError (shard: string): PulleystackError {
   return new PulleystackError('STORE_CONFLICT', `The lease of shard ${shard} is no longer held`)
 }
+
+function isStoredOrder (item: unknown): item is StoredOrder {
+  return Array.isArray(item) && typeof item[0] === 'string' && typeof item[1] === 'number' && typeof item[2] === 'string'
+}
--- a/placement/ledger/test/ledger.test.ts
+++ b/placement/ledger/test/ledger.test.ts
@@ -14,6 +14,7 @@
   removeEntry,
   reserveEntry,
   ShardLease,
+  type StoredOrder,
 } from '../src/index.js'
 
 const LEASE_MS = 3_000
@@ -90,6 +91,22 @@
     assert.equal(one.maySendOrders, false)
   })
 
+  // Guards against a record of another form, which would end each attempt to acquire the lease with an error.
+  it('skips stored orders in another form', async () => {
+    const { clock, store, one } = createLeases()
+    let former: readonly StoredOrder[] = []
+    const ordersInTransit = { list: () => [], recordFormer: (orders: readonly StoredOrder[]) => void (former = orders) }
+    const opts = { clock, store, shard: 's', leaseMs: LEASE_MS, orderDelayMs: ORDER_DELAY_MS, createOperationId: () => 'three-0', ordersInTransit }
+    const three = new ShardLease({ ...opts, holder: 'three' })
+    await one.tryAcquire()
+    await one.update((record) => {
+      record.released = true
+      record.inTransit = [['s1', -5, 'one'], 7, ['s2']] as unknown as StoredOrder[]
+    })
+    assert.equal(await three.tryAcquire(), true)
+    assert.deepEqual(former, [['s1', -5, 'one']])
+  })
+
   it('rejects writes of a former holder after a pause', async () => {
     const { clock, one, two } = createLeases()
     await one.tryAcquire()
