--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -11,6 +11,15 @@
   bytesReadWhenIdle: number | undefined
 }
 
+/** Why an instance closed a connection of a client. */
+export const CloseReasons = {
+  /** No request was active when the instance stopped. */
+  STOP: 'stop',
+  /** The client sent malformed data. */
+  MALFORMED: 'malformed',
+} as const
+export type CloseReason = typeof CloseReasons[keyof typeof CloseReasons]
+
 /** Serves a request until its response is sent; `arrivedAt` is the monotonic time at which its head arrived. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number) => Promise<void>
 
@@ -21,8 +30,20 @@
 export class ClientConnections {
   private readonly connections = new Map<Socket, ClientConnection>()
 
+  private readonly closes = new Map<CloseReason, number>()
+
   constructor (private readonly clock: Clock, private readonly serve: RequestHandler) {}
 
+  /** Number of open connections. */
+  get size (): number {
+    return this.connections.size
+  }
+
+  /** Number of connections that were closed here, by reason. */
+  get closed (): ReadonlyMap<CloseReason, number> {
+    return this.closes
+  }
+
   /** Tracks the connection until it closes. */
   add (socket: Socket): void {
     this.connections.set(socket, { lastRequest: undefined, bytesReadWhenIdle: undefined })
@@ -50,17 +71,24 @@
    */
   closeIdle (): void {
     for (const [socket, { lastRequest, bytesReadWhenIdle }] of this.connections) {
-      if (!lastRequest && bytesReadWhenIdle === socket.bytesRead) socket.destroy()
+      if (lastRequest || bytesReadWhenIdle !== socket.bytesRead) continue
+      this.countClose(CloseReasons.STOP)
+      socket.destroy()
     }
   }
 
   /** Closes a connection that received malformed data. Responds with 400 only if no request is active, so as not to corrupt its response. */
   closeMalformed (socket: Socket): void {
+    this.countClose(CloseReasons.MALFORMED)
     const hasActiveRequest = this.connections.get(socket)?.lastRequest !== undefined
     if (socket.writable && !hasActiveRequest) socket.end(BAD_REQUEST_RESPONSE)
     else socket.destroy()
   }
 
+  private countClose (reason: CloseReason): void {
+    this.closes.set(reason, (this.closes.get(reason) ?? 0) + 1)
+  }
+
   private async serveIfWritable (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     if (request.socket.writable) await this.serve(request, response, arrivedAt)
   }
--- a/program/entry/src/EntryMetrics.ts
+++ b/program/entry/src/EntryMetrics.ts
@@ -135,6 +135,20 @@
     })
   }
 
+  /** Adds a counter with one label that is kept elsewhere; its name gets the prefix of all metrics. */
+  addCounts (name: string, help: string, label: string, read: () => ReadonlyMap<string, number>): void {
+    new Counter({
+      name: `pulleystack_${name}`,
+      help,
+      labelNames: [label],
+      registers: [this.registry],
+      collect () {
+        this.reset()
+        for (const [value, count] of read()) this.inc({ [label]: value }, count)
+      },
+    })
+  }
+
   private addPaces (name: string, help: string, listPaces: EntryMetricsOptions['listPaces'], field: 'tokensPerMs' | 'confidence'): void {
     new Gauge({
       name: `pulleystack_server_${name}`,
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -14,6 +14,8 @@
 
 /** The listener for routed requests. */
 export interface ClientListener {
+  /** Number of open connections. */
+  readonly openConnections: number
   /** Closes connections without an active request or an unfinished response. */
   closeIdle: () => void
   /** Stops accepting connections. */
@@ -36,7 +38,14 @@
   await listenWhenFree(server, { host, port, clock: entry.clock, onError: recordListenerErrors(entry.log, entry.settings.clientAddress) })
   entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
   keepRunning({ task: 'limits of clients', clock: entry.clock, signal: entry.ended.signal, run: () => reloadLimits(entry, server) })
-  return { closeIdle: () => connections.closeIdle(), close: () => server.close() }
+  entry.metrics.addCounts('connections_closed_total', 'Client connections closed by this instance', 'reason', () => connections.closed)
+  return {
+    get openConnections () {
+      return connections.size
+    },
+    closeIdle: () => connections.closeIdle(),
+    close: () => server.close(),
+  }
 }
 
 /** Applies the connection limits of the current configuration periodically. */
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -17,7 +17,7 @@
 export async function stopEntry (entry: Entry, listener: ClientListener): Promise<number> {
   const { clock, gateway, settings } = entry
   const plan = new StopPlan({ startedAt: clock.readTime(), graceMs: settings.bounds.graceMs, directoryLifetimeMs: settings.directoryLifetimeMs })
-  entry.log.record(DecisionKinds.STOPPING, { inFlight: gateway.inFlight })
+  entry.log.record(DecisionKinds.STOPPING, { inFlight: gateway.inFlight, open: listener.openConnections })
   entry.leave(plan)
   void entry.residency.stop()
   listener.closeIdle()
@@ -31,7 +31,7 @@
   await waitUntilDone(entry, plan.endsAt + FLUSH_PERIOD_MS)
   recordUnfinished(entry, 'exit')
   const unanswered = gateway.inFlight
-  entry.log.record(DecisionKinds.STOPPED, { cut: unanswered, cancelled, ms: Math.round(clock.readTime() - plan.startedAt) })
+  entry.log.record(DecisionKinds.STOPPED, { cut: unanswered, cancelled, ms: Math.round(clock.readTime() - plan.startedAt), open: listener.openConnections })
   entry.ended.abort()
   listener.close()
   await entry.network.stop()
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -2,10 +2,10 @@
 export interface DecisionFacts {
   /** The process has started, but is not ready yet. */
   'started': { instance: string, dataHall: string, address: string }
-  /** The process was asked to stop; `inFlight` requests are running. */
-  'stopping': { inFlight: number }
-  /** The process exits, `ms` after it was asked to. `cancelled` requests were cancelled at the last moment, `cut` were unfinished even then. */
-  'stopped': { cut: number, cancelled: number, ms: number }
+  /** The process was asked to stop; `inFlight` requests are running, and `open` client connections exist. */
+  'stopping': { inFlight: number, open: number }
+  /** The process exits, `ms` after it was asked to: `cancelled` requests were cancelled, `cut` stayed unfinished, `open` client connections are left. */
+  'stopped': { cut: number, cancelled: number, ms: number, open: number }
   /** Settings were reloaded; rejected settings have no effect. */
   'reloaded': { trigger: 'signal' | 'file', accepted: boolean, code?: string, reason?: string, graceMs?: number, directoryLifetimeMs?: number }
   /** The process waits for a settings file that it can read. */
--- a/timeline/decisions/test/JsonDecisionLog.test.ts
+++ b/timeline/decisions/test/JsonDecisionLog.test.ts
@@ -51,7 +51,7 @@
     const output = new StalledReader()
     const log = new JsonDecisionLog({ instance: 'e1', output })
     output.destroy(new Error('gone'))
-    log.record(DecisionKinds.STOPPED, { cut: 0, cancelled: 0, ms: 1 })
+    log.record(DecisionKinds.STOPPED, { cut: 0, cancelled: 0, ms: 1, open: 0 })
     assert.equal(log.dropped, 0)
   })
 })
