--- a/core/listeners/src/index.ts
+++ b/core/listeners/src/index.ts
@@ -1,2 +1,5 @@
+export { closeAfterReading } from './closeAfterReading.js'
+export { closePort } from './closePort.js'
 export { listenWhenFree } from './listenWhenFree.js'
 export type { ListenOptions } from './listenWhenFree.js'
+export { waitForReads } from './waitForReads.js'
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -3,6 +3,7 @@
 import { chooseTarget, type Route, type RouteTable, type Team } from '@pulleystack/config.routes'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
+import { waitForReads } from '@pulleystack/core.listeners'
 import { cutResponse } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
@@ -22,7 +23,6 @@
 import { createRequestAborter, waitUnlessAborted, waitUntilSent, type RequestAborter } from './RequestAborter.js'
 import { readRequestBody } from './readRequestBody.js'
 import { runRequest, type RunOptions } from './runRequest.js'
-import { waitForReads } from './waitForReads.js'
 
 const UNCONFIGURED_RETRY_SECONDS = 0.5
 /** Time for this instance to receive the newest configuration. */
@@ -125,6 +125,11 @@
     return this.active
   }
 
+  /** Reads the id of a request; undefined if it has none. */
+  readRequestId (request: http.IncomingMessage): string | undefined {
+    return this.opts.protocol.readRequest(request.headers).requestId
+  }
+
   /** Lists the oldest requests whose responses have not been completely flushed. */
   listUnfinished (limit: number): UnfinishedFacts[] {
     const now = this.opts.clock.readTime()
--- a/gateway/routed/src/readRequestBody.ts
+++ b/gateway/routed/src/readRequestBody.ts
@@ -1,7 +1,7 @@
 import type http from 'node:http'
+import { waitForReads } from '@pulleystack/core.listeners'
 import { readBody } from '@pulleystack/gateway.http'
 import { waitUnlessAborted } from './RequestAborter.js'
-import { waitForReads } from './waitForReads.js'
 
 /** Reads the body, then waits for pending reads, since a close behind a large body is noticed only after the body has been consumed. */
 export async function readRequestBody (request: http.IncomingMessage, limitBytes: number, signal: AbortSignal): Promise<Buffer | undefined> {
--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -1,14 +1,21 @@
 import type http from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '@pulleystack/core.clock'
+import { closeAfterReading, waitForReads } from '@pulleystack/core.listeners'
 
+/** A client that has just connected, or received a response, may be about to send a request. */
+const MIN_IDLE_MS = 300
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
 
 interface ClientConnection {
+  /** Monotonic time in milliseconds of the newest response, or of the connection. */
+  usedAt: number
+  /** Its end was begun here; requests that arrive later can't be answered. */
+  isClosing: boolean
   /** Completion of the newest request; undefined while no request is active. */
   lastRequest: Promise<void> | undefined
-  /** Bytes read when the last response was finished; undefined before the first. */
-  bytesReadWhenIdle: number | undefined
+  /** Bytes read when the last response was finished. */
+  bytesReadWhenIdle: number
 }
 
 /** Why an instance closed a connection of a client. */
@@ -17,12 +24,21 @@
   STOP: 'stop',
   /** The client sent malformed data. */
   MALFORMED: 'malformed',
+  /** No request came within the configured time. */
+  IDLE: 'idle',
 } as const
 export type CloseReason = typeof CloseReasons[keyof typeof CloseReasons]
 
 /** Serves a request until its response is sent; `arrivedAt` is the monotonic time at which its head arrived. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number) => Promise<void>
 
+export interface ClientConnectionsOptions {
+  clock: Clock
+  serve: RequestHandler
+  /** Called with a request that is dropped unanswered, as its connection had been closed here before it arrived. */
+  onDropped: (request: http.IncomingMessage) => void
+}
+
 /**
  * Client connections and their active requests. Requests on one connection are served in order, so that no request is forwarded after a response
  * that closes the connection.
@@ -32,7 +48,7 @@
 
   private readonly closes = new Map<CloseReason, number>()
 
-  constructor (private readonly clock: Clock, private readonly serve: RequestHandler) {}
+  constructor (private readonly opts: ClientConnectionsOptions) {}
 
   /** Number of open connections. */
   get size (): number {
@@ -46,7 +62,7 @@
 
   /** Tracks the connection until it closes. */
   add (socket: Socket): void {
-    this.connections.set(socket, { lastRequest: undefined, bytesReadWhenIdle: undefined })
+    this.connections.set(socket, { usedAt: this.opts.clock.readTime(), isClosing: false, lastRequest: undefined, bytesReadWhenIdle: 0 })
     socket.once('close', () => this.connections.delete(socket))
   }
 
@@ -54,35 +70,57 @@
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const connection = this.connections.get(request.socket)
     if (!connection) return
-    const arrivedAt = this.clock.readTime()
-    const currentRequest = connection.lastRequest
-      ? connection.lastRequest.then(() => this.serveIfWritable(request, response, arrivedAt))
-      : this.serve(request, response, arrivedAt)
+    const arrivedAt = this.opts.clock.readTime()
+    const serve = (): Promise<void> => this.serveIfWritable(request, response, arrivedAt)
+    const currentRequest = connection.lastRequest ? connection.lastRequest.then(serve) : serve()
     connection.lastRequest = currentRequest
     await currentRequest
     if (connection.lastRequest !== currentRequest) return
     connection.lastRequest = undefined
+    connection.usedAt = this.opts.clock.readTime()
     connection.bytesReadWhenIdle = request.socket.bytesRead
   }
 
   /**
-   * Closes connections that are idle between two requests. Node's closeIdleConnections would truncate responses that slow clients are still
-   * reading.
+   * Closes connections without an active or unfinished request, as far as they were read. Node's closeIdleConnections would truncate responses that slow
+   * clients are still reading.
    */
   closeIdle (): void {
-    for (const [socket, { lastRequest, bytesReadWhenIdle }] of this.connections) {
-      if (lastRequest || bytesReadWhenIdle !== socket.bytesRead) continue
-      this.countClose(CloseReasons.STOP)
-      socket.destroy()
-    }
+    for (const socket of [...this.connections.keys()]) if (this.isIdle(socket)) this.closeConnection(socket, CloseReasons.STOP)
+  }
+
+  /** Closes a connection whose idle time is over, unless a request has arrived that the process, being held up, hadn't read. */
+  async expire (socket: Socket): Promise<void> {
+    await waitForReads()
+    if (this.isIdle(socket)) this.closeConnection(socket, CloseReasons.IDLE)
   }
 
   /** Closes a connection that received malformed data. Responds with 400 only if no request is active, so as not to corrupt its response. */
   closeMalformed (socket: Socket): void {
-    this.countClose(CloseReasons.MALFORMED)
-    const hasActiveRequest = this.connections.get(socket)?.lastRequest !== undefined
-    if (socket.writable && !hasActiveRequest) socket.end(BAD_REQUEST_RESPONSE)
-    else socket.destroy()
+    const connection = this.connections.get(socket)
+    if (connection?.isClosing) return
+    if (!socket.writable || connection?.lastRequest !== undefined) {
+      this.countClose(CloseReasons.MALFORMED)
+      socket.destroy()
+      return
+    }
+    socket.write(BAD_REQUEST_RESPONSE)
+    this.closeConnection(socket, CloseReasons.MALFORMED)
+  }
+
+  /** Whether no request is active or has begun to arrive, and none is likely on its way. */
+  private isIdle (socket: Socket): boolean {
+    const connection = this.connections.get(socket)
+    if (!connection || connection.lastRequest || connection.isClosing) return false
+    return connection.bytesReadWhenIdle === socket.bytesRead && this.opts.clock.readTime() - connection.usedAt >= MIN_IDLE_MS
+  }
+
+  private closeConnection (socket: Socket, reason: CloseReason): void {
+    const connection = this.connections.get(socket)
+    if (!connection || connection.isClosing) return
+    connection.isClosing = true
+    this.countClose(reason)
+    closeAfterReading(socket)
   }
 
   private countClose (reason: CloseReason): void {
@@ -90,6 +128,7 @@
   }
 
   private async serveIfWritable (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
-    if (request.socket.writable) await this.serve(request, response, arrivedAt)
+    if (request.socket.writable) await this.opts.serve(request, response, arrivedAt)
+    else if (this.connections.get(request.socket)?.isClosing) this.opts.onDropped(request)
   }
 }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,8 +1,9 @@
 import http from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
-import { listenWhenFree } from '@pulleystack/core.listeners'
+import { closePort, listenWhenFree } from '@pulleystack/core.listeners'
 import { keepRunning } from '@pulleystack/core.tasks'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { ClientConnections } from './ClientConnections.js'
 import { recordListenerErrors } from './recordListenerErrors.js'
 import type { Entry } from './startEntry.js'
@@ -18,14 +19,20 @@
   readonly openConnections: number
   /** Closes connections without an active request or an unfinished response. */
   closeIdle: () => void
-  /** Stops accepting connections. */
+  /** Stops accepting connections, after those that the kernel has accepted. */
+  closePort: () => Promise<void>
+  /** Stops accepting connections and closes idle ones at once. */
   close: () => void
 }
 
 /** Serves routed requests at the instance's client address. */
 export async function listenForClients (entry: Entry): Promise<ClientListener> {
   const options: http.ServerOptions = { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }
-  const connections = new ClientConnections(entry.clock, (request, response, arrivedAt) => entry.gateway.handle(request, response, arrivedAt))
+  const connections = new ClientConnections({
+    clock: entry.clock,
+    serve: (request, response, arrivedAt) => entry.gateway.handle(request, response, arrivedAt),
+    onDropped: (request) => entry.log.record(DecisionKinds.REQUEST_DROPPED, { request: entry.gateway.readRequestId(request) }),
+  })
   const server = http.createServer(options, (request, response) => {
     // Errors after a request was rejected must not crash the process.
     request.on('error', () => undefined)
@@ -33,6 +40,7 @@
     void connections.handle(request, response)
   })
   server.on('connection', (socket) => connections.add(socket))
+  server.on('timeout', (socket) => void connections.expire(socket))
   server.on('clientError', (_, socket) => connections.closeMalformed(socket as Socket))
   const { host, port } = parseAddress(entry.settings.clientAddress)
   await listenWhenFree(server, { host, port, clock: entry.clock, onError: recordListenerErrors(entry.log, entry.settings.clientAddress) })
@@ -44,6 +52,7 @@
       return connections.size
     },
     closeIdle: () => connections.closeIdle(),
+    closePort: () => closePort(server),
     close: () => server.close(),
   }
 }
--- a/program/entry/src/stopEntry.ts
+++ b/program/entry/src/stopEntry.ts
@@ -1,3 +1,4 @@
+import { waitForReads } from '@pulleystack/core.listeners'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import type { ClientListener } from './listenForClients.js'
 import { EntryPhases, type Entry } from './startEntry.js'
@@ -10,9 +11,9 @@
 const MAX_LOGGED_REQUESTS = 20
 
 /**
- * Stops an instance as planned: removes it from the address list, keeps serving clients with an old list, rejects requests that could not finish in
- * time, and at the end cancels the unfinished ones, with a response that leaves open whether they ran. Resolves with the number of requests that got
- * no response.
+ * Stops an instance as planned: removes it from the address list, keeps serving clients with an old list, with responses that end their connections,
+ * rejects requests that could not finish in time, closes the port and idle connections once everything that has arrived was read, and at the end cancels
+ * the unfinished requests, with a response that leaves open whether they ran. Resolves with the number of requests that got no response.
  */
 export async function stopEntry (entry: Entry, listener: ClientListener): Promise<number> {
   const { clock, gateway, settings } = entry
@@ -20,15 +21,19 @@
   entry.log.record(DecisionKinds.STOPPING, { inFlight: gateway.inFlight, open: listener.openConnections })
   entry.leave(plan)
   void entry.residency.stop()
-  listener.closeIdle()
   await clock.wait(plan.waitsUntil - clock.readTime())
   entry.queue.close()
+  await waitForReads()
+  listener.closeIdle()
   await clock.wait(plan.servesUntil - clock.readTime())
   entry.setPhase(EntryPhases.ENDING)
-  await waitUntilDone(entry, plan.endsAt)
+  await listener.closePort()
+  await waitUntilDone(entry, listener, plan.endsAt)
+  // What arrived while the process was held up is rejected, rather than cut off unread.
+  await waitForReads()
   recordUnfinished(entry, 'cancel')
   const cancelled = gateway.cancelAll()
-  await waitUntilDone(entry, plan.endsAt + FLUSH_PERIOD_MS)
+  await waitUntilDone(entry, listener, plan.endsAt + FLUSH_PERIOD_MS)
   recordUnfinished(entry, 'exit')
   const unanswered = gateway.inFlight
   entry.log.record(DecisionKinds.STOPPED, { cut: unanswered, cancelled, ms: Math.round(clock.readTime() - plan.startedAt), open: listener.openConnections })
@@ -42,6 +47,13 @@
   for (const facts of entry.gateway.listUnfinished(MAX_LOGGED_REQUESTS)) entry.log.record(DecisionKinds.REQUEST_AT_STOP, { moment, ...facts })
 }
 
-async function waitUntilDone (entry: Entry, deadline: number): Promise<void> {
-  while (entry.gateway.inFlight > 0 && entry.clock.readTime() < deadline) await entry.clock.wait(POLL_INTERVAL_MS)
+/** Waits until all requests are answered and all connections have ended; closes those that have become idle. */
+async function waitUntilDone ({ clock, gateway }: Entry, listener: ClientListener, deadline: number): Promise<void> {
+  for (;;) {
+    await waitForReads()
+    listener.closeIdle()
+    if (gateway.inFlight === 0 && listener.openConnections === 0) return
+    if (clock.readTime() >= deadline) return
+    await clock.wait(POLL_INTERVAL_MS)
+  }
 }
--- a/timeline/decisions/src/DecisionFacts.ts
+++ b/timeline/decisions/src/DecisionFacts.ts
@@ -99,6 +99,8 @@
   'lease-lost': { fence: number }
   /** This instance hands the lease over. The next holder must avoid the servers in `ordered`, which received orders recently. */
   'lease-handed-over': { fence: number, ordered: readonly string[] }
+  /** A request that arrived after this instance had begun to close its connection is dropped; it has not run. */
+  'request-dropped': { request: string | undefined }
   /** A request was unfinished when a stop cancelled requests (`cancel`) or exited (`exit`); `state`: reading, waiting, sent, streaming, paused or answered. */
   'request-at-stop': {
     moment: 'cancel' | 'exit'
--- a/timeline/decisions/src/DecisionLog.ts
+++ b/timeline/decisions/src/DecisionLog.ts
@@ -48,6 +48,7 @@
   LEASE_HANDED_OVER: 'lease-handed-over',
   /** Handling of requests. */
   REQUEST_AT_STOP: 'request-at-stop',
+  REQUEST_DROPPED: 'request-dropped',
   LIMIT_REACHED: 'limit-reached',
   REQUEST_WAITING: 'request-waiting',
   RESERVATION_DENIED: 'reservation-denied',
