--- a/gateway/http/src/readBody.ts
+++ b/gateway/http/src/readBody.ts
@@ -7,12 +7,14 @@
   const chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
+    for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       size += chunk.length
       if (size > maxBytes) throw createBodyTooLargeError(maxBytes)
       chunks.push(chunk)
     }
   } catch (thrown) {
+    // Unread bytes would reset the connection, and with it the response.
+    request.resume()
     if (thrown instanceof PulleystackError) throw thrown
     throw new PulleystackError('BODY_TOO_SLOW', 'The connection was closed before the request body was complete', { cause: thrown })
   }
--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -24,6 +24,8 @@
   STOP: 'stop',
   /** The client sent malformed data. */
   MALFORMED: 'malformed',
+  /** A response asked for it, also one to a body that was not read. */
+  RESPONSE: 'response',
   /** No request came within the configured time. */
   IDLE: 'idle',
 } as const
@@ -63,6 +65,8 @@
   /** Tracks the connection until it closes. */
   add (socket: Socket): void {
     this.connections.set(socket, { usedAt: this.opts.clock.readTime(), isClosing: false, lastRequest: undefined, bytesReadWhenIdle: 0 })
+    // Node calls this behind a response that ends the connection.
+    socket.destroySoon = () => this.closeConnection(socket, CloseReasons.RESPONSE)
     socket.once('close', () => this.connections.delete(socket))
   }
 
