--- a/gateway/routed/src/AttemptSignal.ts
+++ b/gateway/routed/src/AttemptSignal.ts
@@ -25,17 +25,17 @@
 export interface AttemptOptions {
   /** Whether silence of the server may end the attempt. */
   isSilenceWatched: boolean
-  /** Whether another server could take over the request now. */
-  canSwitchServer: () => boolean
-  /** Called when a stream has paused for longer than its route allows, once for each pause. */
+  /** Whether another server can take over the request now; reserves what that takes if it returns true. */
+  reserveSwitch: () => boolean
+  /** Called when a stream has paused for longer than its route allows, or the first data are overdue, once for each pause. */
   onLongPause?: () => void
   /** Emits when new connections to the server fail; a connection that is silent by then is likely lost too. */
   lostPath?: Observable<void>
 }
 
 /**
- * Aborts with the request, or when the server is silent for too long if silence is watched. A stream that has begun stays with a silent server until
- * another one can resume it.
+ * Aborts with the request, or when the server is silent for too long if silence is watched. A request stays with a silent server, which may be at work on
+ * it, until another one can take over.
  */
 export function createAttemptSignal (clock: Clock, work: RoutedWork, opts: AttemptOptions): AttemptSignal {
   const controller = new AbortController()
@@ -50,13 +50,14 @@
   let cancel = (): void => undefined
   const checkSilence = (): void => {
     const silentMs = isPaused ? 0 : clock.readTime() - lastActivityAt
-    if (work.stream.events > 0 && silentMs >= longestPauseMs && reportedPauseAt !== lastActivityAt) {
+    const isLong = silentMs >= limitMs || (work.stream.events > 0 && silentMs >= longestPauseMs)
+    if (isLong && reportedPauseAt !== lastActivityAt) {
       reportedPauseAt = lastActivityAt
       opts.onLongPause?.()
     }
     const nextMs = silentMs < longestPauseMs ? Math.min(longestPauseMs, limitMs) : limitMs
     if (silentMs < nextMs) cancel = clock.setTimer(nextMs - silentMs, checkSilence)
-    else if (work.stream.events > 0 && !opts.canSwitchServer()) cancel = clock.setTimer(RECHECK_INTERVAL_MS, checkSilence)
+    else if (!opts.reserveSwitch()) cancel = clock.setTimer(RECHECK_INTERVAL_MS, checkSilence)
     else controller.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `No data received for ${Math.round(limitMs)} ms`))
   }
   const handleLostPath = (): void => {
--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -11,7 +11,7 @@
 import { hasPartialAnswer, type RoutedWork } from './RoutedWork.js'
 import { PermitDemand } from './PermitDemand.js'
 import { mustReserve } from './mustReserve.js'
-import { ServerChooser, type ServerChooserOptions } from './ServerChooser.js'
+import { ServerChooser, type ChooseOptions, type ServerChooserOptions } from './ServerChooser.js'
 import { WeightsWait } from './WeightsWait.js'
 
 /** Retry delay for clients when no wait can be estimated. */
@@ -111,11 +111,17 @@
 
   /** Whether a server other than that of `slot` could accept the request now, here or through another instance. */
   hasSlotElsewhere (work: RoutedWork, slot: BackendSlot): boolean {
-    const excluded = new Set([...work.excluded, slot.backend.id])
-    const choice = this.chooser.choose(work, { excluded })
+    const choice = this.chooser.choose(work, { excluded: listExcluded(work, slot) })
     return typeof choice !== 'string' || choice === ChoiceFailures.PATH_LOST
   }
 
+  /** Acquires a slot at a server other than that of `slot`; undefined if none is free now, or slots have to be reserved with their owners. */
+  acquireElsewhere (work: RoutedWork, slot: BackendSlot): BackendSlot | undefined {
+    if (mustReserve(work, this.opts.policy, this.isBrittle(work))) return undefined
+    const other = this.tryAcquire(work, { excluded: listExcluded(work, slot) })
+    return other instanceof BackendSlot ? other : undefined
+  }
+
   /**
    * Rejects waiting requests and stops queueing new ones; slots that are free at once are still assigned. Partially delivered streams keep waiting for
    * a server that can resume them.
@@ -156,12 +162,12 @@
 
   /** Last chance to meet the latency target or the deadline: exceeding the prefill limit is better than missing them. */
   private tryIgnoringPrefillLimit (item: WaitingRequest): void {
-    const slot = item.lastFailure === ChoiceFailures.PREFILLING ? this.tryAcquire(item.work, Infinity) : undefined
+    const slot = item.lastFailure === ChoiceFailures.PREFILLING ? this.tryAcquire(item.work, { prefillLimit: Infinity }) : undefined
     if (slot instanceof BackendSlot) item.resolve(slot)
   }
 
-  private tryAcquire (work: RoutedWork, prefillLimit?: number): BackendSlot | ChoiceFailure {
-    const choice = this.chooser.choose(work, { prefillLimit, onPermitNeeded: (backend) => this.permitDemand.add(backend) })
+  private tryAcquire (work: RoutedWork, opts: Pick<ChooseOptions, 'prefillLimit' | 'excluded'> = {}): BackendSlot | ChoiceFailure {
+    const choice = this.chooser.choose(work, { ...opts, onPermitNeeded: (backend) => this.permitDemand.add(backend) })
     if (typeof choice === 'string') return choice
     if (!mustReserve(work, this.opts.policy, this.isBrittle(work))) this.recordPrefix(choice, work)
     const stopTracking = this.forecast.recordAcquired(choice.backend.id)
@@ -376,6 +382,10 @@
   }
 }
 
+function listExcluded (work: RoutedWork, { backend }: BackendSlot): ReadonlySet<string> {
+  return new Set([...work.excluded, backend.id])
+}
+
 /** Whether waiting here would not help. */
 function isImmediate (failure: ChoiceFailure): boolean {
   return failure === ChoiceFailures.NO_BACKEND || failure === ChoiceFailures.PATH_LOST || failure === ChoiceFailures.VERSION_GONE
--- a/gateway/routed/src/admitToSlot.ts
+++ b/gateway/routed/src/admitToSlot.ts
@@ -17,11 +17,16 @@
   run: SuspectRun
 }
 
-/** Acquires a slot; starts over if the request may not run any more as it was admitted. */
-export async function admitToSlot (opts: AdmissionOptions, work: RoutedWork): Promise<SlotAdmission> {
+/** Acquires a slot, or takes the one that is held; starts over if the request may not run any more as it was admitted. */
+export async function admitToSlot (opts: AdmissionOptions, work: RoutedWork, heldSlot?: BackendSlot): Promise<SlotAdmission> {
+  let held = heldSlot
   for (;;) {
-    const run = await admitRun(opts, work)
-    const slot = await acquireSlot(opts, work, run)
+    const run = await admitRun(opts, work).catch((error: unknown) => {
+      held?.release()
+      throw error
+    })
+    const slot = held ?? await acquireSlot(opts, work, run)
+    held = undefined
     if (!opts.suspects.mustReadmit(work, run)) return { slot, run }
     slot.release()
     run.release()
--- a/gateway/routed/src/runForwardedAttempt.ts
+++ b/gateway/routed/src/runForwardedAttempt.ts
@@ -46,7 +46,7 @@
   if (!target) return { error: new PulleystackError('PATH_LOST', 'No other instance is left'), isFinal: false }
   work.triedPeers.add(target.instance)
   // The other instance watches the server's silence.
-  const attempt = createAttemptSignal(opts.clock, work, { isSilenceWatched: false, canSwitchServer: () => false })
+  const attempt = createAttemptSignal(opts.clock, work, { isSilenceWatched: false, reserveSwitch: () => false })
   opts.log.record(DecisionKinds.REQUEST_FORWARDED, { request: work.requestId, peer: target.instance, after: work.stream.lastEventId })
   try {
     return await exchange(opts, { work, progress, client, target, attempt })
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -75,6 +75,15 @@
 /** Returns whether a server's response was relayed to its end, rather than the error response of a failed attempt. */
 async function runAttempts (opts: RunOptions, work: RoutedWork, client: ClientResponse): Promise<boolean> {
   const progress = createProgress(work.stream)
+  try {
+    return await runAttemptsInTurn(opts, work, progress, client)
+  } finally {
+    dropRetryPermit(progress)
+    progress.nextSlot?.release()
+  }
+}
+
+async function runAttemptsInTurn (opts: RunOptions, work: RoutedWork, progress: RunProgress, client: ClientResponse): Promise<boolean> {
   for (;;) {
     const admission = await admitAttempt(opts, work, progress, client)
     if (!admission) break
@@ -108,7 +117,7 @@
     }
     throw progress.error
   } catch (thrown) {
-    progress.retryPermit?.release()
+    dropRetryPermit(progress)
     if (progress.serverFailure && !client.hasBegun) return undefined
     const error = convertToError(thrown)
     throw createFinalError(progress, error)
@@ -118,9 +127,14 @@
 /** Prefers another instance once the request has met a lost path, since further paths of this instance are likely lost too. */
 async function chooseAdmission (opts: RunOptions, work: RoutedWork, progress: RunProgress): Promise<AttemptAdmission> {
   const mayForward = (): boolean => opts.forwarder?.mayForward(work) ?? false
-  if (progress.hasLostPath && mayForward()) return FORWARD
+  const { nextSlot } = progress
+  progress.nextSlot = undefined
+  if (progress.hasLostPath && mayForward()) {
+    nextSlot?.release()
+    return FORWARD
+  }
   try {
-    return await admitToSlot(opts, work)
+    return await admitToSlot(opts, work, nextSlot)
   } catch (thrown) {
     if (convertToError(thrown).code === 'PATH_LOST' && mayForward()) return FORWARD
     throw thrown
@@ -158,7 +172,7 @@
     isSilenceWatched: mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts,
     lostPath: slot.backend.path.losses,
     onLongPause: () => probePausedServer(opts, slot.backend),
-    canSwitchServer: () => progress.sends < MAX_SENDS && opts.findBudget(work.service.name).left >= 1 && opts.queue.hasSlotElsewhere(work, slot),
+    reserveSwitch: () => reserveSwitch(opts, work, progress, slot),
   })
   progress.sends++
   const eventsBefore = work.stream.events
@@ -302,6 +316,16 @@
   return error
 }
 
+/** Reserves the retry permit, and a slot where that takes no time, for an attempt that takes over from a silent server; false if none may begin. */
+function reserveSwitch (opts: RunOptions, work: RoutedWork, progress: RunProgress, slot: BackendSlot): boolean {
+  if (progress.sends >= MAX_SENDS || (progress.stream.events > 0 && !mayResume(work, progress))) return false
+  if (!opts.queue.hasSlotElsewhere(work, slot)) return false
+  progress.retryPermit = opts.findBudget(work.service.name).reserve()
+  if (!progress.retryPermit) return false
+  progress.nextSlot = opts.queue.acquireElsewhere(work, slot)
+  return true
+}
+
 /** Whether another attempt may be made; reserves its retry permit. */
 function mayRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
   if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
@@ -325,12 +349,18 @@
   const facts = budget.describe()
   // A failed connection put no load on the server, so it uses no budget.
   const isFree = error.code === 'ATTEMPT_FAILED_NOT_RUN' || error.code === 'PATH_LOST'
-  progress.retryPermit = isFree ? undefined : budget.reserve()
+  if (isFree) dropRetryPermit(progress)
+  else progress.retryPermit ??= budget.reserve()
   const verdict: RetryVerdict = isFree ? 'free' : progress.retryPermit ? 'paid' : 'denied'
   opts.log.record(DecisionKinds.RETRY_JUDGED, { request: work.requestId, service, verdict, ...facts })
   return verdict !== 'denied'
 }
 
+function dropRetryPermit (progress: RunProgress): void {
+  progress.retryPermit?.release()
+  progress.retryPermit = undefined
+}
+
 function mayRepeat (work: RoutedWork): boolean {
   return work.route.repeat === RepeatModes.REPEATABLE
 }
--- a/gateway/routed/test/AttemptSignal.test.ts
+++ b/gateway/routed/test/AttemptSignal.test.ts
@@ -19,7 +19,7 @@
   const start = (isSilenceWatched = true): void => {
     attempt = createAttemptSignal(clock, work, {
       isSilenceWatched,
-      canSwitchServer: () => true,
+      reserveSwitch: () => true,
       onLongPause: () => pauses.push(clock.readTime()),
     })
   }
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -20,6 +20,7 @@
 /** Wait for the slot of the second attempt; nearly a whole budget window. */
 const SLOT_WAIT_MS = 9_000
 const AFTER_SEND_MS = 3_000
+const TARGET_MS = 400
 /** Requests of one client that earn a retry. */
 const REQUESTS_PER_RETRY = 5
 
@@ -97,7 +98,13 @@
         recordBegun: () => undefined,
         recordServed: () => undefined,
       },
-      queue: { hasSlotElsewhere: () => true, isBrittle: () => false, checkVersion: () => undefined, watchVersion: () => undefined },
+      queue: {
+        hasSlotElsewhere: () => true,
+        acquireElsewhere: () => undefined,
+        isBrittle: () => false,
+        checkVersion: () => undefined,
+        watchVersion: () => undefined,
+      },
       slots: { acquire },
       paths: { inspect: () => Promise.resolve(undefined) },
       fleet: new BackendFleet(),
@@ -169,6 +176,24 @@
     })
   }
 
+  // A server at work was given up for its silence, and the caller got an error, although no other attempt could begin.
+  for (const [reason, parts] of [['the retry budget is used up', {}], ['no other server has room', { hasSlotElsewhere: () => false }]] as const) {
+    it(`waits for a silent server while ${reason}`, async () => {
+      if (!('hasSlotElsewhere' in parts)) budget = createBudget(0)
+      server.removeAllListeners('request')
+      const responded = new Promise<http.ServerResponse>((resolve) => server.on('request', (_, response: http.ServerResponse) => resolve(response)))
+      const sent: unknown[] = []
+      const client = { hasBegun: false, sendBuffered: (_: unknown, body: Buffer) => sent.push(body.toString()) } as unknown as ClientResponse
+      const patient = { ...work, excluded: new Set(), deadline: Infinity, route: { ...work.route, targetLatencyMs: TARGET_MS } } as unknown as RoutedWork
+      const done = runRequest({ ...opts, queue: { ...opts.queue, ...parts } } as unknown as RunOptions, patient, client)
+      const response = await responded
+      await clock.advance(10 * TARGET_MS)
+      response.end('late')
+      await done
+      assert.deepEqual(sent, ['late'])
+    })
+  }
+
   // The error response of an earlier server was sent after the head of a stream that had begun since, which threw.
   it('sends no earlier error response once a stream has begun', async () => {
     let requests = 0
