--- a/gateway/routed/src/AttemptSignal.ts
+++ b/gateway/routed/src/AttemptSignal.ts
@@ -25,10 +25,14 @@
 export interface AttemptOptions {
   /** Whether silence of the server may end the attempt. */
   isSilenceWatched: boolean
+  /** Silence before the first data, in milliseconds, up to which the server's response isn't overdue; 0 if unknown. */
+  overdueMs?: number
   /** Whether another server can take over the request now; reserves what that takes if it returns true. */
   reserveSwitch: () => boolean
   /** Called when a stream has paused for longer than its route allows, or the first data are overdue, once for each pause. */
   onLongPause?: () => void
+  /** Called with the milliseconds until the first data of the response. */
+  onFirstData?: (ms: number) => void
   /** Emits when new connections to the server fail; a connection that is silent by then is likely lost too. */
   lostPath?: Observable<void>
 }
@@ -42,9 +46,11 @@
   const handleAbort = (): void => controller.abort(work.signal.reason)
   if (work.signal.aborted) handleAbort()
   work.signal.addEventListener('abort', handleAbort, { once: true })
-  let lastActivityAt = clock.readTime()
+  const startedAt = clock.readTime()
+  let lastActivityAt = startedAt
+  let hasData = false
   let isPaused = false
-  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_LATENCY_FACTOR)
+  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_LATENCY_FACTOR, opts.overdueMs ?? 0)
   const longestPauseMs = work.route.longestPauseMs ?? DEFAULT_PAUSE_MS
   let reportedPauseAt: number | undefined
   let cancel = (): void => undefined
@@ -71,6 +77,8 @@
     signal: controller.signal,
     recordActivity: () => {
       lastActivityAt = clock.readTime()
+      if (!hasData) opts.onFirstData?.(lastActivityAt - startedAt)
+      hasData = true
       limitMs = longestPauseMs * STALL_PAUSE_FACTOR
     },
     setPaused: (paused) => {
--- a/gateway/routed/src/index.ts
+++ b/gateway/routed/src/index.ts
@@ -1,5 +1,6 @@
 export { QuotaGate, QuotaOutcomes } from './QuotaGate.js'
 export type { QuotaOutcome } from './QuotaGate.js'
+export { ResponseTimes } from './ResponseTimes.js'
 export { RoutedGateway } from './RoutedGateway.js'
 export type { RoutedGatewayOptions, RoutedOutcome } from './RoutedGateway.js'
 export { BackendSlot } from './BackendSlot.js'
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -23,6 +23,7 @@
 import { isSlowOnly } from './isSlowOnly.js'
 import type { RoutedWork } from './RoutedWork.js'
 import { settleWithin } from './settleWithin.js'
+import { ResponseTimes } from './ResponseTimes.js'
 import { runForwardedAttempt } from './runForwardedAttempt.js'
 import { createProgress, type RunProgress } from './RunProgress.js'
 import type { StreamFlusher } from './StreamFlusher.js'
@@ -60,6 +61,7 @@
   flusher: StreamFlusher
   log: DecisionLog
   findBudget: (service: string) => WindowBudget
+  responseTimes: ResponseTimes
 }
 
 /** Runs one request until its response has been sent; rejects with the error for the client if no server's response can be relayed. */
@@ -172,7 +174,9 @@
     isSilenceWatched: mayRepeat(work) && progress.runs + 1 < work.route.maxAttempts,
     lostPath: slot.backend.path.losses,
     onLongPause: () => probePausedServer(opts, slot.backend),
+    overdueMs: opts.responseTimes.estimateOverdueMs(work.route.name, slot.backend.id),
     reserveSwitch: () => reserveSwitch(opts, work, progress, slot),
+    onFirstData: (ms) => opts.responseTimes.record(work.route.name, slot.backend.id, ms),
   })
   progress.sends++
   const eventsBefore = work.stream.events
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -9,6 +9,7 @@
 import { WindowBudget } from '@pulleystack/routing.retries'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { createStreamProgress } from '../src/relayStream.js'
+import { ResponseTimes } from '../src/ResponseTimes.js'
 import { runRequest, type RunOptions } from '../src/runRequest.js'
 import { StreamFlusher } from '../src/StreamFlusher.js'
 import type { BackendSlot } from '../src/BackendSlot.js'
@@ -111,6 +112,7 @@
       reports: { applyResponse: () => undefined },
       log: new NullDecisionLog(),
       findBudget: () => budget,
+      responseTimes: new ResponseTimes(),
     } as unknown as RunOptions
   })
 
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,7 +1,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
-import { InstanceRelay, PeerForwarder, QuotaGate, RelayPeers, ReservedSlots, RoutedGateway, StreamFlusher, SuspectGate, type BackendQueue, type ForwardTarget } from '@pulleystack/gateway.routed'
+import { InstanceRelay, PeerForwarder, QuotaGate, RelayPeers, ReservedSlots, ResponseTimes, RoutedGateway, StreamFlusher, SuspectGate, type BackendQueue, type ForwardTarget } from '@pulleystack/gateway.routed'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
 import type { ResidencyService } from '@pulleystack/placement.residency'
@@ -84,6 +84,7 @@
     origins,
     reports: statements,
     flusher: new StreamFlusher(clock),
+    responseTimes: new ResponseTimes(),
     residency,
     findBudget: (service) => budgets.find(service),
     quotas: limits && new QuotaGate({ log, limits, onUnits: (team, outcome, units) => metrics.countUnits(team, outcome, units) }),
--- a/program/instance/src/createRoutedRequests.ts
+++ b/program/instance/src/createRoutedRequests.ts
@@ -7,7 +7,7 @@
 import { explainRoute, type RouteExplanation } from '@pulleystack/gateway.admin'
 import { findAllowedService } from '@pulleystack/gateway.callers'
 import { parseBearerToken, sendError } from '@pulleystack/gateway.http'
-import { BackendQueue, RoutedGateway, StreamFlusher, SuspectGate } from '@pulleystack/gateway.routed'
+import { BackendQueue, ResponseTimes, RoutedGateway, StreamFlusher, SuspectGate } from '@pulleystack/gateway.routed'
 import { hashAccessKey } from '@pulleystack/core.hashing'
 import { ResidencyClient, type WeightsAnswer } from '@pulleystack/placement.residency'
 import { BackendFleet, ServerReports, type Backend, type BackendEntry } from '@pulleystack/routing.fleet'
@@ -77,6 +77,7 @@
     origins: startOrigins(core, fleet),
     reports: new ServerReports({ clock, log, fleet }),
     flusher: new StreamFlusher(clock),
+    responseTimes: new ResponseTimes(),
     residency,
     findBudget: (service) => budgets.find(service),
     countRequest: (service) => budgets.recordRequest(service),
