--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -1,9 +1,11 @@
+import { once } from 'node:events'
 import { readFile } from 'node:fs/promises'
 import http from 'node:http'
 import https from 'node:https'
 import type { AddressInfo, Socket } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
+import { closeAfterReading, closePort, waitForReads } from '@pulleystack/core.listeners'
 import { sendError, sendJson } from '@pulleystack/gateway.http'
 import type { Gateways } from './createGateways.js'
 import type { Core } from './startInstance.js'
@@ -11,6 +13,7 @@
 const MAX_HEADER_BYTES = 32 << 10
 const MAX_HEADERS = 100
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
+const CLOSE_INTERVAL_MS = 50
 
 /** HTTP listener for callers and operators. */
 export interface Listener {
@@ -41,6 +44,10 @@
   server.maxHeadersCount = MAX_HEADERS
   server.maxConnections = settings.limits.connections
   server.on('clientError', answerClientError)
+  server.on('connection', (socket) => {
+    // Node calls this behind a response that ends the connection.
+    socket.destroySoon = () => closeAfterReading(socket)
+  })
   const { host, port } = parseAddress(settings.listen.callers)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -65,11 +72,13 @@
   return { cert: await readFile(files.certificate, 'utf8'), key: await readFile(files.key, 'utf8') }
 }
 
-function closeServer (server: http.Server): Promise<void> {
-  return new Promise((resolve) => {
-    server.close(() => resolve())
-    server.closeIdleConnections()
-  })
+/** Closes the port, and each connection once all its requests that have arrived are answered. */
+async function closeServer (server: http.Server): Promise<void> {
+  const closed = once(server, 'close')
+  await closePort(server)
+  const timer = setInterval(() => void waitForReads().then(() => server.closeIdleConnections()), CLOSE_INTERVAL_MS)
+  await closed
+  clearInterval(timer)
 }
 
 async function dispatch (core: Core, gateways: Gateways, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
