--- a/gateway/routed/src/AttemptSignal.ts
+++ b/gateway/routed/src/AttemptSignal.ts
@@ -55,6 +55,7 @@
   let reportedPauseAt: number | undefined
   let cancel = (): void => undefined
   const checkSilence = (): void => {
+    if (controller.signal.aborted) return
     const silentMs = isPaused ? 0 : clock.readTime() - lastActivityAt
     const isLong = silentMs >= limitMs || (work.stream.events > 0 && silentMs >= longestPauseMs)
     if (isLong && reportedPauseAt !== lastActivityAt) {
--- a/gateway/routed/test/AttemptSignal.test.ts
+++ b/gateway/routed/test/AttemptSignal.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { beforeEach, describe, it } from 'node:test'
+import { Subject } from 'rxjs'
 import { ManualClock } from '@pulleystack/core.clock'
 import { createAttemptSignal, type AttemptSignal } from '../src/AttemptSignal.js'
 import type { RoutedWork } from '../src/RoutedWork.js'
@@ -48,6 +49,19 @@
     assert.equal(pauses.length, 1)
   })
 
+  // What the next attempt needs was reserved twice, and the first of both never released.
+  it('reserves what another attempt needs once, also when the path is lost after that', async () => {
+    let reserved = 0
+    const losses = new Subject<void>()
+    const reserveSwitch = (): boolean => ++reserved > 0
+    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch, lostPath: losses })
+    await clock.advance(2 * LONGEST_PAUSE_MS)
+    assert.equal(attempt.signal.aborted, true)
+    losses.next()
+    await clock.advance(STALL_MS)
+    assert.equal(reserved, 1)
+  })
+
   it('is told again after further events', async () => {
     start()
     for (let pause = 0; pause < 2; pause++) {
--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -90,13 +90,13 @@
    * clients are still reading.
    */
   closeIdle (): void {
-    for (const socket of [...this.connections.keys()]) if (this.isIdle(socket)) this.closeConnection(socket, CloseReasons.STOP)
+    for (const socket of [...this.connections.keys()]) if (this.isIdle(socket, MIN_IDLE_MS)) this.closeConnection(socket, CloseReasons.STOP)
   }
 
   /** Closes a connection whose idle time is over, unless a request has arrived that the process, being held up, hadn't read. */
   async expire (socket: Socket): Promise<void> {
     await waitForReads()
-    if (this.isIdle(socket)) this.closeConnection(socket, CloseReasons.IDLE)
+    if (this.isIdle(socket, 0)) this.closeConnection(socket, CloseReasons.IDLE)
   }
 
   /** Closes a connection that received malformed data. Responds with 400 only if no request is active, so as not to corrupt its response. */
@@ -112,11 +112,11 @@
     this.closeConnection(socket, CloseReasons.MALFORMED)
   }
 
-  /** Whether no request is active or has begun to arrive, and none is likely on its way. */
-  private isIdle (socket: Socket): boolean {
+  /** Whether no request is active or has begun to arrive, for at least `minMs` milliseconds. */
+  private isIdle (socket: Socket, minMs: number): boolean {
     const connection = this.connections.get(socket)
     if (!connection || connection.lastRequest || connection.isClosing) return false
-    return connection.bytesReadWhenIdle === socket.bytesRead && this.opts.clock.readTime() - connection.usedAt >= MIN_IDLE_MS
+    return connection.bytesReadWhenIdle === socket.bytesRead && this.opts.clock.readTime() - connection.usedAt >= minMs
   }
 
   private closeConnection (socket: Socket, reason: CloseReason): void {
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -13,7 +13,6 @@
 const MAX_HEADER_BYTES = 32 << 10
 const MAX_HEADERS = 100
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
-const CLOSE_INTERVAL_MS = 50
 
 /** HTTP listener for callers and operators. */
 export interface Listener {
@@ -72,13 +71,13 @@
   return { cert: await readFile(files.certificate, 'utf8'), key: await readFile(files.key, 'utf8') }
 }
 
-/** Closes the port, and each connection once all its requests that have arrived are answered. */
+/** Closes the port and idle connections, once what has arrived was read; resolves when all connections are closed. */
 async function closeServer (server: http.Server): Promise<void> {
   const closed = once(server, 'close')
   await closePort(server)
-  const timer = setInterval(() => void waitForReads().then(() => server.closeIdleConnections()), CLOSE_INTERVAL_MS)
+  await waitForReads()
+  server.closeIdleConnections()
   await closed
-  clearInterval(timer)
 }
 
 async function dispatch (core: Core, gateways: Gateways, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
