--- a/gateway/routed/src/AttemptSignal.ts
+++ b/gateway/routed/src/AttemptSignal.ts
@@ -29,7 +29,11 @@
   overdueMs?: number
   /** Whether another server can take over the request now; reserves what that takes if it returns true. */
   reserveSwitch: () => boolean
-  /** Called when a stream has paused for longer than its route allows, or the first data are overdue, once for each pause. */
+  /** Whether other requests wait for the slot of this one. */
+  isSlotAwaited?: () => boolean
+  /** Called once when the response is overdue and the request stays with the server. */
+  onOverdue?: () => void
+  /** Called when a stream has paused for longer than its route allows, once for each pause. */
   onLongPause?: () => void
   /** Called with the milliseconds until the first data of the response. */
   onFirstData?: (ms: number) => void
@@ -39,7 +43,7 @@
 
 /**
  * Aborts with the request, or when the server is silent for too long if silence is watched. A request stays with a silent server, which may be at work on
- * it, until another one can take over.
+ * it, until another one can take over; one without a response leaves its slot where others wait for it.
  */
 export function createAttemptSignal (clock: Clock, work: RoutedWork, opts: AttemptOptions): AttemptSignal {
   const controller = new AbortController()
@@ -50,26 +54,32 @@
   let lastActivityAt = startedAt
   let hasData = false
   let isPaused = false
-  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_LATENCY_FACTOR, opts.overdueMs ?? 0)
+  let limitMs = Math.max(MIN_SILENCE_MS, work.route.targetLatencyMs * SILENCE_LATENCY_FACTOR)
+  let patienceMs = opts.overdueMs ?? 0
+  let isOverdue = false
   const longestPauseMs = work.route.longestPauseMs ?? DEFAULT_PAUSE_MS
   let reportedPauseAt: number | undefined
   let cancel = (): void => undefined
   const checkSilence = (): void => {
     if (controller.signal.aborted) return
     const silentMs = isPaused ? 0 : clock.readTime() - lastActivityAt
-    const isLong = silentMs >= limitMs || (work.stream.events > 0 && silentMs >= longestPauseMs)
-    if (isLong && reportedPauseAt !== lastActivityAt) {
+    const mustLeave = work.stream.events === 0 && opts.isSlotAwaited?.() === true
+    if (work.stream.events > 0 && silentMs >= longestPauseMs && reportedPauseAt !== lastActivityAt) {
       reportedPauseAt = lastActivityAt
       opts.onLongPause?.()
     }
     const nextMs = silentMs < longestPauseMs ? Math.min(longestPauseMs, limitMs) : limitMs
     if (silentMs < nextMs) cancel = clock.setTimer(nextMs - silentMs, checkSilence)
-    else if (!opts.reserveSwitch()) cancel = clock.setTimer(RECHECK_INTERVAL_MS, checkSilence)
-    else controller.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `No data received for ${Math.round(limitMs)} ms`))
+    else if (!mustLeave && (silentMs < patienceMs || !opts.reserveSwitch())) {
+      if (!hasData && silentMs >= patienceMs && !isOverdue) opts.onOverdue?.()
+      isOverdue ||= silentMs >= patienceMs
+      cancel = clock.setTimer(RECHECK_INTERVAL_MS, checkSilence)
+    } else controller.abort(new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `No data received for ${Math.round(limitMs)} ms`))
   }
   const handleLostPath = (): void => {
     cancel()
     limitMs = MIN_SILENCE_MS
+    patienceMs = 0
     checkSilence()
   }
   if (opts.isSilenceWatched) checkSilence()
@@ -80,6 +90,7 @@
       lastActivityAt = clock.readTime()
       if (!hasData) opts.onFirstData?.(lastActivityAt - startedAt)
       hasData = true
+      patienceMs = 0
       limitMs = longestPauseMs * STALL_PAUSE_FACTOR
     },
     setPaused: (paused) => {
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -176,6 +176,8 @@
     onLongPause: () => probePausedServer(opts, slot.backend),
     overdueMs: opts.responseTimes.estimateOverdueMs(work.route.name, slot.backend.id),
     reserveSwitch: () => reserveSwitch(opts, work, progress, slot),
+    onOverdue: () => recordOverdue(opts, slot.backend),
+    isSlotAwaited: () => opts.queue.isSlotAwaited(work),
     onFirstData: (ms) => opts.responseTimes.record(work.route.name, slot.backend.id, ms),
   })
   progress.sends++
@@ -280,6 +282,15 @@
   return path.hasBeenReachedSince(clock.readTime() - RECENT_CONTACT_MS)
 }
 
+/** Counts a silent server like one whose attempt has failed, so that other requests avoid it. */
+function recordOverdue (opts: RunOptions, backend: Backend): void {
+  const now = opts.clock.readTime()
+  probePausedServer(opts, backend)
+  opts.fleet.recordOutcome(backend, true, now)
+  if (isSlowOnly(opts.fleet, backend, now) || !backend.outlier.recordFailure(now, opts.random.readFraction())) return
+  opts.log.record(DecisionKinds.BACKEND_EJECTED, { backend: backend.id, address: backend.entry.address })
+}
+
 /** Finds a lost path while streams on it could still be resumed elsewhere in time. */
 function probePausedServer (opts: RunOptions, backend: Backend): void {
   if (!backend.path.isLost && !hasJustBeenReached(opts, backend)) void opts.paths.inspect(backend)
--- a/gateway/routed/test/AttemptSignal.test.ts
+++ b/gateway/routed/test/AttemptSignal.test.ts
@@ -62,6 +62,17 @@
     assert.equal(reserved, 1)
   })
 
+  // An overloaded service served fewer requests, as silent ones kept slots that others could have used in time.
+  it('ends an attempt without a response where others wait for its slot, but no stream that has begun', async () => {
+    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch: () => false, isSlotAwaited: () => true, overdueMs: 2 * STALL_MS })
+    await clock.advance(2 * LONGEST_PAUSE_MS)
+    assert.equal(attempt.signal.aborted, true)
+    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch: () => false, isSlotAwaited: () => true })
+    receiveEvent()
+    await clock.advance(2 * STALL_MS)
+    assert.equal(attempt.signal.aborted, false)
+  })
+
   it('is told again after further events', async () => {
     start()
     for (let pause = 0; pause < 2; pause++) {
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -102,6 +102,7 @@
       queue: {
         hasSlotElsewhere: () => true,
         acquireElsewhere: () => undefined,
+        isSlotAwaited: () => false,
         isBrittle: () => false,
         checkVersion: () => undefined,
         watchVersion: () => undefined,
@@ -187,7 +188,7 @@
       const sent: unknown[] = []
       const client = { hasBegun: false, sendBuffered: (_: unknown, body: Buffer) => sent.push(body.toString()) } as unknown as ClientResponse
       const patient = { ...work, excluded: new Set(), deadline: Infinity, route: { ...work.route, targetLatencyMs: TARGET_MS } } as unknown as RoutedWork
-      const done = runRequest({ ...opts, queue: { ...opts.queue, ...parts } } as unknown as RunOptions, patient, client)
+      const done = runRequest({ ...opts, random: new RandomSource(1), queue: { ...opts.queue, ...parts } } as unknown as RunOptions, patient, client)
       const response = await responded
       await clock.advance(10 * TARGET_MS)
       response.end('late')
