--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -1,6 +1,6 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
-import { compareUrgency, isWithinTarget, judgeWait, type Candidate, type WaitEstimate } from '@pulleystack/routing.admission'
+import { compareUrgency, isWithinTarget, judgeWait, type WaitEstimate } from '@pulleystack/routing.admission'
 import { ChoiceFailures, nameWeights, type BackendChoice, type ChoiceFailure } from '@pulleystack/routing.fleet'
 import type { ServerPermits } from '@pulleystack/routing.permits'
 import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
@@ -12,6 +12,7 @@
 import { PermitDemand } from './PermitDemand.js'
 import { mustReserve } from './mustReserve.js'
 import { ServerChooser, type ChooseOptions, type ServerChooserOptions } from './ServerChooser.js'
+import type { VersionWatch, WaitingRequest } from './WaitingRequest.js'
 import { WeightsWait } from './WeightsWait.js'
 
 /** Retry delay for clients when no wait can be estimated. */
@@ -21,23 +22,6 @@
 /** Largest random extension of a retry delay, as a share of it; keeps clients from retrying all at once. */
 const RETRY_JITTER = 0.5
 
-interface WaitingRequest {
-  work: RoutedWork
-  candidate: Candidate
-  resolve: (slot: BackendSlot) => void
-  reject: (error: PulleystackError) => void
-  weights: WeightsWait
-  lastFailure: ChoiceFailure
-  isLimitLogged: boolean
-}
-
-/** Observes whether servers are left for a stream that has to go on at one software version. */
-export interface VersionWatch {
-  /** Aborts with NO_RUNNER once none is left. */
-  lost: AbortSignal
-  end: () => void
-}
-
 export interface BackendQueueOptions extends ServerChooserOptions {
   /** Undefined where servers announce no rate limits. */
   permits?: Pick<ServerPermits, 'request' | 'release'>
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -1,4 +1,3 @@
-import { RepeatModes } from '@pulleystack/config.routes'
 import type { RoutedProtocol } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
@@ -7,31 +6,28 @@
 import type { StreamOrigins } from '@pulleystack/routing.origins'
 import { ChoiceFailures, PathVerdicts, readSoftwareVersion, type Backend, type BackendFleet, type PathVerdict, type ServerReports } from '@pulleystack/routing.fleet'
 import type { PathChecker } from '@pulleystack/routing.paths'
-import type { WindowBudget } from '@pulleystack/routing.retries'
-import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { admitToSlot, type SlotAdmission } from './admitToSlot.js'
 import { createAttemptSignal } from './AttemptSignal.js'
 import type { BackendSlot } from './BackendSlot.js'
-import type { BackendQueue } from './BackendQueue.js'
 import { buildEventSample } from './buildPaceSample.js'
 import type { ClientResponse } from './ClientResponse.js'
 import type { PeerForwarder } from './PeerForwarder.js'
 import { MIN_SERVER_ERROR_STATUS, relayServerResponse } from './relayServerResponse.js'
+import { dropRetryPermit, mayRepeat, mayRetry, reserveSwitch, takeRetryPermit, type RetryOptions } from './retryAttempt.js'
 import { recordSend } from './recordSend.js'
 import { beginStream, endStream, recordOrigin } from './trackStream.js'
 import type { ReservedSlots } from './ReservedSlots.js'
 import { isSlowOnly } from './isSlowOnly.js'
 import type { RoutedWork } from './RoutedWork.js'
 import { settleWithin } from './settleWithin.js'
-import { ResponseTimes } from './ResponseTimes.js'
+import type { ResponseTimes } from './ResponseTimes.js'
 import { runForwardedAttempt } from './runForwardedAttempt.js'
 import { createProgress, type RunProgress } from './RunProgress.js'
 import type { StreamFlusher } from './StreamFlusher.js'
 import type { BrokenAttempt, SuspectGate } from './SuspectGate.js'
 
 const CONNECT_TIMEOUT_MS = 300
-/** Limit of sends per request, including those rejected by servers. */
-const MAX_SENDS = 4
 /** An instance that reaches the server answers within a few milliseconds; one that doesn't may take far longer. */
 const MAX_VERDICT_WAIT_MS = 50
 /** As long as a connection attempt to a silent server, and that answer. */
@@ -42,7 +38,7 @@
 const BRITTLE_DENIAL_MS = 250
 
 /** Dependencies shared by the attempts of all requests. */
-export interface RunOptions {
+export interface RunOptions extends RetryOptions {
   clock: Clock
   random: RandomSource
   agent: BackendAgent
@@ -51,7 +47,6 @@
   /** Undefined where other instances can't help. */
   forwarder?: PeerForwarder
   protocol: RoutedProtocol
-  queue: BackendQueue
   slots: Pick<ReservedSlots, 'acquire'>
   fleet: BackendFleet
   reports: ServerReports
@@ -59,8 +54,6 @@
   origins: Pick<StreamOrigins, 'begin' | 'store' | 'record' | 'end'>
   /** Schedules the writes of stream events. */
   flusher: StreamFlusher
-  log: DecisionLog
-  findBudget: (service: string) => WindowBudget
   responseTimes: ResponseTimes
 }
 
@@ -151,13 +144,6 @@
   return failure?.error
 }
 
-/** Uses the reserved retry permit, if any; false if the budget no longer covers it. */
-function takeRetryPermit (progress: RunProgress): boolean {
-  const { retryPermit } = progress
-  progress.retryPermit = undefined
-  return retryPermit?.take() ?? true
-}
-
 /** Sends the request once; returns the error if the response was not relayed completely. */
 async function runAttempt (
   opts: RunOptions,
@@ -331,55 +317,6 @@
   return error
 }
 
-/** Reserves the retry permit, and a slot where that takes no time, for an attempt that takes over from a silent server; false if none may begin. */
-function reserveSwitch (opts: RunOptions, work: RoutedWork, progress: RunProgress, slot: BackendSlot): boolean {
-  if (progress.sends >= MAX_SENDS || (progress.stream.events > 0 && !mayResume(work, progress))) return false
-  if (!opts.queue.hasSlotElsewhere(work, slot)) return false
-  progress.retryPermit = opts.findBudget(work.service.name).reserve()
-  if (!progress.retryPermit) return false
-  progress.nextSlot = opts.queue.acquireElsewhere(work, slot)
-  return true
-}
-
-/** Whether another attempt may be made; reserves its retry permit. */
-function mayRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
-  if (work.signal.aborted || progress.sends >= MAX_SENDS) return false
-  if (progress.runs > 0 && !mayRepeat(work)) return false
-  if (progress.runs >= work.route.maxAttempts) return false
-  if (progress.stream.events > 0 && !mayResume(work, progress)) return false
-  if (!reserveRetry(opts, work, progress, error)) return false
-  if (progress.stream.events > 0) opts.log.record(DecisionKinds.STREAM_RESUMED, { request: work.requestId, after: progress.stream.lastEventId })
-  return true
-}
-
-/** Whether another server can go on after the newest event that the client has, at the version that began the stream. */
-function mayResume (work: RoutedWork, { stream }: RunProgress): boolean {
-  return work.origin !== undefined && stream.newestHasId
-}
-
-/** Reserves a retry permit; false if the budget is exhausted. */
-function reserveRetry (opts: RunOptions, work: RoutedWork, progress: RunProgress, error: PulleystackError): boolean {
-  const { name: service } = work.service
-  const budget = opts.findBudget(service)
-  const facts = budget.describe()
-  // A failed connection put no load on the server, so it uses no budget.
-  const isFree = error.code === 'ATTEMPT_FAILED_NOT_RUN' || error.code === 'PATH_LOST'
-  if (isFree) dropRetryPermit(progress)
-  else progress.retryPermit ??= budget.reserve()
-  const verdict: RetryVerdict = isFree ? 'free' : progress.retryPermit ? 'paid' : 'denied'
-  opts.log.record(DecisionKinds.RETRY_JUDGED, { request: work.requestId, service, verdict, ...facts })
-  return verdict !== 'denied'
-}
-
-function dropRetryPermit (progress: RunProgress): void {
-  progress.retryPermit?.release()
-  progress.retryPermit = undefined
-}
-
-function mayRepeat (work: RoutedWork): boolean {
-  return work.route.repeat === RepeatModes.REPEATABLE
-}
-
 /** Creates the error for the client. It states that the request did not run only if no attempt may have run. */
 function createFinalError (progress: RunProgress, cause: PulleystackError): PulleystackError {
   return progress.runs === 0 ? cause : createUncertainError(cause)
