--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -49,6 +49,8 @@
   private readonly connections = new Map<Socket, ClientConnection>()
 
   private readonly closes = new Map<CloseReason, number>()
+  /** Requests are served once it is resolved; undefined while nothing holds them. */
+  private gate: Promise<unknown> | undefined
 
   constructor (private readonly opts: ClientConnectionsOptions) {}
 
@@ -62,6 +64,14 @@
     return this.closes
   }
 
+  /** Holds new requests until the promise is settled, so that clients which send one after another open no further connections meanwhile. */
+  async holdDuring (promise: Promise<unknown>): Promise<void> {
+    this.gate = promise
+    await promise.finally(() => {
+      this.gate = undefined
+    })
+  }
+
   /** Tracks the connection until it closes. */
   add (socket: Socket): void {
     this.connections.set(socket, { usedAt: this.opts.clock.readTime(), isClosing: false, lastRequest: undefined, bytesReadWhenIdle: 0 })
@@ -132,6 +142,7 @@
   }
 
   private async serveIfWritable (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
+    if (this.gate) await this.gate
     if (request.socket.writable) await this.opts.serve(request, response, arrivedAt)
     else if (this.connections.get(request.socket)?.isClosing) this.opts.onDropped(request)
   }
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -52,7 +52,7 @@
       return connections.size
     },
     closeIdle: () => connections.closeIdle(),
-    closePort: () => closePort(server),
+    closePort: () => connections.holdDuring(closePort(server)),
     close: () => server.close(),
   }
 }
