--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -15,8 +15,9 @@
 const BRIEFING = { name: 'briefing', prefix: '/briefing/', events: 10, eventMs: 100, aimMs: 800, timeoutMs: 5_000, priority: 1 }
 const ADVISORY = { name: 'advisory', prefix: '/advisory/', events: 58, eventMs: 50, aimMs: 1_500, timeoutMs: 15_000, priority: 0 }
 const PAUSE = { afterEvent: 4, ms: 1_800 }
-/** Beside the briefing, as many as both runners have places for, and two more. */
-const ADVISORIES = RUNNERS * (SLOTS + QUEUE) + 1
+/** Beside the briefing, as many as both runners have places for. */
+const ADVISORIES = RUNNERS * (SLOTS + QUEUE) - 1
+const ADVISORY_EVERY_MS = 60
 const STOP_AT_MS = 400
 const ADVISORIES_AT_MS = 700
 const ROUNDS = 3
@@ -86,6 +87,7 @@
   const advisories = []
   for (let at = 0; at < ADVISORIES; at++) {
     advisories.push(sendStream(others[at % others.length].front, ADVISORY).seen.then((seen) => record.add(describe(ADVISORY, seen))))
+    await sleep(ADVISORY_EVERY_MS)
   }
   const seen = await briefing.seen
   record.add(describe(BRIEFING, seen))
