--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -8,7 +8,7 @@
 import { createRejection, createStoppingError } from './createRejection.js'
 import { findPaces } from './findPaces.js'
 import { SlotForecast, buildQueueKey } from './SlotForecast.js'
-import { hasPartialAnswer, type RoutedWork } from './RoutedWork.js'
+import { mustBeFinished, type RoutedWork } from './RoutedWork.js'
 import { PermitDemand } from './PermitDemand.js'
 import { mustReserve } from './mustReserve.js'
 import { ServerChooser, type ChooseOptions, type ServerChooserOptions } from './ServerChooser.js'
@@ -64,7 +64,7 @@
       if (slot instanceof BackendSlot) return Promise.resolve(slot)
       if (typeof slot === 'string' && isImmediate(slot)) return Promise.reject(this.createRejection(work, slot))
     }
-    if (this.isClosed && !hasPartialAnswer(work)) return Promise.reject(createStoppingError())
+    if (this.isClosed && !mustBeFinished(work)) return Promise.reject(createStoppingError())
     if (this.waiting.length >= MAX_WAITING_REQUESTS) return Promise.reject(this.createRejection(work, ChoiceFailures.FULL))
     return this.wait(work)
   }
@@ -93,32 +93,24 @@
     return work.origin !== undefined && this.chooser.choose(work) === ChoiceFailures.VERSION_GONE
   }
 
-  /** Whether requests of the same kind wait for a slot, here or at other instances. */
-  isSlotAwaited (work: RoutedWork): boolean {
-    const key = buildQueueKey(work)
-    return this.opts.fleet.waiting.countAtPeers(key) > 0 || this.waiting.some((item) => buildQueueKey(item.work) === key)
-  }
-
-  /** Whether a server other than that of `slot` could accept the request now, here or through another instance. */
+  /** Whether a server other than that of `slot` has a free slot for the request. */
   hasSlotElsewhere (work: RoutedWork, slot: BackendSlot): boolean {
-    const choice = this.chooser.choose(work, { excluded: listExcluded(work, slot) })
-    return typeof choice !== 'string' || choice === ChoiceFailures.PATH_LOST
+    return typeof this.chooser.choose(work, chooseElsewhere(work, slot)) !== 'string'
   }
 
-  /** Acquires a slot at a server other than that of `slot`; undefined if none is free now, or slots have to be reserved with their owners. */
+  /** Acquires a free slot at a server other than that of `slot`; undefined if there is none. */
   acquireElsewhere (work: RoutedWork, slot: BackendSlot): BackendSlot | undefined {
-    if (mustReserve(work, this.opts.policy, this.isBrittle(work))) return undefined
-    const other = this.tryAcquire(work, { excluded: listExcluded(work, slot) })
+    const other = this.tryAcquire(work, chooseElsewhere(work, slot))
     return other instanceof BackendSlot ? other : undefined
   }
 
   /**
-   * Rejects waiting requests and stops queueing new ones; slots that are free at once are still assigned. Partially delivered streams keep waiting for
-   * a server that can resume them.
+   * Rejects waiting requests and stops queueing new ones; slots that are free at once are still assigned. Requests that must be finished keep waiting for
+   * a server that can do so.
    */
   close (): void {
     this.isClosed = true
-    for (const item of this.waiting.filter(({ work }) => !hasPartialAnswer(work))) item.reject(createStoppingError())
+    for (const item of this.waiting.filter(({ work }) => !mustBeFinished(work))) item.reject(createStoppingError())
   }
 
   /** Assigns free slots to waiting requests, and rejects requests for which none is expected in time. */
@@ -135,13 +127,14 @@
 
   /** An overdue request leaves slots to requests at other instances that can still meet their latency targets. */
   private mustYield ({ work, candidate }: WaitingRequest): boolean {
-    if (!this.opts.policy.timelyFirst || hasPartialAnswer(work)) return false
+    if (!this.opts.policy.timelyFirst || mustBeFinished(work)) return false
     if (isWithinTarget(candidate, this.opts.clock.readTime()) || this.opts.fleet.waiting.countAtPeers(buildQueueKey(work)) === 0) return false
     return typeof this.chooser.choose(work) !== 'string'
   }
 
   private handleFailure (item: WaitingRequest, failure: ChoiceFailure): void {
     item.lastFailure = failure
+    this.schedulePassAfterDenial(item.work)
     if (isImmediate(failure)) item.reject(this.createRejection(item.work, failure))
     else if (failure === ChoiceFailures.NOT_RESIDENT) this.checkWeights(item)
     else if (failure === ChoiceFailures.FULL) this.checkSlotWait(item, () => this.forecast.estimateSlotWait(item.work, this.countAhead(item)))
@@ -156,7 +149,7 @@
     if (slot instanceof BackendSlot) item.resolve(slot)
   }
 
-  private tryAcquire (work: RoutedWork, opts: Pick<ChooseOptions, 'prefillLimit' | 'excluded'> = {}): BackendSlot | ChoiceFailure {
+  private tryAcquire (work: RoutedWork, opts: Omit<ChooseOptions, 'onPermitNeeded'> = {}): BackendSlot | ChoiceFailure {
     const choice = this.chooser.choose(work, { ...opts, onPermitNeeded: (backend) => this.permitDemand.add(backend) })
     if (typeof choice === 'string') return choice
     if (!mustReserve(work, this.opts.policy, this.isBrittle(work))) this.recordPrefix(choice, work)
@@ -289,6 +282,13 @@
     this.nextPass = { at, cancel }
   }
 
+  /** Schedules a pass for when the next server that has no room for the request may have some. */
+  private schedulePassAfterDenial ({ deniedUntil }: RoutedWork): void {
+    const now = this.opts.clock.readTime()
+    const times = [...deniedUntil.values()].filter((at) => at > now)
+    if (times.length > 0) this.schedulePass(Math.min(...times) - now)
+  }
+
   /** Rejects a request for which neither a slot nor another copy of its weights is expected in time. */
   private checkSlotWait (item: WaitingRequest, estimate: () => WaitEstimate | undefined): void {
     this.requestWeights(item, true)
@@ -298,7 +298,7 @@
 
   private checkWait (item: WaitingRequest, estimate: WaitEstimate | undefined): void {
     const { work, candidate, lastFailure } = item
-    if (!estimate || !this.opts.policy.waitEstimate || hasPartialAnswer(work)) return
+    if (!estimate || !this.opts.policy.waitEstimate || mustBeFinished(work)) return
     const verdict = judgeWait(candidate, estimate, this.opts.clock.readTime())
     if (!verdict.mayWait) item.reject(this.createRejection(work, lastFailure, verdict.expectedMs))
   }
@@ -372,8 +372,9 @@
   }
 }
 
-function listExcluded (work: RoutedWork, { backend }: BackendSlot): ReadonlySet<string> {
-  return new Set([...work.excluded, backend.id])
+/** The request would have to wait in the queue of a server that has no free slot, where it may be rejected. */
+function chooseElsewhere (work: RoutedWork, { backend }: BackendSlot): ChooseOptions {
+  return { excluded: new Set([...work.excluded, backend.id]), overcommitShare: 0 }
 }
 
 /** Whether waiting here would not help. */
--- a/gateway/routed/src/ReservedSlots.ts
+++ b/gateway/routed/src/ReservedSlots.ts
@@ -37,33 +37,44 @@
 
   /** Resolves with a slot whose room is reserved, or whose owner didn't answer; rejects, always with `ran: no`, as the queue does. */
   async acquire (work: RoutedWork): Promise<BackendSlot> {
-    const { queue, reservations, policy } = this.opts
+    const { queue } = this.opts
     let slot = await queue.acquire(work)
-    while (reservations && mustReserve(work, policy, queue.isBrittle(work))) {
-      const request = this.buildRequest(slot, work)
-      const { roomCount } = slot.backend
-      const ownerAnswer = await reservations.reserve(request)
-      const answer = ownerAnswer ?? this.judgeAlone(slot, work, reservations)
-      const isDenied = answer?.granted === false
-      // A reservation that its owner didn't answer counts as running until it is released.
-      if (isDenied && !ownerAnswer) reservations.release(request.server, request.id)
-      if (!isDenied) this.putReservation(slot, request, answer?.load, reservations)
-      if (work.signal.aborted) {
-        slot.release()
-        throw new PulleystackError('CALLER_GONE', 'The client closed the connection while room was reserved', { ran: Ran.NO })
-      }
-      if (!isDenied) {
-        queue.recordPrefix(slot.choice, work)
-        return slot
-      }
-      // The room of which this instance was told meanwhile may have become free after the denial, and is offered to no other.
-      if (slot.backend.roomCount === roomCount) this.recordDenial(slot, work, answer)
-      slot.release(SlotChanges.DENIED)
-      slot = await queue.acquire(work, { isRepeated: true })
-    }
+    while (!await this.reserve(slot, work)) slot = await queue.acquire(work, { isRepeated: true })
     return slot
   }
 
+  /** Acquires a slot at a server other than that of `current`; undefined if none is free, or its owner denies the room. */
+  async acquireElsewhere (work: RoutedWork, current: BackendSlot): Promise<BackendSlot | undefined> {
+    const slot = this.opts.queue.acquireElsewhere(work, current)
+    return slot && await this.reserve(slot, work) ? slot : undefined
+  }
+
+  /** Reserves the room of the slot where that is needed; releases the slot if it is denied. */
+  private async reserve (slot: BackendSlot, work: RoutedWork): Promise<boolean> {
+    const { queue, reservations, policy } = this.opts
+    if (!reservations || !mustReserve(work, policy, queue.isBrittle(work))) return true
+    const request = this.buildRequest(slot, work)
+    const { roomCount } = slot.backend
+    const ownerAnswer = await reservations.reserve(request)
+    const answer = ownerAnswer ?? this.judgeAlone(slot, work, reservations)
+    const isDenied = answer?.granted === false
+    // A reservation that its owner didn't answer counts as running until it is released.
+    if (isDenied && !ownerAnswer) reservations.release(request.server, request.id)
+    if (!isDenied) this.putReservation(slot, request, answer?.load, reservations)
+    if (work.signal.aborted) {
+      slot.release()
+      throw new PulleystackError('CALLER_GONE', 'The client closed the connection while room was reserved', { ran: Ran.NO })
+    }
+    if (!isDenied) {
+      queue.recordPrefix(slot.choice, work)
+      return true
+    }
+    // The room of which this instance was told meanwhile may have become free after the denial, and is offered to no other.
+    if (slot.backend.roomCount === roomCount) this.recordDenial(slot, work, answer)
+    slot.release(SlotChanges.DENIED)
+    return false
+  }
+
   /**
    * Decides on a brittle server without its owner's answer: an owner that answers others may grant them all slots, and only where there is none, this instance
    * keeps to its part of them. Undefined at any other server.
--- a/gateway/routed/src/RoutedWork.ts
+++ b/gateway/routed/src/RoutedWork.ts
@@ -51,6 +51,8 @@
   answersPeer?: boolean
   /** Whether the client has received a part of the response through the instance that forwarded it. */
   hasBegunElsewhere?: boolean
+  /** Whether a server was at work on it when another attempt took over. */
+  hasAbandonedRun?: boolean
   /** Instances to which it was forwarded. */
   triedPeers: Set<string>
   stream: StreamProgress
@@ -75,6 +77,11 @@
   return stream.events > 0 || hasBegunElsewhere === true
 }
 
+/** Whether the request waits for a server as long as its deadline allows: the client would lose a part of the response, or what a server was at work on. */
+export function mustBeFinished (work: RoutedWork): boolean {
+  return hasPartialAnswer(work) || work.hasAbandonedRun === true
+}
+
 /** Whether its response is a stream that the client may take up again. */
 export function isResumable ({ route }: RoutedWork): boolean {
   return route.streams && route.resumable
--- a/gateway/routed/src/ServerChooser.ts
+++ b/gateway/routed/src/ServerChooser.ts
@@ -5,7 +5,7 @@
 import { findPaces } from './findPaces.js'
 import { findRequiredVersion } from './findRequiredVersion.js'
 import type { PeerForwarder } from './PeerForwarder.js'
-import { isResumable, type RoutedWork } from './RoutedWork.js'
+import { isResumable, mustBeFinished, type RoutedWork } from './RoutedWork.js'
 
 /** Requests that may be queued at a server without generation beyond its slots, as a share of the slots. */
 const QUEUE_SHARE = 1.5
@@ -29,6 +29,8 @@
   prefillLimit?: number
   /** Ids of servers that must not be chosen; those that failed the request unless given. */
   excluded?: ReadonlySet<string>
+  /** Requests that a server without generation may have beyond its slots, as a share of the slots. */
+  overcommitShare?: number
   /** Called with the server that would have been chosen if a permit for it were available. */
   onPermitNeeded?: (backend: Backend) => void
 }
@@ -38,18 +40,19 @@
   constructor (private readonly opts: ServerChooserOptions) {}
 
   choose (work: RoutedWork, opts: ChooseOptions = {}): BackendChoice | ChoiceFailure {
-    const { prefillLimit = this.computePrefillLimit(work), excluded = work.excluded, onPermitNeeded } = opts
+    const { prefillLimit = this.computePrefillLimit(work), excluded = work.excluded, overcommitShare = QUEUE_SHARE, onPermitNeeded } = opts
     return chooseBackend({
       backends: this.opts.fleet.list(work.service.name),
       demand: {
         dataHall: this.opts.dataHall,
         excluded,
         generation: work.generation,
-        overcommitShare: QUEUE_SHARE,
+        overcommitShare,
         prefillLimit,
         longestPauseMs: work.route.longestPauseMs,
         mustAvoidSuspects: work.mustAvoidSuspects,
         deniedUntil: work.deniedUntil,
+        mustBeFinished: mustBeFinished(work),
         isBrittle: this.isBrittle(work),
         mayForward: this.opts.forwarder?.mayForward(work),
         requiredVersion: findRequiredVersion(this.opts.fleet, work),
--- a/gateway/routed/src/retryAttempt.ts
+++ b/gateway/routed/src/retryAttempt.ts
@@ -3,7 +3,6 @@
 import type { WindowBudget } from '@pulleystack/routing.retries'
 import { DecisionKinds, type DecisionLog, type RetryVerdict } from '@pulleystack/timeline.decisions'
 import type { BackendQueue } from './BackendQueue.js'
-import type { BackendSlot } from './BackendSlot.js'
 import type { RoutedWork } from './RoutedWork.js'
 import type { RunProgress } from './RunProgress.js'
 
@@ -16,14 +15,15 @@
   findBudget: (service: string) => WindowBudget
 }
 
-/** Reserves the retry permit, and a slot where that takes no time, for an attempt that takes over from a silent server; false if none may begin. */
-export function reserveSwitch (opts: RetryOptions, work: RoutedWork, progress: RunProgress, slot: BackendSlot): boolean {
-  if (progress.sends >= MAX_SENDS || (progress.stream.events > 0 && !mayResume(work, progress))) return false
-  if (!opts.queue.hasSlotElsewhere(work, slot)) return false
-  progress.retryPermit = opts.findBudget(work.service.name).reserve()
-  if (!progress.retryPermit) return false
-  progress.nextSlot = opts.queue.acquireElsewhere(work, slot)
-  return true
+/** Whether a further attempt may be sent beside one whose server is silent; leaves one for when the further one is rejected late. */
+export function mayAddAttempt (work: RoutedWork, progress: RunProgress, silent: { hasCountedRun: boolean }): boolean {
+  if (progress.sends >= MAX_SENDS - 1 || progress.runs + countOpenRuns(silent) >= work.route.maxAttempts) return false
+  return progress.stream.events === 0 || mayResume(work, progress)
+}
+
+/** The number of runs by which a silent attempt will count among those that may have run. */
+export function countOpenRuns (silent: { hasCountedRun: boolean }): number {
+  return silent.hasCountedRun ? 0 : 1
 }
 
 /** Whether another attempt may be made; reserves its retry permit. */
--- a/gateway/routed/src/runForwardedAttempt.ts
+++ b/gateway/routed/src/runForwardedAttempt.ts
@@ -1,18 +1,13 @@
-import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError, parseErrorBody, type ResultCodeName } from '@pulleystack/core.errors'
 import { parseRetryAfter } from '@pulleystack/core.headers'
 import type { ExchangeResponse } from '@pulleystack/routing.forward'
-import type { StreamOrigins } from '@pulleystack/routing.origins'
-import { DecisionKinds, type DecisionLog } from '@pulleystack/timeline.decisions'
+import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { createAttemptSignal, type AttemptSignal } from './AttemptSignal.js'
-import type { ClientResponse } from './ClientResponse.js'
 import type { ForwardTarget, PeerForwarder } from './PeerForwarder.js'
 import { readOrigin } from './relayHeaders.js'
 import { MIN_SERVER_ERROR_STATUS, relayServerResponse } from './relayServerResponse.js'
+import type { RequestRun } from './RequestRun.js'
 import { recordOrigin } from './trackStream.js'
-import type { RoutedWork } from './RoutedWork.js'
-import type { RunProgress } from './RunProgress.js'
-import type { StreamFlusher } from './StreamFlusher.js'
 
 const MAX_REJECTION_BYTES = 64 << 10
 /** Statuses that promise that the request has not run. */
@@ -20,14 +15,6 @@
 /** Rejections that another instance may not share. */
 const LOCAL_REJECTIONS: ReadonlySet<string> = new Set<ResultCodeName>(['NO_RUNNER', 'PATH_LOST', 'INSTANCE_STOPPING', 'CONFIG_OUTDATED', 'NOT_FOUND', 'ACCESS_KEY_WRONG'])
 
-export interface ForwardOptions {
-  clock: Clock
-  log: DecisionLog
-  flusher: StreamFlusher
-  forwarder: PeerForwarder
-  origins: Pick<StreamOrigins, 'store' | 'record'>
-}
-
 /** Why a forwarded attempt did not end with a server's response. */
 export interface ForwardFailure {
   error: PulleystackError
@@ -35,66 +22,98 @@
   isFinal: boolean
 }
 
+/** An attempt that was sent to another instance. */
+export interface SentForward {
+  signal: AttemptSignal
+  /** The response of a server, or why there is none. Never rejects. */
+  opened: Promise<ExchangeResponse | ForwardFailure>
+  recordFailure: (error: PulleystackError) => void
+}
+
 /** Runs one attempt through another instance; returns why if a server's response was not relayed completely. */
-export async function runForwardedAttempt (
-  opts: ForwardOptions,
-  work: RoutedWork,
-  progress: RunProgress,
-  client: ClientResponse,
-): Promise<ForwardFailure | undefined> {
-  const target = opts.forwarder.chooseTarget(work)
-  if (!target) return { error: new PulleystackError('PATH_LOST', 'No other instance is left'), isFinal: false }
-  work.triedPeers.add(target.instance)
+export async function runForwardedAttempt (run: RequestRun): Promise<ForwardFailure | undefined> {
+  const forward = openForward(run)
+  const opened = await forward.opened
+  if (!('error' in opened)) {
+    const error = await relayForward(run, forward, opened)
+    return error && { error, isFinal: false }
+  }
+  forward.signal.release()
+  return opened
+}
+
+/** Sends the request to another instance. `openRuns` counts attempts that may have run and aren't counted yet. */
+export function openForward (run: RequestRun, { openRuns = 0 } = {}): SentForward {
+  const { opts, work } = run
   // The other instance watches the server's silence.
-  const attempt = createAttemptSignal(opts.clock, work, { isSilenceWatched: false, reserveSwitch: () => false })
-  opts.log.record(DecisionKinds.REQUEST_FORWARDED, { request: work.requestId, peer: target.instance, after: work.stream.lastEventId })
-  try {
-    return await exchange(opts, { work, progress, client, target, attempt })
-  } catch (thrown) {
-    const error = convertToError(thrown)
-    if (error.ran !== Ran.NO) progress.runs++
-    recordFailure(opts, work, target, error)
-    return { error, isFinal: false }
-  } finally {
-    attempt.release()
+  const signal = createAttemptSignal(opts.clock, work, { isSilenceWatched: false })
+  const target = opts.forwarder?.chooseTarget(work)
+  if (!opts.forwarder || !target) {
+    const error = new PulleystackError('PATH_LOST', 'No other instance is left')
+    return { signal, opened: Promise.resolve({ error, isFinal: false }), recordFailure: () => undefined }
   }
+  work.triedPeers.add(target.instance)
+  opts.log.record(DecisionKinds.REQUEST_FORWARDED, { request: work.requestId, peer: target.instance, after: work.stream.lastEventId })
+  const recordFailure = ({ code, ran, message }: PulleystackError): void =>
+    opts.log.record(DecisionKinds.FORWARD_FAILED, { request: work.requestId, peer: target.instance, code, ran, reason: message })
+  return { signal, opened: exchange(run, { forwarder: opts.forwarder, target, signal, openRuns, recordFailure }), recordFailure }
 }
 
-interface Forwarding {
-  work: RoutedWork
-  progress: RunProgress
-  client: ClientResponse
+interface ForwardExchange {
+  forwarder: PeerForwarder
   target: ForwardTarget
-  attempt: AttemptSignal
+  signal: AttemptSignal
+  openRuns: number
+  recordFailure: (error: PulleystackError) => void
 }
 
-async function exchange (opts: ForwardOptions, { work, progress, client, target, attempt }: Forwarding): Promise<ForwardFailure | undefined> {
-  const { forwarder } = opts
-  const attemptsLeft = Math.max(1, work.route.maxAttempts - progress.runs)
-  const response = await forwarder.open(work, { target, attemptsLeft, lastEventId: progress.stream.lastEventId, signal: attempt.signal })
-  if (!forwarder.isFromServer(response)) {
+async function exchange (run: RequestRun, { forwarder, target, signal, openRuns, recordFailure }: ForwardExchange): Promise<ExchangeResponse | ForwardFailure> {
+  const { work, progress } = run
+  try {
+    const attemptsLeft = Math.max(1, work.route.maxAttempts - progress.runs - openRuns)
+    const response = await forwarder.open(work, { target, attemptsLeft, lastEventId: progress.stream.lastEventId, signal: signal.signal })
+    if (forwarder.isFromServer(response)) return response
     const failure = await readRejection(response)
     if (failure.error.ran !== Ran.NO) progress.runs++
-    recordFailure(opts, work, target, failure.error)
+    recordFailure(failure.error)
     return failure
+  } catch (thrown) {
+    const error = convertToError(thrown)
+    if (error.ran !== Ran.NO) progress.runs++
+    recordFailure(error)
+    return { error, isFinal: false }
+  }
+}
+
+/** Relays the response of a server that came through another instance; resolves with the error if it was not relayed completely. */
+export async function relayForward (run: RequestRun, forward: SentForward, response: ExchangeResponse): Promise<PulleystackError | undefined> {
+  const { opts, work, progress, client } = run
+  try {
+    const error = await relayServerResponse(opts, {
+      work,
+      progress,
+      client,
+      response,
+      attempt: forward.signal,
+      onFirstEvent: () => recordOrigin(opts.origins, work, readOrigin(response.headers)),
+      onPrefilled: () => undefined,
+      // The instance that runs the request records what becomes of its server.
+      onBegun: () => undefined,
+      onStreamEnd: () => undefined,
+    })
+    if (!error) return undefined
+    // The other instance has made all attempts.
+    progress.runs = Math.max(progress.runs + 1, work.route.maxAttempts)
+    forward.recordFailure(error)
+    return error
+  } catch (thrown) {
+    const error = convertToError(thrown)
+    if (error.ran !== Ran.NO) progress.runs++
+    forward.recordFailure(error)
+    return error
+  } finally {
+    forward.signal.release()
   }
-  const error = await relayServerResponse(opts, {
-    work,
-    progress,
-    client,
-    response,
-    attempt,
-    onFirstEvent: () => recordOrigin(opts.origins, work, readOrigin(response.headers)),
-    onPrefilled: () => undefined,
-    // The instance that runs the request records what becomes of its server.
-    onBegun: () => undefined,
-    onStreamEnd: () => undefined,
-  })
-  if (!error) return undefined
-  // The other instance has made all attempts.
-  progress.runs = Math.max(progress.runs + 1, work.route.maxAttempts)
-  recordFailure(opts, work, target, error)
-  return { error, isFinal: false }
 }
 
 /** Reads an error response of the instance itself. */
@@ -117,7 +136,3 @@
     return undefined
   }
 }
-
-function recordFailure (opts: ForwardOptions, work: RoutedWork, { instance }: ForwardTarget, { code, ran, message }: PulleystackError): void {
-  opts.log.record(DecisionKinds.FORWARD_FAILED, { request: work.requestId, peer: instance, code, ran, reason: message })
-}
--- a/gateway/routed/test/AttemptSignal.test.ts
+++ b/gateway/routed/test/AttemptSignal.test.ts
@@ -4,6 +4,7 @@
 import { ManualClock } from '@pulleystack/core.clock'
 import { createAttemptSignal, type AttemptSignal } from '../src/AttemptSignal.js'
 import type { RoutedWork } from '../src/RoutedWork.js'
+import type { Takeover } from '../src/SilenceWatch.js'
 
 const LONGEST_PAUSE_MS = 400
 const EVENT_MS = 50
@@ -20,7 +21,7 @@
   const start = (isSilenceWatched = true): void => {
     attempt = createAttemptSignal(clock, work, {
       isSilenceWatched,
-      reserveSwitch: () => true,
+      beginTakeover: () => ({ outcome: Promise.resolve(true), cancel: () => undefined }),
       onLongPause: () => pauses.push(clock.readTime()),
     })
   }
@@ -50,27 +51,49 @@
   })
 
   // What the next attempt needs was reserved twice, and the first of both never released.
-  it('reserves what another attempt needs once, also when the path is lost after that', async () => {
-    let reserved = 0
+  it('begins one takeover at a time, also when the path is lost meanwhile', async () => {
+    let begun = 0
+    let settle: (hasBegun: boolean) => void = () => undefined
     const losses = new Subject<void>()
-    const reserveSwitch = (): boolean => ++reserved > 0
-    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch, lostPath: losses })
+    const beginTakeover = (): Takeover => {
+      begun++
+      const outcome = new Promise<boolean>((resolve) => {
+        settle = resolve
+      })
+      return { outcome, cancel: () => settle(false) }
+    }
+    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, beginTakeover, lostPath: losses })
     await clock.advance(2 * LONGEST_PAUSE_MS)
+    losses.next()
+    await clock.advance(STALL_MS)
+    assert.equal(begun, 1)
+    assert.equal(attempt.signal.aborted, false)
+    settle(true)
+    await clock.advance(0)
     assert.equal(attempt.signal.aborted, true)
     losses.next()
     await clock.advance(STALL_MS)
-    assert.equal(reserved, 1)
+    assert.equal(begun, 1)
+  })
+
+  // A server at work was given up for its silence although no other attempt had begun.
+  it('ends no attempt while none can take over, with and without a response', async () => {
+    for (const isStreaming of [false, true]) {
+      attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, beginTakeover: () => undefined, overdueMs: LONGEST_PAUSE_MS })
+      if (isStreaming) receiveEvent()
+      await clock.advance(4 * STALL_MS)
+      assert.equal(attempt.signal.aborted, false)
+      attempt.release()
+    }
   })
 
-  // An overloaded service served fewer requests, as silent ones kept slots that others could have used in time.
-  it('ends an attempt without a response where others wait for its slot, but no stream that has begun', async () => {
-    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch: () => false, isSlotAwaited: () => true, overdueMs: 2 * STALL_MS })
+  it('cancels a takeover that has not begun when data arrives', async () => {
+    let cancelled = 0
+    const beginTakeover = (): Takeover => ({ outcome: new Promise(() => undefined), cancel: () => cancelled++ })
+    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, beginTakeover })
     await clock.advance(2 * LONGEST_PAUSE_MS)
-    assert.equal(attempt.signal.aborted, true)
-    attempt = createAttemptSignal(clock, work, { isSilenceWatched: true, reserveSwitch: () => false, isSlotAwaited: () => true })
     receiveEvent()
-    await clock.advance(2 * STALL_MS)
-    assert.equal(attempt.signal.aborted, false)
+    assert.equal(cancelled, 1)
   })
 
   it('is told again after further events', async () => {
--- a/gateway/routed/test/BackendQueue.test.ts
+++ b/gateway/routed/test/BackendQueue.test.ts
@@ -23,8 +23,7 @@
     service: { name: 's', serving: { cacheTokens: 100_000, batchSlots: 8, models: [] } },
     generation: { model, adapter: undefined, promptTokens: 10, outputTokens: 10, parts: [] },
     firstTriedAt: 0,
-    excluded: new Set(),
-    stream: createStreamProgress(undefined),
+    ...{ excluded: new Set(), deniedUntil: new Map(), stream: createStreamProgress(undefined) },
     signal: new AbortController().signal,
   } as unknown as RoutedWork
 }
--- a/gateway/routed/test/QueueSimulation.ts
+++ b/gateway/routed/test/QueueSimulation.ts
@@ -121,6 +121,7 @@
     service: { name: 's', serving: { cacheTokens: 1_000_000, batchSlots: load.slots, models: [] } },
     generation: { model: 'm', adapter: undefined, promptTokens: 10, outputTokens: 10, parts: [] },
     excluded: new Set(),
+    deniedUntil: new Map(),
     stream: createStreamProgress(undefined),
     signal,
   } as unknown as RoutedWork
--- a/gateway/routed/test/SuspectGate.test.ts
+++ b/gateway/routed/test/SuspectGate.test.ts
@@ -46,7 +46,7 @@
     const quarantine = new Quarantine({ clock, network, membership, rule: new UndecidedRule() })
     quarantine.recordCrash(TRAITS, { life: 'v1', sentAt: 0, hadBegun: true, wasExclusive: false })
     gate = new SuspectGate({ clock, log, fleet, paths: {} as PathChecker, quarantine })
-    const requested = { requestId: 'q', route: { name: 'r', priority: 0 }, service: { name: 's' }, excluded: new Set(), deadline: 60_000 }
+    const requested = { requestId: 'q', route: { name: 'r', priority: 0 }, service: { name: 's' }, excluded: new Set(), deniedUntil: new Map(), stream: { events: 0 }, deadline: 60_000 }
     work = { ...requested, traits: TRAITS, origin: { service: 's', version: 'v1' }, signal: new AbortController().signal } as unknown as RoutedWork
   })
 
--- a/gateway/routed/test/WeightsWait.test.ts
+++ b/gateway/routed/test/WeightsWait.test.ts
@@ -50,6 +50,7 @@
       service: { name: 's', serving: { cacheTokens: 60_451, batchSlots: 16, models: MODELS } },
       generation: { model: 'large', adapter: undefined, promptTokens: 1_460, outputTokens: 170, parts: [] },
       excluded: new Set(),
+      deniedUntil: new Map(),
       origin,
       stream: createStreamProgress(undefined),
       signal: new AbortController().signal,
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -47,6 +47,7 @@
     rawHeaders: [],
     deadline: 60_000,
     excluded: new Set(),
+    deniedUntil: new Map(),
     stream: { events: 0 },
     signal: new AbortController().signal,
   } as unknown as RoutedWork
@@ -102,7 +103,6 @@
       queue: {
         hasSlotElsewhere: () => true,
         acquireElsewhere: () => undefined,
-        isSlotAwaited: () => false,
         isBrittle: () => false,
         checkVersion: () => undefined,
         watchVersion: () => undefined,
@@ -165,16 +165,21 @@
       const backend = fleet.find('b') as Backend
       server.removeAllListeners('request')
       const slot = { ...await opts.slots.acquire(work), backend } as unknown as BackendSlot
+      const other = http.createServer((_, response) => response.end('body'))
+      await new Promise<void>((resolve) => other.listen(0, '127.0.0.1', resolve))
+      const otherAddress = `127.0.0.1:${(other.address() as AddressInfo).port}`
+      const otherSlot = { ...slot, backend: new Backend({ ...backend.entry, id: 'other', address: otherAddress }) } as unknown as BackendSlot
       for (let i = 0; i < 5; i++) {
         const arrived = new Promise((resolve) => server.once('request', resolve))
-        const slots = [slot]
-        const reserved = { acquire: () => Promise.resolve(slots.shift() ?? Promise.reject(new Error('No slot'))) }
-        const options = { ...opts, slots: reserved, fleet, random: new RandomSource(1) } as unknown as RunOptions
+        const slots = { acquire: () => Promise.resolve(slot), acquireElsewhere: () => otherSlot }
+        const options = { ...opts, slots, fleet, random: new RandomSource(1) } as unknown as RunOptions
         const done = runRequest(options, { ...work, excluded: new Set() }, client)
         await arrived
         if (hasSamples) fleet.applyPeerPaces([['b', 25, 25, 3, 0]], clock.readTime() + 120_000)
-        await Promise.all([assert.rejects(done), clock.advance(120_000)])
+        await Promise.all([done, clock.advance(120_000)])
       }
+      other.closeAllConnections()
+      other.close()
       assert.equal(backend.outlier.isEjected(clock.readTime()), !hasSamples)
     })
   }
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -26,6 +26,8 @@
   mustBeFramed?: boolean
   /** Aborts the exchange and closes its connection. */
   signal: AbortSignal
+  /** Called when the whole request has been handed to the connection. */
+  onWritten?: () => void
   /** Called for every response head, also for a response that is rejected afterwards. */
   onHead?: (facts: ResponseFacts) => void
 }
@@ -83,6 +85,7 @@
       return
     }
     opts.signal.addEventListener('abort', abort, { once: true })
+    request.once('finish', () => opts.onWritten?.())
     request.end(opts.body)
   })
 }
