--- a/membership/peers/src/WebSocketNetwork.ts
+++ b/membership/peers/src/WebSocketNetwork.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import https from 'node:https'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { listenWhenFree } from '@pulleystack/core.listeners'
@@ -14,6 +14,7 @@
 import { LinkSilence } from './LinkSilence.js'
 import { PeerLink } from './PeerLink.js'
 import { PeerNetwork, type CallHandler, type PeerEvent, type PeerIdentity, type Received } from './PeerNetwork.js'
+import { UnidentifiedConnections } from './UnidentifiedConnections.js'
 import { UnsentFrames, type UnsentReport } from './UnsentFrames.js'
 
 const MAX_DIAL_BACKOFF_MS = 4_000
@@ -42,6 +43,8 @@
   /** Whether only peers can reach the listener. */
   privateNetwork?: boolean
   tls?: { ca: string, cert: string, key: string }
+  /** Connections that may be open without having identified themselves as a peer; others come back after their dial backoff. */
+  maxUnidentified?: number
   /** Called at most once per peer and second. */
   onUnsent?: (report: UnsentReport) => void
 }
@@ -59,12 +62,14 @@
   private readonly events = new Subject<PeerEvent>()
   private readonly stopped = new AbortController()
   private server: http.Server | undefined
+  private readonly unidentified: UnidentifiedConnections
   private sentBytesByClosed = 0
   private readonly unsent: UnsentFrames
 
   constructor (private readonly opts: WebSocketNetworkOptions) {
     super()
     this.silence = new LinkSilence(opts.clock, opts.heartbeatMs)
+    this.unidentified = new UnidentifiedConnections(opts.maxUnidentified)
     this.unsent = new UnsentFrames(opts.clock, (report) => this.reportUnsent(report))
   }
 
@@ -80,6 +85,7 @@
     await listenWhenFree(server, { host, port, clock, onError: recordError })
     // Without a handler, a request that is no upgrade would never be answered.
     server.on('request', (request) => request.socket.destroy())
+    server.on('connection', (socket: Socket) => this.unidentified.add(socket))
     const sockets = new WebSocketServer({ server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
     sockets.on('connection', (socket, request) => this.accept(socket, request))
     sockets.on('error', recordError)
@@ -266,8 +272,11 @@
 
   private accept (socket: WebSocket, request: http.IncomingMessage): void {
     const remote = request.socket.remoteAddress ?? ''
-    if (!this.isProtected && !LOOPBACK_ADDRESS.test(remote)) socket.terminate()
-    else this.createLink(socket, false)
+    if (!this.isProtected && !LOOPBACK_ADDRESS.test(remote)) {
+      socket.terminate()
+      return
+    }
+    this.createLink(socket, false, () => this.unidentified.remove(request.socket))
   }
 
   private createLink (socket: WebSocket, dialled: boolean, onOpened?: (link: PeerLink) => void): void {
--- a/program/entry/src/ClientConnections.ts
+++ b/program/entry/src/ClientConnections.ts
@@ -5,6 +5,9 @@
 
 /** A client that has just connected, or received a response, may be about to send a request. */
 const MIN_IDLE_MS = 300
+/** Requests that one connection may send ahead of their responses, and all connections together. */
+const MAX_AHEAD = 256
+const MAX_AHEAD_OF_ALL = 4_096
 const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n'
 
 interface ClientConnection {
@@ -16,6 +19,12 @@
   lastRequest: Promise<void> | undefined
   /** Bytes read when the last response was finished. */
   bytesReadWhenIdle: number
+  /** Requests that have arrived and whose responses are not finished. */
+  ahead: number
+  /** The newest request; undefined before the first. */
+  newest: http.IncomingMessage | undefined
+  /** The response to the request that is being served; undefined before the first. */
+  current: http.ServerResponse | undefined
 }
 
 /** Why an instance closed a connection of a client. */
@@ -28,6 +37,10 @@
   RESPONSE: 'response',
   /** No request came within the configured time. */
   IDLE: 'idle',
+  /** The client sent too many requests ahead of their responses. */
+  AHEAD: 'ahead',
+  /** There were too many connections, and others were used later. */
+  CROWDED: 'crowded',
 } as const
 export type CloseReason = typeof CloseReasons[keyof typeof CloseReasons]
 
@@ -36,6 +49,8 @@
 
 export interface ClientConnectionsOptions {
   clock: Clock
+  /** Connections that may be open at a time. */
+  maxConnections: number
   serve: RequestHandler
   /** Called with a request that is dropped unanswered, as its connection had been closed here before it arrived. */
   onDropped: (request: http.IncomingMessage) => void
@@ -49,6 +64,8 @@
   private readonly connections = new Map<Socket, ClientConnection>()
 
   private readonly closes = new Map<CloseReason, number>()
+  /** Requests of all connections whose responses are not finished. */
+  private ahead = 0
   /** Requests are served once it is resolved; undefined while nothing holds them. */
   private gate: Promise<unknown> | undefined
 
@@ -72,29 +89,79 @@
     })
   }
 
-  /** Tracks the connection until it closes. */
+  /** Tracks the connection until it closes; makes room for it if there are too many. */
   add (socket: Socket): void {
-    this.connections.set(socket, { usedAt: this.opts.clock.readTime(), isClosing: false, lastRequest: undefined, bytesReadWhenIdle: 0 })
+    const usedAt = this.opts.clock.readTime()
+    this.connections.set(socket, { usedAt, isClosing: false, lastRequest: undefined, bytesReadWhenIdle: 0, ahead: 0, newest: undefined, current: undefined })
     // Node calls this behind a response that ends the connection.
     socket.destroySoon = () => this.closeConnection(socket, CloseReasons.RESPONSE)
-    socket.once('close', () => this.connections.delete(socket))
+    socket.once('close', () => this.remove(socket))
+    if (this.connections.size > this.opts.maxConnections) this.cut(this.findUnused() ?? socket, CloseReasons.CROWDED)
+  }
+
+  private remove (socket: Socket): void {
+    const connection = this.connections.get(socket)
+    if (!connection) return
+    this.ahead -= connection.ahead
+    this.connections.delete(socket)
+  }
+
+  /** The connection that was used the longest time ago, of those that wait for their client; undefined if none does. */
+  private findUnused (): Socket | undefined {
+    let oldest: { socket: Socket, usedAt: number } | undefined
+    for (const [socket, connection] of this.connections) {
+      if (connection.lastRequest && connection.newest?.complete !== false && !connection.current?.writableEnded) continue
+      if (!oldest || connection.usedAt < oldest.usedAt) oldest = { socket, usedAt: connection.usedAt }
+    }
+    return oldest?.socket
+  }
+
+  /** Closes a connection at once. */
+  private cut (socket: Socket, reason: CloseReason): void {
+    const connection = this.connections.get(socket)
+    if (!connection) return
+    connection.isClosing = true
+    this.countClose(reason)
+    this.remove(socket)
+    socket.destroy()
   }
 
   /** Serves a request after the earlier ones on its connection; drops it if the connection closes first. */
   async handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const connection = this.connections.get(request.socket)
     if (!connection) return
+    connection.newest = request
+    if (!this.admitAhead(request.socket, connection)) return
     const arrivedAt = this.opts.clock.readTime()
-    const serve = (): Promise<void> => this.serveIfWritable(request, response, arrivedAt)
+    const serve = (): Promise<void> => {
+      connection.current = response
+      return this.serveIfWritable(request, response, arrivedAt)
+    }
     const currentRequest = connection.lastRequest ? connection.lastRequest.then(serve) : serve()
     connection.lastRequest = currentRequest
     await currentRequest
+    if (this.connections.has(request.socket)) this.ahead--
+    connection.ahead--
     if (connection.lastRequest !== currentRequest) return
     connection.lastRequest = undefined
     connection.usedAt = this.opts.clock.readTime()
     connection.bytesReadWhenIdle = request.socket.bytesRead
   }
 
+  /** Counts a request; closes the connections that send the most ahead if that is too many. Returns whether its own connection stays open. */
+  private admitAhead (socket: Socket, connection: ClientConnection): boolean {
+    connection.ahead++
+    this.ahead++
+    if (connection.ahead > MAX_AHEAD) this.cut(socket, CloseReasons.AHEAD)
+    while (this.ahead > MAX_AHEAD_OF_ALL) this.cut(this.findFarthestAhead(), CloseReasons.AHEAD)
+    return this.connections.has(socket)
+  }
+
+  private findFarthestAhead (): Socket {
+    const [first] = [...this.connections].sort(([, a], [, b]) => b.ahead - a.ahead)
+    return (first as [Socket, ClientConnection])[0]
+  }
+
   /**
    * Closes connections without an active or unfinished request, as far as they were read. Node's closeIdleConnections would truncate responses that slow
    * clients are still reading.
--- a/program/entry/src/EntrySettings.ts
+++ b/program/entry/src/EntrySettings.ts
@@ -21,6 +21,18 @@
   graceMs: number
 }
 
+/** Bounds of what all clients together may make an entry instance hold. */
+export interface EntryLimits {
+  /** Bytes of request bodies, and of responses that clients don't read. */
+  heldBytes: number
+  /** Open connections at the address for clients. */
+  clientConnections: number
+  /** Open connections at each of the platform's own addresses. */
+  platformConnections: number
+  /** Open connections at the address for other instances that have not identified themselves. */
+  unidentifiedPeers: number
+}
+
 /** Settings of one entry instance. */
 export interface EntrySettings {
   instance: string
@@ -32,6 +44,7 @@
   peerAddress: string
   /** Peer addresses of some other instances, for discovery. */
   seeds: readonly string[]
+  limits: EntryLimits
   /** CPU cores available to the instance. */
   cores: number
   /** Whether the whole system starts for the first time and has no known instances. */
--- a/program/entry/src/createMesh.ts
+++ b/program/entry/src/createMesh.ts
@@ -40,6 +40,7 @@
     heartbeatMs: HEARTBEAT_INTERVAL_MS,
     suspectAfterMs: SUSPECT_AFTER_MS,
     privateNetwork: true,
+    maxUnidentified: settings.limits.unidentifiedPeers,
     onUnsent: (report) => log.record(DecisionKinds.FRAMES_NOT_SENT, report),
   })
   const { seeds, isFirstStart } = settings
--- a/program/entry/src/listenForClients.ts
+++ b/program/entry/src/listenForClients.ts
@@ -1,10 +1,12 @@
-import http from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type http from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { parseAddress } from '@pulleystack/core.addresses'
 import { closePort, listenWhenFree } from '@pulleystack/core.listeners'
 import { keepRunning } from '@pulleystack/core.tasks'
+import { waitUntilSent } from '@pulleystack/gateway.routed'
 import { DecisionKinds } from '@pulleystack/timeline.decisions'
 import { ClientConnections } from './ClientConnections.js'
+import { createClientServer, isWithoutHost, sendMissingHost } from './createClientServer.js'
 import { recordListenerErrors } from './recordListenerErrors.js'
 import type { Entry } from './startEntry.js'
 
@@ -30,18 +32,11 @@
   const options: http.ServerOptions = { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, noDelay: true, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS }
   const connections = new ClientConnections({
     clock: entry.clock,
-    serve: (request, response, arrivedAt) => entry.gateway.handle(request, response, arrivedAt),
+    maxConnections: entry.settings.limits.clientConnections,
+    serve: (request, response, arrivedAt) => serve(entry, request, response, arrivedAt),
     onDropped: (request) => entry.log.record(DecisionKinds.REQUEST_DROPPED, { request: entry.gateway.readRequestId(request) }),
   })
-  const server = http.createServer(options, (request, response) => {
-    // Errors after a request was rejected must not crash the process.
-    request.on('error', () => undefined)
-    response.on('error', () => undefined)
-    void connections.handle(request, response)
-  })
-  server.on('connection', (socket) => connections.add(socket))
-  server.on('timeout', (socket) => void connections.expire(socket))
-  server.on('clientError', (_, socket) => connections.closeMalformed(socket as Socket))
+  const server = createClientServer(connections, options)
   const { host, port } = parseAddress(entry.settings.clientAddress)
   await listenWhenFree(server, { host, port, clock: entry.clock, onError: recordListenerErrors(entry.log, entry.settings.clientAddress) })
   entry.mesh.announce({ address: `${host}:${(server.address() as AddressInfo).port}` })
@@ -57,6 +52,12 @@
   }
 }
 
+async function serve (entry: Entry, request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
+  if (!isWithoutHost(request)) return entry.gateway.handle(request, response, arrivedAt)
+  sendMissingHost(response)
+  await waitUntilSent(response)
+}
+
 /** Applies the connection limits of the current configuration periodically. */
 async function reloadLimits (entry: Entry, server: http.Server): Promise<void> {
   while (!entry.ended.signal.aborted) {
--- a/program/entry/test/ClientConnections.test.ts
+++ b/program/entry/test/ClientConnections.test.ts
@@ -22,6 +22,10 @@
   setTimeout(() => socket.write(workerData.request), ${IDLE_LIMIT_MS} * 0.8)
 `
 
+const MAX_CONNECTIONS = 10
+const WAITING_REQUEST = 'GET /wait HTTP/1.1\r\nHost: h\r\n\r\n'
+/** More than one connection may send ahead. */
+const AHEAD = 400
 describe('connections of clients', () => {
   let server: http.Server
   let connections: ClientConnections
@@ -34,9 +38,11 @@
     dropped = 0
     served = 0
     connections = new ClientConnections({
+      maxConnections: MAX_CONNECTIONS,
       clock: new SystemClock(),
-      serve: async (_, response) => {
+      serve: async (request, response) => {
         served++
+        if (request.url === '/wait') await new Promise(() => undefined)
         response.end('ok')
       },
       onDropped: () => dropped++,
@@ -79,6 +85,41 @@
     assert.equal(connections.closed.get(CloseReasons.STOP), 1)
     socket.destroy()
   })
+
+  // Clients that sent far ahead, or opened connections without end, made the process hold all of them.
+  it('end when a client sends too many requests ahead, while others are served', async () => {
+    const socket = net.connect({ port: readPort(), host: '127.0.0.1' })
+    socket.on('error', () => undefined)
+    socket.write(WAITING_REQUEST.repeat(AHEAD))
+    await new Promise((resolve) => socket.once('close', resolve))
+    assert.equal(connections.closed.get(CloseReasons.AHEAD), 1)
+    const other = net.connect({ port: readPort(), host: '127.0.0.1' })
+    other.write(REQUEST)
+    await new Promise((resolve) => other.once('data', resolve))
+    other.destroy()
+  })
+
+  it('make room for new ones: the one that was used the longest time ago ends, and none whose request is served', async () => {
+    const open = async (text: string): Promise<net.Socket> => {
+      const socket = net.connect({ port: readPort(), host: '127.0.0.1' })
+      socket.on('error', () => undefined)
+      await new Promise((resolve) => socket.once('connect', resolve))
+      socket.write(text)
+      await new Promise((resolve) => setTimeout(resolve, 5))
+      return socket.resume()
+    }
+    const working = await open(WAITING_REQUEST)
+    const incomplete = await open('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx')
+    const others: net.Socket[] = []
+    for (let opened = 2; opened < MAX_CONNECTIONS; opened++) others.push(await open('GET / HTTP/1.1\r\nHost: h'))
+    const ended = new Promise((resolve) => incomplete.once('close', resolve))
+    others.push(await open(''))
+    await ended
+    assert.deepEqual([working, ...others].map(({ destroyed }) => destroyed), Array.from({ length: MAX_CONNECTIONS }, () => false))
+    assert.equal(connections.size, MAX_CONNECTIONS)
+    assert.equal(connections.closed.get(CloseReasons.CROWDED), 1)
+    for (const socket of [working, ...others]) socket.destroy()
+  })
 })
 
 function holdUp (ms: number): void {
--- a/program/instance/src/listen.ts
+++ b/program/instance/src/listen.ts
@@ -7,6 +7,7 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import { closeAfterReading, closePort, waitForReads } from '@pulleystack/core.listeners'
 import { sendError, sendJson } from '@pulleystack/gateway.http'
+import { RequestsAhead } from './RequestsAhead.js'
 import type { Gateways } from './createGateways.js'
 import type { Core } from './startInstance.js'
 
@@ -28,6 +29,7 @@
 export async function listen (core: Core, gateways: Gateways): Promise<Listener> {
   const { settings } = core
   const state = { closing: false }
+  const ahead = new RequestsAhead()
   const options: http.ServerOptions = {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: settings.limits.headersTimeoutMs,
@@ -36,6 +38,7 @@
     noDelay: true,
   }
   const handle: http.RequestListener = (request, response) => {
+    if (!ahead.admit(request, response)) return
     if (state.closing) response.setHeader('connection', 'close')
     void dispatch(core, gateways, request, response)
   }
