--- a/config/settings/src/settingsSchema.ts
+++ b/config/settings/src/settingsSchema.ts
@@ -34,6 +34,7 @@
   operators: z.array(operatorSchema).max(200).default([]),
   limits: z.strictObject({
     bodyBytes: z.number().int().min(1024).max(1 << 30).default(8 << 20),
+    heldBytes: z.number().int().min(1 << 20).max(1 << 40).default(256 << 20).describe('Limit of the bytes of request bodies, and of responses that callers do not read, over all connections.'),
     connections: z.number().int().min(1).max(200_000).default(20_000),
     queued: z.number().int().min(0).max(1_000_000).default(2_000),
     headersTimeoutMs: z.number().int().min(100).max(120_000).default(10_000),
--- a/gateway/admin/src/AdminGateway.ts
+++ b/gateway/admin/src/AdminGateway.ts
@@ -4,7 +4,7 @@
 import type { ConfigIndex, ConfigReplica } from '@pulleystack/config.replica'
 import type { OperatorSetting } from '@pulleystack/config.settings'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { parseBearerToken, parseJsonBody, readBody, sendError, sendJson } from '@pulleystack/gateway.http'
+import { type HeldBytes, parseBearerToken, parseJsonBody, readHeldBody, sendError, sendJson } from '@pulleystack/gateway.http'
 import { isMatchingKey } from '@pulleystack/membership.keys'
 import type { TimelineEvent } from '@pulleystack/timeline.events'
 import { isVisibleToPartner, type TimelineFilter } from '@pulleystack/timeline.merge'
@@ -18,6 +18,7 @@
   replica: ConfigReplica
   writer: ConfigWriter
   maxBodyBytes: number
+  held: HeldBytes
   collectTimeline: (filter: TimelineFilter) => Promise<TimelineEvent[]>
   collectStatus: () => Promise<unknown>
   explain: (partner: string, caller: string, target: { model?: string, service?: string }) => Promise<Explanation>
@@ -70,7 +71,7 @@
   }
 
   private async apply (admin: AdminRequest): Promise<unknown> {
-    const body = parseJsonBody(await readBody(admin.request, this.opts.maxBodyBytes))
+    const body = parseJsonBody(await readHeldBody(admin.request, this.opts.maxBodyBytes, this.opts.held))
     const objects = Array.isArray(body.objects) ? body.objects as unknown[] : []
     if (objects.length === 0) throw new PulleystackError('BAD_BODY', 'Field "objects" must be a non-empty array of objects', { field: 'objects' })
     const parsed = objects.map((object) => parseConfigObject(object))
@@ -98,7 +99,7 @@
   }
 
   private async label (admin: AdminRequest): Promise<unknown> {
-    const body = parseJsonBody(await readBody(admin.request, this.opts.maxBodyBytes))
+    const body = parseJsonBody(await readHeldBody(admin.request, this.opts.maxBodyBytes, this.opts.held))
     const labels = body.labels
     if (typeof labels !== 'object' || labels === null) throw new PulleystackError('BAD_BODY', 'Field "labels" must be an object', { field: 'labels' })
     return this.opts.writer.label(readTarget(body), labels as Record<string, string | null>, admin.operator)
--- a/gateway/callers/src/CallerGateway.ts
+++ b/gateway/callers/src/CallerGateway.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { buildDirectoryAnswer, chooseSubset, computeSubsetSize } from '@pulleystack/directory.subset'
-import { HeaderNames, parseBearerToken, sendError, sendJson } from '@pulleystack/gateway.http'
+import { HeaderNames, type HeldBytes, parseBearerToken, sendError, sendJson } from '@pulleystack/gateway.http'
 import { hashAccessKey } from '@pulleystack/core.hashing'
 import type { Member, MembershipView } from '@pulleystack/membership.view'
 import type { DemandMeter } from '@pulleystack/placement.demand'
@@ -29,6 +29,8 @@
   generations: GenerationDispatcher
   services: ServiceDispatcher
   maxBodyBytes: number
+  /** Bounds what all callers together make this instance hold. */
+  held: HeldBytes
   lifetimeSeconds: number
   leastInstances: number
   createId: () => string
--- a/gateway/callers/src/handleCompletion.ts
+++ b/gateway/callers/src/handleCompletion.ts
@@ -1,5 +1,5 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
-import { HeaderNames, cutResponse, parseJsonBody, readBody } from '@pulleystack/gateway.http'
+import { cutResponse, HeaderNames, type HeldBytes, parseJsonBody, readHeldBody } from '@pulleystack/gateway.http'
 import type { DemandMeter } from '@pulleystack/placement.demand'
 import type { GenerateEnd, TokenSink } from '@pulleystack/backend.interfaces'
 import type { StoredOutcome } from '@pulleystack/routing.claims'
@@ -23,6 +23,7 @@
   generations: GenerationDispatcher
   meter: DemandMeter
   maxBodyBytes: number
+  held: HeldBytes
   /** Checks rate limits, or relays the request to an instance that serves the service. Returns true if that instance answered it. */
   admit: (context: RequestContext, service: ModelTarget['service'], body: Buffer) => Promise<boolean>
 }
@@ -31,7 +32,7 @@
 
 /** Handles POST /v1/chat/completions and POST /v1/completions. */
 export async function handleCompletion (opts: CompletionOptions, context: RequestContext, kind: CompletionKind): Promise<void> {
-  const body = await readBody(context.request, opts.maxBodyBytes)
+  const body = await readHeldBody(context.request, opts.maxBodyBytes, opts.held)
   const completion = parseCompletionRequest(kind, parseJsonBody(body))
   const target = resolveModel(opts.index, context.caller, completion.model)
   if (await opts.admit(context, target.service, body)) return
--- a/gateway/callers/src/handleServiceCall.ts
+++ b/gateway/callers/src/handleServiceCall.ts
@@ -4,7 +4,7 @@
 import type { ConfigObject } from '@pulleystack/config.objects'
 import type { ConfigIndex } from '@pulleystack/config.replica'
 import { PulleystackError } from '@pulleystack/core.errors'
-import { HeaderNames, cutResponse, readBody } from '@pulleystack/gateway.http'
+import { cutResponse, HeaderNames, type HeldBytes, readBody, readHeldBody } from '@pulleystack/gateway.http'
 import type { ServiceAnswer } from '@pulleystack/backend.interfaces'
 import type { StoredOutcome } from '@pulleystack/routing.claims'
 import type { ServiceDispatcher, ServiceRequest } from '@pulleystack/routing.dispatch'
@@ -16,6 +16,7 @@
   index: ConfigIndex
   services: ServiceDispatcher
   maxBodyBytes: number
+  held: HeldBytes
   admit: (context: RequestContext, service: ConfigObject<'Service'>, body: Buffer | undefined) => Promise<boolean>
 }
 
@@ -101,7 +102,8 @@
 }
 
 async function runWithKey (opts: ServiceCallOptions, context: RequestContext, work: ServiceRequest, key: string): Promise<void> {
-  const body = Buffer.isBuffer(work.body) ? work.body : work.body === undefined ? Buffer.alloc(0) : await readBody(context.request, opts.maxBodyBytes)
+  const readRest = (): Promise<Buffer> => readHeldBody(context.request, opts.maxBodyBytes, opts.held)
+  const body = Buffer.isBuffer(work.body) ? work.body : work.body === undefined ? Buffer.alloc(0) : await readRest()
   const detachedWork = { ...work, body: body.length > 0 ? body : undefined, signal: new AbortController().signal }
   const keyedRequest = {
     request: context.id,
--- a/gateway/http/src/index.ts
+++ b/gateway/http/src/index.ts
@@ -1,3 +1,7 @@
 export { readBody, parseJsonBody } from './readBody.js'
 export { cutResponse, sendError, sendJson, HeaderNames } from './responses.js'
 export { parseBearerToken, parsePositiveIntegerHeader, parseYesNoHeader } from './headers.js'
+export { BodyCollector } from './BodyCollector.js'
+export { HeldBytes } from './HeldBytes.js'
+export type { Holding } from './HeldBytes.js'
+export { readHeldBody } from './readHeldBody.js'
--- a/gateway/routed/src/RoutedGateway.ts
+++ b/gateway/routed/src/RoutedGateway.ts
@@ -4,7 +4,7 @@
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
 import { filterEndToEndHeaders } from '@pulleystack/core.headers'
 import { waitForReads } from '@pulleystack/core.listeners'
-import { cutResponse } from '@pulleystack/gateway.http'
+import { cutResponse, type Holding } from '@pulleystack/gateway.http'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { RetryEstimator } from '@pulleystack/routing.admission'
 import type { StreamOrigin } from '@pulleystack/routing.fleet'
@@ -84,6 +84,7 @@
   request: http.IncomingMessage
   budget: RequestBudget
   signal: AbortSignal
+  holding: Holding
   /** Undefined unless another instance forwards it. */
   forwarded: ForwardedRequest | undefined
 }
@@ -94,6 +95,7 @@
   request: http.IncomingMessage
   budget: RequestBudget
   aborter: RequestAborter
+  holding: Holding
 }
 
 interface EndedRequest {
@@ -152,11 +154,24 @@
     const sent = waitUntilSent(response)
     await this.answer(request, response, arrivedAt)
     const cancelTimer = this.opts.clock.setTimer(UNREAD_RESPONSE_TIMEOUT_MS, () => cutResponse(response))
+    const unread = this.holdUnread(response)
     await sent
+    unread.release()
     cancelTimer()
     this.active--
   }
 
+  /** Counts what the client has not read of its response; the connection is closed if that has to be dropped. */
+  private holdUnread (response: http.ServerResponse): Holding {
+    const unread = this.opts.held.open(() => cutResponse(response))
+    try {
+      unread.add(response.writableLength)
+    } catch {
+      cutResponse(response)
+    }
+    return unread
+  }
+
   private async answer (request: http.IncomingMessage, response: http.ServerResponse, arrivedAt: number): Promise<void> {
     const facts = this.opts.protocol.readRequest(request.headers)
     const budget = this.createBudget(request, facts, arrivedAt)
@@ -175,11 +190,12 @@
     const outcome: RoutedOutcome = { route: '', service: '', status: 0, code: 'OK', ms: 0 }
     const aborter = createRequestAborter(response)
     this.aborters.add(aborter)
+    const holding = this.opts.held.open((error) => aborter.reject(error))
     const unfinished: UnfinishedRequest = this.noteUnfinished(facts.requestId, response, arrivedAt)
     try {
       const table = this.findTable(minVersion)
       if (table === undefined) {
-        await this.relay({ facts, request, budget, aborter }, client)
+        await this.relay({ facts, request, budget, aborter, holding }, client)
         return
       }
       const route = this.findRoute(table, request)
@@ -190,7 +206,7 @@
       deadlineTimer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
       await waitUnlessAborted(aborter.signal, waitForReads())
       quotaUse = forwarded ? undefined : await waitUnlessAborted(aborter.signal, this.admit(facts, team))
-      const work = await this.createWork({ table, route, team, facts, request, budget, signal: aborter.signal, forwarded })
+      const work = await this.createWork({ table, route, team, facts, request, budget, signal: aborter.signal, holding, forwarded })
       unfinished.work = work
       // Reading the body may have taken long.
       this.checkMayBegin(budget.deadline)
@@ -212,6 +228,7 @@
       client.sendError(error, facts.requestId)
     } finally {
       deadlineTimer?.cancel()
+      holding.release()
       aborter.release()
       this.aborters.delete(aborter)
       this.recordOutcome({ outcome, facts, response, arrivedAt, stream })
@@ -254,14 +271,14 @@
   }
 
   /** Forwards a request to a serving instance and relays its response. */
-  private async relay ({ facts, request, budget, aborter }: RequestToRelay, client: ClientResponse): Promise<void> {
+  private async relay ({ facts, request, budget, aborter, holding }: RequestToRelay, client: ClientResponse): Promise<void> {
     const { method = 'GET', url: path = '/', rawHeaders } = request
     budget.applyLimit(this.opts.findTimeout?.(request.headers.host ?? '', path) ?? RELAY_TIMEOUT_MS)
     this.checkMayBegin(budget.deadline)
     const timer = new DeadlineTimer(this.opts.clock, budget, request, aborter)
     try {
       await waitUnlessAborted(aborter.signal, waitForReads())
-      const body = await readRequestBody(request, MAX_RELAY_BODY_BYTES, aborter.signal)
+      const body = await readRequestBody(request, MAX_RELAY_BODY_BYTES, { signal: aborter.signal, holding })
       timer.recordSend()
       await this.opts.relay?.run({ requestId: facts.requestId, method, path, rawHeaders, body, budget, signal: aborter.signal }, client)
     } finally {
@@ -294,7 +311,7 @@
     const origin = facts.lastEventId && route.streams ? await waitUnlessAborted(arrived.signal, this.findOrigin(arrived, target)) : undefined
     const name = route.targets.some(({ service }) => service === origin?.service) ? origin?.service ?? target : target
     const service = table.findService(name) ?? { name, maxConnections: 0, serving: undefined }
-    const body = await readRequestBody(request, table.config.limits.bodyBytes, arrived.signal)
+    const body = await readRequestBody(request, table.config.limits.bodyBytes, arrived)
     return {
       requestId: facts.requestId ?? '',
       facts,
--- a/gateway/routed/src/relayServerResponse.ts
+++ b/gateway/routed/src/relayServerResponse.ts
@@ -1,6 +1,7 @@
 import { RepeatModes } from '@pulleystack/config.routes'
 import { PulleystackError } from '@pulleystack/core.errors'
 import type { Clock } from '@pulleystack/core.clock'
+import type { HeldBytes, Holding } from '@pulleystack/gateway.http'
 import type { ExchangeResponse } from '@pulleystack/routing.forward'
 import type { AttemptSignal } from './AttemptSignal.js'
 import type { ClientResponse } from './ClientResponse.js'
@@ -29,15 +30,42 @@
   onStreamEnd: () => void
 }
 
+export interface RelayOptions {
+  clock: Clock
+  flusher: StreamFlusher
+  /** Bounds what all clients together make this instance hold. */
+  held: HeldBytes
+}
+
 /** Relays a server's response; returns an error instead if the server failed and another attempt may succeed. */
-export async function relayServerResponse (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<PulleystackError | undefined> {
-  const { work, progress, response, client } = it
+export async function relayServerResponse (opts: RelayOptions, it: ReceivedResponse): Promise<PulleystackError | undefined> {
+  const { work, response } = it
   if (work.route.streams && response.status === 200 && work.method !== 'HEAD' && isEventStream(response)) {
     await relayEvents(opts, it)
     it.onStreamEnd()
     return undefined
   }
-  const body = await response.readBody(MAX_BODY_BYTES)
+  const holding = opts.held.open(() => response.abort())
+  try {
+    return relayBody(it, await readHeldResponse(response, holding))
+  } finally {
+    holding.release()
+  }
+}
+
+/** Reads a body that counts with what clients make this instance hold. Errors: ATTEMPT_FAILED_UNKNOWN if there is no room for it, as the request has run. */
+function readHeldResponse (response: ExchangeResponse, holding: Holding): Promise<Buffer> {
+  return response.readBody(MAX_BODY_BYTES, (bytes) => {
+    try {
+      holding.add(bytes)
+    } catch (cause) {
+      throw new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'There is no room for the response', { cause })
+    }
+  })
+}
+
+function relayBody (it: ReceivedResponse, body: Buffer): PulleystackError | undefined {
+  const { work, progress, response, client } = it
   it.attempt.recordActivity()
   it.onPrefilled()
   if (client.hasBegun) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server responded with status ${response.status} instead of resuming the stream`)
@@ -53,7 +81,7 @@
   return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The server responded with status ${response.status}`)
 }
 
-async function relayEvents (opts: { clock: Clock, flusher: StreamFlusher }, it: ReceivedResponse): Promise<void> {
+async function relayEvents (opts: RelayOptions, it: ReceivedResponse): Promise<void> {
   try {
     await relayStream({
       clock: opts.clock,
--- a/gateway/routed/src/runRequest.ts
+++ b/gateway/routed/src/runRequest.ts
@@ -1,6 +1,7 @@
 import type { RoutedProtocol } from '@pulleystack/backend.interfaces'
 import type { Clock, RandomSource } from '@pulleystack/core.clock'
 import { PulleystackError, Ran, convertToError } from '@pulleystack/core.errors'
+import type { HeldBytes } from '@pulleystack/gateway.http'
 import type { BackendAgent } from '@pulleystack/routing.forward'
 import type { StreamOrigins } from '@pulleystack/routing.origins'
 import type { BackendFleet, ServerReports } from '@pulleystack/routing.fleet'
@@ -38,6 +39,8 @@
   /** Schedules the writes of stream events. */
   flusher: StreamFlusher
   responseTimes: ResponseTimes
+  /** Bounds what all clients together make this instance hold. */
+  held: HeldBytes
 }
 
 /** Runs one request until its response has been sent; rejects with the error for the client if no server's response can be relayed. */
--- a/gateway/routed/test/RoutedGateway.test.ts
+++ b/gateway/routed/test/RoutedGateway.test.ts
@@ -4,6 +4,7 @@
 import { beforeEach, describe, it } from 'node:test'
 import type { RouteTable } from '@pulleystack/config.routes'
 import { ManualClock } from '@pulleystack/core.clock'
+import { HeldBytes } from '@pulleystack/gateway.http'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
 import { NEVER } from 'rxjs'
 import { RoutedGateway, type RoutedGatewayOptions } from '../src/index.js'
@@ -54,6 +55,7 @@
       log: new NullDecisionLog(),
       protocol: { readRequest: () => ({ requestId: 'q' }), buildOwnHeaders: () => ({}) },
       suspects: { changes: NEVER },
+      held: new HeldBytes({ maxBytes: 1 << 20, readTime: () => 0 }),
       readTable: () => table,
       mustClose: () => false,
       onOutcome: () => undefined,
--- a/gateway/routed/test/TakeoverFixture.ts
+++ b/gateway/routed/test/TakeoverFixture.ts
@@ -6,6 +6,7 @@
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { ResidencyClient } from '@pulleystack/placement.residency'
 import { BackendFleet } from '@pulleystack/routing.fleet'
+import { HeldBytes } from '@pulleystack/gateway.http'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { WindowBudget } from '@pulleystack/routing.retries'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
@@ -123,6 +124,7 @@
       log: new NullDecisionLog(),
       findBudget: () => permits,
       responseTimes: new ResponseTimes(),
+      held: new HeldBytes({ maxBytes: 1 << 20, readTime: () => 0 }),
     } as unknown as RunOptions
   }
 
--- a/gateway/routed/test/runRequest.test.ts
+++ b/gateway/routed/test/runRequest.test.ts
@@ -5,6 +5,7 @@
 import { RepeatModes } from '@pulleystack/config.routes'
 import { ManualClock, RandomSource } from '@pulleystack/core.clock'
 import { Backend, BackendFleet } from '@pulleystack/routing.fleet'
+import { HeldBytes } from '@pulleystack/gateway.http'
 import { BackendAgent } from '@pulleystack/routing.forward'
 import { WindowBudget } from '@pulleystack/routing.retries'
 import { NullDecisionLog } from '@pulleystack/timeline.decisions'
@@ -114,6 +115,7 @@
       log: new NullDecisionLog(),
       findBudget: () => budget,
       responseTimes: new ResponseTimes(),
+      held: new HeldBytes({ maxBytes: 1 << 20, readTime: () => 0 }),
     } as unknown as RunOptions
   })
 
--- a/program/entry/src/createGateway.ts
+++ b/program/entry/src/createGateway.ts
@@ -1,6 +1,7 @@
 import type { RouteTable } from '@pulleystack/config.routes'
 import type { Policy } from '@pulleystack/config.settings'
 import type { RandomSource } from '@pulleystack/core.clock'
+import { HeldBytes } from '@pulleystack/gateway.http'
 import { InstanceRelay, PeerForwarder, QuotaGate, RelayPeers, ReservedSlots, ResponseTimes, RoutedGateway, StreamFlusher, SuspectGate, type BackendQueue, type ForwardTarget } from '@pulleystack/gateway.routed'
 import { isServing, type InstanceMesh } from '@pulleystack/membership.mesh'
 import type { PeerNetwork } from '@pulleystack/membership.peers'
@@ -66,6 +67,7 @@
     paths,
     suspects: new SuspectGate({ clock, log, fleet, quarantine, paths }),
     protocol,
+    held: new HeldBytes({ maxBytes: settings.limits.heldBytes, readTime: () => clock.readTime() }),
     relay: parts.relay,
     forwarder: parts.forwarder,
     forwardKey: mesh.self.forwardKey,
--- a/program/instance/src/createGateways.ts
+++ b/program/instance/src/createGateways.ts
@@ -1,3 +1,4 @@
+import { HeldBytes } from '@pulleystack/gateway.http'
 import { AdminGateway, ConfigWriter, explainRequest, type Explanation } from '@pulleystack/gateway.admin'
 import { CallerGateway } from '@pulleystack/gateway.callers'
 import { PulleystackError } from '@pulleystack/core.errors'
@@ -24,12 +25,14 @@
 
 export function createGateways (core: Core, routing: Routing, control: Control): Gateways {
   const { settings } = core
+  const held = new HeldBytes({ maxBytes: settings.limits.heldBytes, readTime: () => core.clock.readTime() })
   const callers = new CallerGateway({
     ...core,
     ...routing,
     meter: control.meter,
     rateLimiter: new RateLimiter(),
     maxBodyBytes: settings.limits.bodyBytes,
+    held,
     lifetimeSeconds: settings.directory.lifetimeSeconds,
     leastInstances: settings.directory.leastInstances,
     onFinished: (finished) => core.metrics.countRequest(finished),
@@ -37,12 +40,13 @@
   const explainLocally = (partner: string, caller: string, target: ExplainTarget): Explanation =>
     explainRequest({ ...core, ...routing }, partner, caller, target)
   core.network.handleCalls(EXPLAIN, (_, body) => explainLocally(body.partner, body.caller, body.target))
-  const routed = createRoutedRequests(core, routing)
+  const routed = createRoutedRequests(core, routing, held)
   const admin = new AdminGateway({
     ...core,
     operators: settings.operators,
     writer: createWriter(core),
     maxBodyBytes: settings.limits.bodyBytes,
+    held,
     collectTimeline: (filter) => collectTimeline({ ...core, peers: listPeers(core) }, filter),
     collectStatus: () => control.collectStatus(),
     explain: (partner, caller, target) => explainOnServingInstance(core, callers, explainLocally, { partner, caller, target }),
--- a/program/instance/src/createRoutedRequests.ts
+++ b/program/instance/src/createRoutedRequests.ts
@@ -6,7 +6,7 @@
 import { PulleystackError, convertToError } from '@pulleystack/core.errors'
 import { explainRoute, type RouteExplanation } from '@pulleystack/gateway.admin'
 import { findAllowedService } from '@pulleystack/gateway.callers'
-import { parseBearerToken, sendError } from '@pulleystack/gateway.http'
+import { parseBearerToken, sendError, type HeldBytes } from '@pulleystack/gateway.http'
 import { BackendQueue, ResponseTimes, RoutedGateway, StreamFlusher, SuspectGate } from '@pulleystack/gateway.routed'
 import { hashAccessKey } from '@pulleystack/core.hashing'
 import { ResidencyClient, type WeightsAnswer } from '@pulleystack/placement.residency'
@@ -41,7 +41,7 @@
 }
 
 /** Creates the gateway for routed requests to plain services, from the objects and servers known to the instance. */
-export function createRoutedRequests (core: Core, routing: Routing): RoutedRequests {
+export function createRoutedRequests (core: Core, routing: Routing, held: HeldBytes): RoutedRequests {
   const { clock, random, index, replica, settings } = core
   const fleet = new BackendFleet()
   const log = new NullDecisionLog()
@@ -71,6 +71,7 @@
     paths,
     suspects: new SuspectGate({ clock, log, fleet, quarantine: createQuarantine(core), paths }),
     protocol: new DefaultRoutedProtocol(),
+    held,
     queue,
     slots: queue,
     fleet,
--- a/routing/forward/src/ExchangeResponse.ts
+++ b/routing/forward/src/ExchangeResponse.ts
@@ -43,13 +43,17 @@
     return this.message.rawHeaders
   }
 
-  /** Reads the whole body; rejects with ATTEMPT_FAILED_UNKNOWN when it is incomplete or larger than `maxBytes`. */
-  async readBody (maxBytes: number): Promise<Buffer> {
+  /**
+   * Reads the whole body; rejects with ATTEMPT_FAILED_UNKNOWN when it is incomplete or larger than `maxBytes`, and with what `onBytes` throws, which is called
+   * with the size of each chunk.
+   */
+  async readBody (maxBytes: number, onBytes?: (bytes: number) => void): Promise<Buffer> {
     const chunks: Buffer[] = []
     let size = 0
     await this.read((chunk) => {
       size += chunk.length
       if (size > maxBytes) throw createBodyError(`The response body is larger than ${maxBytes} bytes`)
+      onBytes?.(chunk.length)
       chunks.push(chunk)
     })
     return Buffer.concat(chunks)
