--- a/backend/http/src/exchange.ts
+++ b/backend/http/src/exchange.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 import { parseAddress } from '@pulleystack/core.addresses'
-import { watchReset } from '@pulleystack/core.bodies'
+import { isFinalStatus, watchReset } from '@pulleystack/core.bodies'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 
 const MAX_ANSWER_BYTES = 64 << 20
@@ -45,7 +45,9 @@
       // Prevents an uncaught error if the request is aborted before the body is read. A reader still gets the error.
       response.on('error', () => undefined)
       watchReset(request, response, (cause) => response.destroy(cause))
-      resolve(response)
+      const status = response.statusCode ?? 0
+      if (isFinalStatus(status)) resolve(response)
+      else request.destroy(new Error(`The response has the invalid status ${status}`))
     })
     request.on('close', removeAbortListener)
     request.on('error', (cause) => reject(createExchangeError(opts.address, connected, cause)))
--- a/backend/http/test/HttpServiceClient.test.ts
+++ b/backend/http/test/HttpServiceClient.test.ts
@@ -10,9 +10,10 @@
   describe('with a response that has neither a length nor chunks', () => {
     const client = new HttpServiceClient()
     let finish: (socket: Socket) => void = () => undefined
+    let response = HALF_RESPONSE
     const server = net.createServer((socket) => {
       socket.on('error', () => undefined)
-      socket.once('data', () => socket.write(HALF_RESPONSE, () => finish(socket)))
+      socket.once('data', () => socket.write(response, () => finish(socket)))
     })
 
     before(() => new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve)))
@@ -40,5 +41,14 @@
       finish = (socket) => socket.end()
       assert.equal(await readResponse(), 'half')
     })
+
+    // A server in trouble sends a status that is none, which passed for a response.
+    it('fails when its status is invalid', async () => {
+      finish = (socket) => socket.end()
+      for (const status of ['000', '099', '999']) {
+        response = HALF_RESPONSE.replace('200', status)
+        await assert.rejects(readResponse(), /invalid status/)
+      }
+    })
   })
 })
--- a/routing/forward/src/openExchange.ts
+++ b/routing/forward/src/openExchange.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 import type { ResponseFacts, RoutedProtocol } from '@pulleystack/backend.interfaces'
 import { parseAddress } from '@pulleystack/core.addresses'
-import { Framings, watchOverhead } from '@pulleystack/core.bodies'
+import { Framings, isFinalStatus, watchOverhead } from '@pulleystack/core.bodies'
 import type { Clock } from '@pulleystack/core.clock'
 import { PulleystackError, Ran } from '@pulleystack/core.errors'
 import type { BackendAgent, BackendRequestOptions } from './BackendAgent.js'
@@ -114,10 +114,11 @@
   return new PulleystackError(wasConnected ? 'ATTEMPT_FAILED_UNKNOWN' : 'ATTEMPT_FAILED_NOT_RUN', message, { cause })
 }
 
-function checkHead ({ facts, framing }: ExchangeResponse, { requestId, mustBeFramed = false }: ExchangeOptions): PulleystackError | undefined {
+function checkHead ({ facts, framing, status }: ExchangeResponse, { requestId, mustBeFramed = false }: ExchangeOptions): PulleystackError | undefined {
   if (requestId !== undefined && facts.requestId !== requestId) {
     return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response belongs to another request')
   }
+  if (!isFinalStatus(status)) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', `The response has the invalid status ${status}`)
   if (facts.notRun) return new PulleystackError('BACKEND_REFUSED', 'The server rejected the request without running it', { ran: Ran.NO })
   if (!facts.isConfirmedByServer) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response is not signed by the server')
   if (mustBeFramed && framing === Framings.CLOSE) return new PulleystackError('ATTEMPT_FAILED_UNKNOWN', 'The response has neither a length nor chunks')
