Hold back a silent server's response while another one may run the request

Cause: for up to 250 ms both servers have the request. If the silent one wrote in that time, it won, and the other one, which may have begun to run it, was given up: the former server went on.

Change: from when the request is sent to the second server, the first one's response is held back (ResponseHold). If the second rejects it, the first goes on where it was; if not, the first ends within 250 ms. No event is lost or repeated, as the second one goes on after the newest event passed on. Servers that fail often are chosen, where others are full, only by requests that were taken from a server at work, not by all streams that were delivered in part.

--- a/gateway/routed/src/ServerChooser.ts
+++ b/gateway/routed/src/ServerChooser.ts
@@ -5,7 +5,7 @@
 import { findPaces } from './findPaces.js'
 import { findRequiredVersion } from './findRequiredVersion.js'
 import type { PeerForwarder } from './PeerForwarder.js'
-import { isResumable, mustBeFinished, type RoutedWork } from './RoutedWork.js'
+import { isResumable, type RoutedWork } from './RoutedWork.js'
 
 /** Requests that may be queued at a server without generation beyond its slots, as a share of the slots. */
 const QUEUE_SHARE = 1.5
@@ -52,7 +52,7 @@
         longestPauseMs: work.route.longestPauseMs,
         mustAvoidSuspects: work.mustAvoidSuspects,
         deniedUntil: work.deniedUntil,
-        mustBeFinished: mustBeFinished(work),
+        mayFail: work.hasAbandonedRun === true,
         isBrittle: this.isBrittle(work),
         mayForward: this.opts.forwarder?.mayForward(work),
         requiredVersion: findRequiredVersion(this.opts.fleet, work),
--- a/gateway/routed/src/beginTakeover.ts
+++ b/gateway/routed/src/beginTakeover.ts
@@ -59,7 +59,7 @@
 interface TakeoverOptions {
   silent: SentAttempt
   permits: TakeoverPermits
-  /** Aborted when the silent server has responded, or the request has ended. */
+  /** Aborted when the silent server has responded before the request was sent to another one, or the request has ended. */
   ending: AbortSignal
 }
 
@@ -73,9 +73,14 @@
     admission.slot.release()
     return false
   }
+  // A server that may run the request must not be given up for one that goes on.
+  silent.hold.begin()
   const attempt = await sendAttempt(run, admission, { openRuns: countOpenRuns(silent) })
   const cancel = (): Promise<void> => endAttempt(run, attempt, createReplacedError())
-  if (!await waitForAcceptance(run, attempt, ending)) return false
+  if (!await waitForAcceptance(run, attempt, ending)) {
+    silent.hold.release()
+    return false
+  }
   progress.retryPermit = permits.spare
   progress.successor = { relay: () => relayAttempt(run, attempt), cancel: () => void cancel() }
   work.hasAbandonedRun = true
--- a/gateway/routed/src/serverAttempt.ts
+++ b/gateway/routed/src/serverAttempt.ts
@@ -10,10 +10,12 @@
 import { isSlowOnly } from './isSlowOnly.js'
 import { recordSend } from './recordSend.js'
 import { MIN_SERVER_ERROR_STATUS, relayServerResponse } from './relayServerResponse.js'
+import { waitUnlessAborted } from './RequestAborter.js'
 import type { RequestRun } from './RequestRun.js'
 import { dropRetryPermit, mayRepeat } from './retryAttempt.js'
 import { mustBeFinished } from './RoutedWork.js'
 import type { RunOptions } from './runRequest.js'
+import { ResponseHold } from './ResponseHold.js'
 import { settleWithin } from './settleWithin.js'
 import type { BrokenAttempt } from './SuspectGate.js'
 import { beginStream, recordOrigin } from './trackStream.js'
@@ -46,6 +48,8 @@
   eventsBefore: number
   /** Whether the attempt counts among those that may have run. */
   hasCountedRun: boolean
+  /** Holds back what the server sends while another one may take over. */
+  hold: ResponseHold
 }
 
 /** Sends the request to the server of the slot. `openRuns` counts attempts that may have run and aren't counted yet. */
@@ -75,7 +79,8 @@
   const response = openExchange({ ...buildExchange(request, slot), signal: signal.signal, onWritten: recordWritten })
   // A rejection is handled by whoever relays the attempt or ends it.
   response.catch(() => undefined)
-  const attempt: SentAttempt = { slot, run, origin, signal, response, written, facts, sentAt, eventsBefore: work.stream.events, hasCountedRun: false }
+  const state = { eventsBefore: work.stream.events, hasCountedRun: false, hold: new ResponseHold() }
+  const attempt: SentAttempt = { slot, run, origin, signal, response, written, facts, sentAt, ...state }
   return attempt
 }
 
@@ -85,6 +90,7 @@
   const { slot, run, signal, origin } = attempt
   try {
     const response = await attempt.response
+    await waitUnlessAborted(signal.signal, attempt.hold.open(response))
     // Another attempt might have been needed if the server had rejected this one late.
     dropRetryPermit(progress)
     recordResponse(request, attempt)
--- a/gateway/routed/test/takeover.test.ts
+++ b/gateway/routed/test/takeover.test.ts
@@ -163,23 +163,26 @@
         assert.equal(fixture.list('b')[0]?.after, script === pauseWithin ? EVENTS_BEFORE : 0)
       })
 
-      it('goes on by itself while the other attempt has not begun', async () => {
-        let other: ServedRequest | undefined
-        await fixture.addServer('a', (served) => {
-          if (script === pauseWithin) sendEvents(served, EVENTS_BEFORE, { isWhole: false })
-          const resume = (): void => {
-            if (other) sendEvents(script === pauseWithin ? { ...served, after: EVENTS_BEFORE } : served, EVENTS)
-            else fixture.clock.setTimer(25, resume)
-          }
-          resume()
+      // A request went on at its first server while the second one, which had begun as well, was given up.
+      for (const [end, finish] of [['rejects', refuse], ['takes', (served: ServedRequest) => sendEvents(served, EVENTS)]] as const) {
+        it(`is held back while another server has the request, which then ${end} it`, async () => {
+          const begun = script === pauseWithin ? EVENTS_BEFORE : 0
+          let first: ServedRequest | undefined
+          await fixture.addServer('a', (served) => {
+            first = served
+            if (begun > 0) sendEvents(served, begun, { isWhole: false })
+          })
+          await fixture.addServer('b', (served) => {
+            fixture.clock.setTimer(50, () => first && sendEvents({ ...first, after: begun }, EVENTS - 1, { isWhole: false }))
+            fixture.clock.setTimer(150, () => finish(served))
+            fixture.clock.setTimer(300, () => first && sendEvents({ ...first, after: EVENTS - 1 }, EVENTS))
+          })
+          fixture.prepare()
+          await checkWhole()
+          assert.equal(fixture.list('a').length, 1)
+          assert.equal(fixture.list('a')[0]?.response.writableFinished, end === 'rejects')
         })
-        await fixture.addServer('b', (served) => {
-          other = served
-        })
-        fixture.prepare()
-        await checkWhole()
-        assert.equal(fixture.list('a').length, 1)
-      })
+      }
 
       it('loses the request at once when its connection breaks while the other attempt begins', async () => {
         await fixture.addServer('a', (served) => {
--- a/routing/fleet/src/chooseBackend.ts
+++ b/routing/fleet/src/chooseBackend.ts
@@ -38,8 +38,8 @@
   isBrittle?: boolean
   /** Whether another instance could take the request to a server that this one can't reach. */
   mayForward?: boolean
-  /** Whether a server that fails often is better than none. */
-  mustBeFinished?: boolean
+  /** Whether a server that fails often is better than a wait. */
+  mayFail?: boolean
   /** Excludes servers of any other software version. */
   requiredVersion?: string
   /** Software versions at whose servers the request would have to wait although they have room; others with room are preferred. */
@@ -131,7 +131,7 @@
   if (untried.length === 0) return generation ? ChoiceFailures.NOT_RESIDENT : ChoiceFailures.NO_BACKEND
   const healthy = opts.policy.failureAvoidance ? dropFailing(untried, now) : untried
   const preferredRatings = healthy.map((backend) => rateBackend(backend, opts))
-  const mustTryFailing = demand.mustBeFinished && preferredRatings.every((it) => typeof it === 'string')
+  const mustTryFailing = demand.mayFail === true && preferredRatings.every((it) => typeof it === 'string')
   const ratings = mustTryFailing ? untried.map((backend) => rateBackend(backend, opts)) : preferredRatings
   const eligible = ratings.filter((it) => typeof it === 'object')
   if (eligible.length === 0) return ratings.includes(ChoiceFailures.PREFILLING) ? ChoiceFailures.PREFILLING : ChoiceFailures.FULL
