--- a/gateway/routed/src/BackendQueue.ts
+++ b/gateway/routed/src/BackendQueue.ts
@@ -93,6 +93,12 @@
     return work.origin !== undefined && this.chooser.choose(work) === ChoiceFailures.VERSION_GONE
   }
 
+  /** Whether requests of the same kind wait for a slot, here or at other instances. */
+  isSlotAwaited (work: RoutedWork): boolean {
+    const key = buildQueueKey(work)
+    return this.opts.fleet.waiting.countAtPeers(key) > 0 || this.waiting.some((item) => buildQueueKey(item.work) === key)
+  }
+
   /** Whether a server other than that of `slot` has a free slot for the request. */
   hasSlotElsewhere (work: RoutedWork, slot: BackendSlot): boolean {
     return typeof this.chooser.choose(work, chooseElsewhere(work, slot)) !== 'string'
--- a/gateway/routed/src/beginTakeover.ts
+++ b/gateway/routed/src/beginTakeover.ts
@@ -20,6 +20,7 @@
 export function beginTakeover (run: RequestRun, silent: SentAttempt): Takeover | undefined {
   const { opts, work, progress } = run
   if (progress.takeover || progress.successor || !mayAddAttempt(work, progress, silent)) return undefined
+  if (mayLeave(run, silent)) return { outcome: Promise.resolve(true), cancel: () => undefined }
   const mustForward = isPathLost(run, silent) && opts.forwarder?.mayForward(work) === true
   if (!mustForward && !opts.queue.hasSlotElsewhere(work, silent.slot)) return undefined
   const permits = reservePermits(opts.findBudget(work.service.name))
@@ -42,6 +43,11 @@
   return opts.fleet.contacts.isCutOff || slot.backend.path.isLost
 }
 
+/** A request whose server can't respond to this instance leaves its slot to those that wait for it, and waits like them. */
+function mayLeave (run: RequestRun, silent: SentAttempt): boolean {
+  return isPathLost(run, silent) && run.work.stream.events === 0 && run.opts.queue.isSlotAwaited(run.work)
+}
+
 /** Retry permits for an attempt beside another one. */
 interface TakeoverPermits {
   first: RetryPermit
