--- a/gateway/routed/test/TakeoverFixture.ts
+++ b/gateway/routed/test/TakeoverFixture.ts
@@ -62,6 +62,7 @@
   received = ''
   isEnded = false
   work!: RoutedWork
+  budget!: WindowBudget
   opts!: RunOptions
   private readonly servers: http.Server[] = []
 
@@ -98,7 +99,7 @@
     const tried = { excluded: new Set(), deniedUntil: new Map(), triedPeers: new Set() }
     const state = { ...tried, stream: createStreamProgress(undefined), signal: new AbortController().signal }
     this.work = { ...base, ...times, ...state, route, streamId: 'q' } as unknown as RoutedWork
-    const permits = new WindowBudget({ clock: this.clock, ratio: 0, fixedAllowance: budget, windowMs: 10_000, countInstances: () => 1 })
+    this.budget = new WindowBudget({ clock: this.clock, ratio: 0, fixedAllowance: budget, windowMs: 10_000, countInstances: () => 1 })
     this.opts = {
       clock: this.clock,
       random: new RandomSource(1),
@@ -122,7 +123,7 @@
       origins: { begin: () => Promise.resolve(), store: () => undefined, record: () => undefined, end: () => undefined },
       flusher: new StreamFlusher(this.clock),
       log: new NullDecisionLog(),
-      findBudget: () => permits,
+      findBudget: () => this.budget,
       responseTimes: new ResponseTimes(),
       held: new HeldBytes({ maxBytes: 1 << 20, readTime: () => 0 }),
     } as unknown as RunOptions
--- a/gateway/routed/test/takeover.test.ts
+++ b/gateway/routed/test/takeover.test.ts
@@ -81,7 +81,15 @@
         await fixture.addServer('a', script)
         await fixture.addServer('b', refuseLate)
         fixture.prepare({ budget: 2 })
+        // Others take what is left once the server counts as running the request.
+        fixture.clock.setTimer(0, function takeRest () {
+          const [other] = fixture.list('b')
+          const isAccepted = other !== undefined && fixture.clock.readTime() - other.at > MAX_OVERLAP_MS
+          if (isAccepted) while (fixture.budget.take());
+          else fixture.clock.setTimer(25, takeRest)
+        })
         await checkWhole()
+        assert.equal(fixture.list('a').length, 2)
       })
 
       it('keeps the request while the retry budget permits one further attempt only', async () => {
